--- a/src/bin/beechworks-simhost/main.rs
+++ b/src/bin/beechworks-simhost/main.rs
@@ -2,7 +2,6 @@
 //! Translation only; every decision is the library's.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::io::{BufRead, Write};
--- a/src/bin/beechworks-simhost/wire.rs
+++ b/src/bin/beechworks-simhost/wire.rs
@@ -1,6 +1,6 @@
 //! Lines to events, actions to lines.
 
-use crate::settings::Names;
+use beechworks::settings::{self, number, Key, Names};
 use beechworks::*;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -104,7 +104,7 @@
                 let rows = f.values[1].as_array().ok_or_else(|| f.bad(1, "an array of entries"))?;
                 let mut entries = Vec::with_capacity(rows.len());
                 for row in rows {
-                    let (address, entry) = crate::settings::entry(row)?;
+                    let (address, entry) = entry(row)?;
                     let known = self.addresses.entry(entry.id).or_insert_with(|| address.into());
                     if known != address {
                         return Err(format!("list entry {row}: its address has the number of {known}"));
@@ -142,7 +142,7 @@
             return Err(f.bad(0, "an instance such as proxy-3"));
         }
         let seed = f.whole(1, "a seed")?;
-        let made = crate::settings::read(&f.values[2]).and_then(|(config, names)| {
+        let made = settings::read(&Key::root(&f.values[2])).and_then(|(config, names)| {
             Balancer::new(config, seed).map(|b| (b, names)).map_err(|e| e.to_string())
         });
         let instance = match made {
@@ -158,6 +158,38 @@
     }
 }
 
+/// A row of a list, with its address.
+fn entry(row: &Value) -> Result<(&str, Backend), String> {
+    let bad = |what: &str| format!("list entry {row}: expected {what}");
+    let row = row.as_array().filter(|r| r.len() == 7).ok_or_else(|| bad("an array of 7 values"))?;
+    let text = |at: usize, what| row[at].as_str().ok_or_else(|| bad(what));
+    let address = text(3, "an address")?;
+    let plain = |b: u8| b.is_ascii_graphic() && b != b'"' && b != b'\\';
+    if address.is_empty() || !address.bytes().all(plain) {
+        return Err(bad("a plain address"));
+    }
+    let state = match text(4, "IN, LAME or OUT")? {
+        "IN" => BackendState::Ready,
+        "LAME" => BackendState::Draining,
+        "OUT" => BackendState::Gone,
+        _ => return Err(bad("IN, LAME or OUT")),
+    };
+    let booted = match &row[6] {
+        Value::Null => None,
+        v => Some(v.as_u64().ok_or_else(|| bad("a start time or null"))?),
+    };
+    let entry = Backend {
+        id: BackendId(number(address)),
+        zone: ZoneId(number(text(0, "a zone")?)),
+        cell: CellId(row[1].as_u64().ok_or_else(|| bad("a cell number"))?),
+        kind: KindId(number(text(2, "a kind")?)),
+        state,
+        booted: booted.filter(|t| *t > 0).map(Time),
+        weight: row[5].as_f64().filter(|w| *w >= 0.0).ok_or_else(|| bad("a weight of 0 or more"))?,
+    };
+    Ok((address, entry))
+}
+
 fn event(f: &Fields, names: &Names, rosters: &HashMap<u64, Vec<Backend>>) -> Result<Option<Event>, String> {
     Ok(Some(match f.name {
         "VIEW" => {
--- /dev/null
+++ b/src/bin/gaugesaddle/config.rs
@@ -0,0 +1,73 @@
+//! `$BALANCER_CONFIG` into a checked struct.
+
+use crate::discovery::{self, List};
+use beechworks::settings::{self, Key, Names};
+use beechworks::Micros;
+use std::net::SocketAddr;
+
+/// Everything that the deployment tells a proxy.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of backends as this proxy last had it.
+    pub known: Option<List>,
+    pub module: beechworks::Config,
+    pub names: Names,
+    /// Requests that may be open at once; more are turned away before the module.
+    pub open_cap: usize,
+    /// A backend closes a connection that has been idle for this long, at the latest.
+    pub conn_idle: Micros,
+    /// A connection that is not up after this time counts as failed.
+    pub dial_timeout: Micros,
+    /// The longest time that a client waits.
+    pub longest: Micros,
+}
+
+/// Fewer descriptors leave no room for clients, backends and discovery.
+const LEAST_SOCKETS: u32 = 64;
+
+/// Reads the file that `$BALANCER_CONFIG` names.
+pub fn load() -> Result<Config, String> {
+    let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: missing, expected a file name")?;
+    let path = std::path::Path::new(&path);
+    let text = std::fs::read(path)
+        .map_err(|e| format!("BALANCER_CONFIG: expected a readable file, got {}: {e}", path.display()))?;
+    let value = serde_json::from_slice(&text)
+        .map_err(|e| format!("BALANCER_CONFIG: expected JSON in {}: {e}", path.display()))?;
+    parse(&Key::root(&value))
+}
+
+fn address(key: &Key) -> Result<SocketAddr, String> {
+    let parsed = key.text()?.parse().ok();
+    key.want(parsed, "an IP address and a port")
+}
+
+fn parse(root: &Key) -> Result<Config, String> {
+    let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
+    let sockets = root.get("limits").get("sockets");
+    let enough = Some(sockets.count()?).filter(|n| *n >= LEAST_SOCKETS);
+    let (module, names) = settings::read(&settings)?;
+    module.validate().map_err(|e| format!("settings: {e}"))?;
+    let limits = settings.get("limits");
+    let mut longest = Micros(0);
+    for class in settings.get("profiles").list()? {
+        longest = longest.max(class.get("deadline_us").micros()?);
+    }
+    let hex = u64::from_str_radix(seed.text()?, 16).ok();
+    Ok(Config {
+        listen: address(&root.get("listen"))?,
+        discovery: address(&root.get("discovery"))?,
+        seed: seed.want(hex, "up to 16 hex digits")?,
+        sockets: sockets.want(enough, "at least 64")? as usize,
+        known: known.value().map(|_| discovery::list(&known)).transpose()?,
+        module,
+        names,
+        open_cap: limits.get("open_cap").count()? as usize,
+        conn_idle: limits.get("conn_idle_us").micros()?,
+        dial_timeout: limits.get("dial_timeout_us").micros()?,
+        longest,
+    })
+}
--- /dev/null
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -0,0 +1,173 @@
+//! The list of backends: its form, and the watch on it.
+
+use crate::driver::Input;
+use beechworks::settings::{number, Key};
+use beechworks::{Backend, BackendId, BackendState, CellId, Discovery, KindId, ListUpdate, Time, ZoneId};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::JoinHandle;
+
+/// A line of the list.
+#[derive(Clone)]
+pub struct Target {
+    pub backend: Backend,
+    pub address: SocketAddr,
+}
+
+/// What discovery told.
+#[derive(Clone)]
+pub struct List {
+    pub index: u64,
+    /// The whole list, not changes.
+    pub whole: bool,
+    pub targets: Vec<Target>,
+}
+
+/// A pushed list costs its agent nothing: short waits notice one that fell silent.
+const PUSH_WAIT: Duration = Duration::from_secs(4);
+/// Where all proxies ask one service, each call costs it work.
+const ASK_WAIT: Duration = Duration::from_secs(20);
+/// An answer that is this late does not come.
+const GRACE: Duration = Duration::from_millis(1500);
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// The longest list that is read: some thousand lines.
+const LIST_BYTES: usize = 4 << 20;
+
+/// Reads a list; one bad line refuses the whole of it, for a half-read list would drop backends.
+pub fn list(root: &Key) -> Result<List, String> {
+    let index = root.get("index");
+    let version = index.value().and_then(serde_json::Value::as_u64);
+    let mut targets = Vec::new();
+    for line in root.get("endpoints").list()? {
+        let (status, since) = (line.get("status"), line.get("since_ms"));
+        let state = match status.text()? {
+            "ready" => BackendState::Ready,
+            "draining" => BackendState::Draining,
+            "gone" => BackendState::Gone,
+            _ => return status.want(None, "ready, draining or gone"),
+        };
+        let started = since.want(since.value().map_or(Some(0), |v| v.as_u64()), "whole milliseconds")?;
+        let address = line.get("address");
+        let (cell, weight) = (line.get("group"), line.get("weight"));
+        let backend = Backend {
+            id: BackendId(number(line.get("name").text()?)),
+            zone: ZoneId(number(line.get("zone").text()?)),
+            cell: CellId(cell.want(cell.value().and_then(serde_json::Value::as_u64), "a group number")?),
+            kind: KindId(number(line.get("type").text()?)),
+            state,
+            booted: Some(Time(started.saturating_mul(1000))).filter(|t| t.0 > 0),
+            weight: weight.want(Some(weight.real()?).filter(|w| *w >= 0.0), "a weight of 0 or more")?,
+        };
+        targets.push(Target { backend, address: address.want(address.text()?.parse().ok(), "an address")? });
+    }
+    Ok(List { index: index.want(version, "a version")?, whole: root.get("snapshot").flag()?, targets })
+}
+
+/// One connection to discovery; dropping it closes it.
+struct Line {
+    sender: SendRequest<Empty<Bytes>>,
+    driving: JoinHandle<()>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.driving.abort();
+    }
+}
+
+async fn dial(to: SocketAddr) -> Result<Line, String> {
+    let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let driving = tokio::task::spawn_local(async move {
+        if let Err(e) = connection.await {
+            tracing::debug!("discovery connection: {e}");
+        }
+    });
+    Ok(Line { sender, driving })
+}
+
+async fn ask(line: &mut Line, host: SocketAddr, path: &str) -> Result<List, String> {
+    line.sender.ready().await.map_err(|e| e.to_string())?;
+    let request = Request::get(path)
+        .header(hyper::header::HOST, host.to_string())
+        .body(Empty::new())
+        .map_err(|e| e.to_string())?;
+    let answer = line.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await.map_err(|e| e.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    let value = serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("expected JSON: {e}"))?;
+    list(&Key::root(&value))
+}
+
+/// Where discovery is and how it is used.
+pub struct Watch {
+    pub address: SocketAddr,
+    pub mode: Discovery,
+    /// The version last had.
+    pub index: Option<u64>,
+    /// The module asks for changes; a pushed list is watched unasked.
+    pub follow: std::rc::Rc<Notify>,
+    pub inputs: mpsc::UnboundedSender<Input>,
+}
+
+impl Watch {
+    /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
+    pub async fn run(mut self) {
+        let pushed = self.mode == Discovery::Push;
+        let wait = if pushed { PUSH_WAIT } else { ASK_WAIT };
+        let (mut line, mut backoff, mut watching) = (None, BACKOFF.0, pushed);
+        loop {
+            if !watching {
+                self.follow.notified().await;
+            }
+            // An agent that never answers must not hold the watch: every call has its time.
+            let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, wait));
+            match call.await.unwrap_or_else(|_| Err("no answer in time".into())) {
+                Ok(list) => {
+                    (watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
+                    let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
+                    if list.whole || !list.targets.is_empty() || !pushed {
+                        let _ = self.inputs.send(Input::List(update, list.targets));
+                    }
+                }
+                Err(text) => {
+                    // The list held stays in force.
+                    line = None;
+                    tracing::warn!("discovery: {text}");
+                    if pushed {
+                        tokio::time::sleep(backoff).await;
+                        backoff = (backoff * 2).min(BACKOFF.1);
+                    } else {
+                        watching = false;
+                        let _ = self.inputs.send(Input::List(ListUpdate::Lost, Vec::new()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call(&mut self, line: &mut Option<Line>, wait: Duration) -> Result<List, String> {
+        if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
+            *line = Some(dial(self.address).await?);
+        }
+        let path = match self.index {
+            Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
+            None => "/api/targets".into(),
+        };
+        match line {
+            Some(line) => ask(line, self.address, &path).await,
+            None => Err("no connection".into()),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/gaugesaddle/driver.rs
@@ -0,0 +1,421 @@
+//! The one owner of the module, of the requests and of their attempts. It turns what happens into events
+//! and carries out actions; which backend, whether again, whether at all is the module's to say.
+
+use crate::clock::Clock;
+use crate::discovery::Target;
+use crate::upstream::{Call, Ended, Pool, Upstream};
+use beechworks::*;
+use bytes::Bytes;
+use hyper::Response;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::AbortHandle;
+
+/// A final answer.
+pub enum Answer {
+    Served(Response<Bytes>),
+    Refused,
+    Failed,
+}
+
+/// A request that a client has sent whole.
+pub struct Arrived {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    /// When it must have been answered.
+    pub deadline: Time,
+    pub work_hint: Option<Micros>,
+    pub repeat: bool,
+    pub call: Rc<Call>,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// What happens to a proxy.
+pub enum Input {
+    Arrived(Arrived),
+    /// The client has closed its connection.
+    Left(RequestId),
+    Ended(RequestId, AttemptNo, Ended),
+    List(ListUpdate, Vec<Target>),
+}
+
+/// An attempt that is out.
+struct Attempt {
+    sent: Time,
+    task: AbortHandle,
+}
+
+struct Open {
+    deadline: Time,
+    call: Rc<Call>,
+    /// `None`: it has had its final answer, or its client is gone.
+    reply: Option<oneshot::Sender<Answer>>,
+    attempts: HashMap<AttemptNo, Attempt>,
+    /// How many attempts were asked for so far.
+    count: u32,
+}
+
+/// What the driver tells the rest of the program.
+#[derive(Default)]
+pub struct Status {
+    /// Some backend can be sent requests.
+    pub serving: Cell<bool>,
+}
+
+pub struct Driver {
+    clock: Clock,
+    config: Config,
+    seed: u64,
+    open_cap: usize,
+    balancer: Balancer,
+    pool: Rc<Pool>,
+    backends: HashMap<BackendId, Rc<Upstream>>,
+    requests: HashMap<RequestId, Open>,
+    deadlines: BTreeSet<(Time, RequestId)>,
+    timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    /// The module acts once a tick: its next turn.
+    turn: Time,
+    inputs: mpsc::UnboundedSender<Input>,
+    follow: Rc<Notify>,
+    status: Rc<Status>,
+}
+
+/// Tells the end of an attempt however its task ends, a panic included: it may have run then.
+struct Report {
+    to: mpsc::UnboundedSender<Input>,
+    request: RequestId,
+    attempt: AttemptNo,
+    told: bool,
+}
+
+impl Report {
+    fn tell(&mut self, ended: Ended) {
+        self.told = true;
+        let _ = self.to.send(Input::Ended(self.request, self.attempt, ended));
+    }
+}
+
+impl Drop for Report {
+    fn drop(&mut self) {
+        if !self.told {
+            self.tell(Outcome::Reset.into());
+        }
+    }
+}
+
+/// Idle connections are looked through this often.
+const SWEEP: Micros = Micros(1_000_000);
+
+impl Driver {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        clock: Clock, config: Config, seed: u64, open_cap: usize, pool: Rc<Pool>,
+        inputs: mpsc::UnboundedSender<Input>, follow: Rc<Notify>, status: Rc<Status>,
+    ) -> Result<Driver, ConfigError> {
+        Ok(Driver {
+            clock,
+            balancer: Balancer::new(config.clone(), seed)?,
+            config,
+            seed,
+            open_cap,
+            pool,
+            backends: HashMap::new(),
+            requests: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            timers: BinaryHeap::new(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            turn: Time(0),
+            inputs,
+            follow,
+            status,
+        })
+    }
+
+    /// Runs until nobody can send inputs any more, which is never.
+    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let sleep = tokio::time::sleep_until(self.clock.instant(self.clock.now()));
+        tokio::pin!(sleep);
+        let mut set = Time(0);
+        let mut sweep = self.clock.now() + SWEEP;
+        loop {
+            let wake = self.wake().min(sweep);
+            if wake != set {
+                set = wake;
+                sleep.as_mut().reset(self.clock.instant(wake));
+            }
+            tokio::select! {
+                biased;
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                () = &mut sleep => set = Time(0),
+            }
+            while let Ok(input) = inputs.try_recv() {
+                self.take(input);
+            }
+            let now = self.clock.now();
+            self.expire(now);
+            if now >= self.turn {
+                self.act(now);
+            }
+            if now >= sweep {
+                sweep = now + SWEEP;
+                for upstream in self.backends.values() {
+                    let (upstream, pool) = (upstream.clone(), self.pool.clone());
+                    tokio::task::spawn_local(async move { pool.sweep(&upstream).await });
+                }
+            }
+        }
+    }
+
+    /// When time alone next brings something about.
+    fn wake(&self) -> Time {
+        let timer = self.timers.peek().map_or(Time(u64::MAX), |t| t.0 .0);
+        let due = if self.events.is_empty() { timer } else { self.turn };
+        let deadline = self.deadlines.first().map_or(Time(u64::MAX), |d| d.0);
+        due.max(self.turn).min(deadline)
+    }
+
+    /// What cannot wait for the module's turn: a good answer goes to its client at once.
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived(arrived) => self.arrived(arrived),
+            Input::Left(request) => {
+                if self.requests.get_mut(&request).is_some_and(|r| r.reply.take().is_some()) {
+                    self.events.push(Event::ClientGone { request });
+                    self.forget(request);
+                }
+            }
+            Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
+            Input::List(update, targets) => self.list(update, targets),
+        }
+    }
+
+    fn arrived(&mut self, new: Arrived) {
+        if self.requests.len() >= self.open_cap {
+            let _ = new.reply.send(Answer::Refused); // it reaches neither the module nor a backend
+            return;
+        }
+        let time_left = new.deadline - self.clock.now();
+        self.events.push(Event::Request(Arrival {
+            request: new.id,
+            class: new.class,
+            tenant: new.tenant,
+            time_left,
+            work_hint: new.work_hint,
+            repeat: new.repeat,
+        }));
+        self.deadlines.insert((new.deadline, new.id));
+        let (attempts, reply) = (HashMap::new(), Some(new.reply));
+        let open = Open { deadline: new.deadline, call: new.call, reply, attempts, count: 0 };
+        self.requests.insert(new.id, open);
+    }
+
+    fn ended(&mut self, request: RequestId, attempt: AttemptNo, ended: Ended) {
+        let now = self.clock.now();
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        // One outcome an attempt: what it sends after it was called off does not count.
+        let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
+        task.abort();
+        if let Some(answer) = ended.answer {
+            if let Some(reply) = r.reply.take() {
+                let _ = reply.send(Answer::Served(answer));
+            }
+        }
+        let (outcome, settled) = (ended.outcome, r.reply.is_none());
+        let latency = now - sent;
+        self.events.push(Event::AttemptEnded(AttemptEnd { request, attempt, outcome, latency, settled }));
+        self.forget(request);
+    }
+
+    /// Drops a request once it is answered and nothing of it is out.
+    fn forget(&mut self, request: RequestId) {
+        if let Some(r) = self.requests.get(&request).filter(|r| r.reply.is_none() && r.attempts.is_empty()) {
+            self.deadlines.remove(&(r.deadline, request));
+            self.requests.remove(&request);
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        if let Some(reply) = self.requests.get_mut(&request).and_then(|r| r.reply.take()) {
+            let _ = reply.send(answer);
+        }
+        self.forget(request);
+    }
+
+    fn list(&mut self, update: ListUpdate, targets: Vec<Target>) {
+        let whole = matches!(update, ListUpdate::Full | ListUpdate::Cached);
+        let mut old = if whole { std::mem::take(&mut self.backends) } else { HashMap::new() };
+        let mut entries = Vec::with_capacity(targets.len());
+        for target in targets {
+            let id = target.backend.id;
+            entries.push(target.backend.clone());
+            let known = old.remove(&id).or_else(|| self.backends.remove(&id));
+            let same = |u: &Rc<Upstream>| {
+                u.target.address == target.address && u.target.backend.booted == target.backend.booted
+            };
+            let ready = target.backend.state == BackendState::Ready;
+            let upstream = match known {
+                Some(upstream) if same(&upstream) => upstream,
+                // A restarted process shares no connection with the one before it.
+                Some(upstream) => {
+                    upstream.shut();
+                    Rc::new(Upstream::new(target.clone()))
+                }
+                None => Rc::new(Upstream::new(target.clone())),
+            };
+            if ready {
+                upstream.open.set(true);
+            } else {
+                upstream.shut();
+            }
+            if target.backend.state != BackendState::Gone {
+                self.backends.insert(id, upstream);
+            }
+        }
+        old.values().for_each(|upstream| upstream.shut());
+        self.status.serving.set(self.backends.values().any(|u| u.open.get()));
+        self.events.push(Event::Members { update, backends: entries });
+    }
+
+    /// Ends what is out at its deadline, and what the module has left unanswered even then.
+    fn expire(&mut self, now: Time) {
+        while let Some(&(at, request)) = self.deadlines.first().filter(|d| d.0 <= now) {
+            self.deadlines.pop_first();
+            let Some(r) = self.requests.get_mut(&request) else { continue };
+            let settled = r.reply.is_none();
+            let out: Vec<(AttemptNo, Attempt)> = r.attempts.drain().collect();
+            for (attempt, Attempt { sent, task }) in out {
+                task.abort();
+                let (outcome, latency) = (Outcome::TimedOut, now - sent);
+                let end = AttemptEnd { request, attempt, outcome, latency, settled };
+                self.events.push(Event::AttemptEnded(end));
+            }
+            if at > r.deadline && r.reply.is_some() {
+                // The module owed an answer and gave none; failing promises nothing, so it is always true.
+                tracing::error!("request {:x} had no answer at its deadline", request.0);
+                self.events.push(Event::ClientGone { request });
+                self.answer(request, Answer::Failed);
+            } else if r.reply.is_some() {
+                self.deadlines.insert((r.deadline + self.config.tick + Micros(1), request));
+            }
+            self.forget(request);
+        }
+    }
+
+    /// The module's turn: all that has come in since the last one.
+    fn act(&mut self, now: Time) {
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
+            self.timers.pop();
+            self.events.push(Event::Timer { token });
+        }
+        if self.events.is_empty() {
+            return;
+        }
+        self.turn = now + self.config.tick;
+        for event in std::mem::take(&mut self.events) {
+            let mut actions = std::mem::take(&mut self.actions);
+            let handled = catch_unwind(AssertUnwindSafe(|| self.balancer.handle(now, event, &mut actions)));
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+            self.actions = actions;
+            if handled.is_err() {
+                return self.restart();
+            }
+        }
+    }
+
+    /// After a panic of the module its records cannot be trusted: it starts again from the list, and what it
+    /// held is failed. The panic itself was reported by the hook.
+    fn restart(&mut self) {
+        tracing::error!(
+            "the decision module panicked; it starts anew, {} requests fail",
+            self.requests.len()
+        );
+        self.seed = self.seed.wrapping_add(1);
+        match Balancer::new(self.config.clone(), self.seed) {
+            Ok(balancer) => self.balancer = balancer,
+            Err(e) => tracing::error!("the module refused its configuration: {e}"),
+        }
+        for (_, mut r) in self.requests.drain() {
+            r.attempts.values().for_each(|a| a.task.abort());
+            if let Some(reply) = r.reply.take() {
+                let _ = reply.send(Answer::Failed);
+            }
+        }
+        self.deadlines.clear();
+        self.timers.clear();
+        self.events.clear();
+        let state = |u: &Rc<Upstream>| match u.open.get() {
+            true => BackendState::Ready,
+            false => BackendState::Draining,
+        };
+        let entry = |u: &Rc<Upstream>| Backend { state: state(u), ..u.target.backend.clone() };
+        let backends = self.backends.values().map(entry).collect();
+        self.events.push(Event::Members { update: ListUpdate::Cached, backends });
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Dispatch { request, backend } => self.dispatch(now, request, backend),
+            Action::Refuse { request } => self.answer(request, Answer::Refused),
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let Some(r) = self.requests.get_mut(&request) else { return };
+                let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
+                task.abort();
+                let (outcome, latency, settled) = (Outcome::Cancelled, now - sent, r.reply.is_none());
+                let end = AttemptEnd { request, attempt, outcome, latency, settled };
+                self.events.push(Event::AttemptEnded(end));
+                self.forget(request);
+            }
+            Action::SetTimer { token, after } => self.timers.push(Reverse((now + after, token))),
+            Action::Follow => self.follow.notify_one(),
+            Action::Log(text) => tracing::info!("{text}"),
+        }
+    }
+
+    fn dispatch(&mut self, now: Time, request: RequestId, backend: BackendId) {
+        let (inputs, pool) = (self.inputs.clone(), self.pool.clone());
+        let sendable = self.requests.get_mut(&request).filter(|r| r.reply.is_some() && r.deadline > now);
+        let target = self.backends.get(&backend).cloned();
+        let (Some(r), Some(upstream)) = (sendable, target) else {
+            // Answered meanwhile, or no such backend any more.
+            let r = self.requests.get_mut(&request);
+            let count = r.map(|r| {
+                r.count += 1;
+                (r.count - 1, r.reply.is_none())
+            });
+            let (no, settled) = count.unwrap_or((0, true));
+            let (attempt, outcome) = (AttemptNo(no), Outcome::NeverSent);
+            let end = AttemptEnd { request, attempt, outcome, latency: Micros(0), settled };
+            self.events.push(Event::AttemptEnded(end));
+            return;
+        };
+        let attempt = AttemptNo(r.count);
+        r.count += 1;
+        if self.pool.is_full() {
+            // An idle connection to any backend gives way.
+            if let Some(u) = self.backends.values().find(|u| u.give_way()) {
+                tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
+            }
+        }
+        let (call, deadline) = (r.call.clone(), r.deadline);
+        let mut report = Report { to: inputs, request, attempt, told: false };
+        let task = tokio::task::spawn_local(async move {
+            let ended = pool.attempt(&upstream, &call, deadline).await;
+            report.tell(ended);
+        });
+        r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle() });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod interface;
 mod logic;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- a/src/bin/beechworks-simhost/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of an instance to the library's configuration, and the names that go with it.
 
-use beechworks::*;
+use crate::interface::*;
 use serde_json::Value;
 
 /// Names of classes and tenants in the order of their numbers.
@@ -18,81 +18,71 @@
 }
 
 impl Names {
+    /// The number of a class.
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.classes.iter().position(|n| n == name).map(ClassId)
     }
 
+    /// Whether requests name a tenant.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+    /// The number of a tenant.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
         self.tenants.iter().position(|n| n == name).map(TenantId)
     }
 }
 
-/// A row of a list, with its address.
-pub fn entry(row: &Value) -> Result<(&str, Backend), String> {
-    let bad = |what: &str| format!("list entry {row}: expected {what}");
-    let row = row.as_array().filter(|r| r.len() == 7).ok_or_else(|| bad("an array of 7 values"))?;
-    let text = |at: usize, what| row[at].as_str().ok_or_else(|| bad(what));
-    let address = text(3, "an address")?;
-    let plain = |b: u8| b.is_ascii_graphic() && b != b'"' && b != b'\\';
-    if address.is_empty() || !address.bytes().all(plain) {
-        return Err(bad("a plain address"));
-    }
-    let state = match text(4, "IN, LAME or OUT")? {
-        "IN" => BackendState::Ready,
-        "LAME" => BackendState::Draining,
-        "OUT" => BackendState::Gone,
-        _ => return Err(bad("IN, LAME or OUT")),
-    };
-    let booted = match &row[6] {
-        Value::Null => None,
-        v => Some(v.as_u64().ok_or_else(|| bad("a start time or null"))?),
-    };
-    let entry = Backend {
-        id: BackendId(number(address)),
-        zone: ZoneId(number(text(0, "a zone")?)),
-        cell: CellId(row[1].as_u64().ok_or_else(|| bad("a cell number"))?),
-        kind: KindId(number(text(2, "a kind")?)),
-        state,
-        booted: booted.filter(|t| *t > 0).map(Time),
-        weight: row[5].as_f64().filter(|w| *w >= 0.0).ok_or_else(|| bad("a weight of 0 or more"))?,
-    };
-    Ok((address, entry))
-}
-
-/// A value inside the settings, with the path that led to it.
-struct Key<'a> {
+/// A value inside a JSON document, with the path that led to it: what is wrong is told by that path.
+pub struct Key<'a> {
     path: String,
     value: Option<&'a Value>,
 }
 
 impl<'a> Key<'a> {
-    fn get(&self, name: &str) -> Key<'a> {
+    /// The whole document.
+    pub fn root(value: &'a Value) -> Key<'a> {
+        Key { path: String::new(), value: Some(value) }
+    }
+    /// The value itself, if it is there and not null.
+    pub fn value(&self) -> Option<&'a Value> {
+        self.value.filter(|v| !v.is_null())
+    }
+    /// A member of an object.
+    pub fn get(&self, name: &str) -> Key<'a> {
         let path = if self.path.is_empty() { name.into() } else { format!("{}.{name}", self.path) };
         Key { path, value: self.value.and_then(|v| v.get(name)) }
     }
-    fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
+    /// What was got, or a message that says what was expected.
+    pub fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
         got.ok_or_else(|| match self.value {
             Some(v) => format!("{}: expected {what}, got {v}", self.path),
             None => format!("{}: missing, expected {what}", self.path),
         })
     }
-    fn text(&self) -> Result<&'a str, String> {
+    /// Text.
+    pub fn text(&self) -> Result<&'a str, String> {
         self.want(self.value.and_then(Value::as_str), "text")
     }
-    fn flag(&self) -> Result<bool, String> {
+    /// True or false.
+    pub fn flag(&self) -> Result<bool, String> {
         self.want(self.value.and_then(Value::as_bool), "true or false")
     }
-    fn real(&self) -> Result<f64, String> {
+    /// A number.
+    pub fn real(&self) -> Result<f64, String> {
         self.want(self.value.and_then(Value::as_f64), "a number")
     }
-    fn micros(&self) -> Result<Micros, String> {
+    /// A span in whole microseconds.
+    pub fn micros(&self) -> Result<Micros, String> {
         self.want(self.value.and_then(Value::as_u64), "whole microseconds").map(Micros)
     }
-    fn count(&self) -> Result<u32, String> {
+    /// A whole number.
+    pub fn count(&self) -> Result<u32, String> {
         let got = self.value.and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
         self.want(got, "a whole number")
     }
-    fn list(&self) -> Result<Vec<Key<'a>>, String> {
+    /// The items of an array.
+    pub fn list(&self) -> Result<Vec<Key<'a>>, String> {
         let items = self.want(self.value.and_then(Value::as_array), "an array")?;
         let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v) };
         Ok(items.iter().enumerate().map(item).collect())
@@ -100,8 +90,7 @@
 }
 
 /// Reads the settings; unknown keys are skipped.
-pub fn read(settings: &Value) -> Result<(Config, Names), String> {
-    let root = Key { path: String::new(), value: Some(settings) };
+pub fn read(root: &Key) -> Result<(Config, Names), String> {
     let mut names = Names::default();
     let (mut zones, my_zone) = (Vec::new(), root.get("my_zone"));
     for zone in root.get("zones").list()? {
