Answer from the module at the deadline; keep good answers of closing backends

It was checked before the module's turn, so a late wake-up, or a request with less than a tick left, let it fire while the module's own answer was queued. It now waits for the turn and two ticks (driver.rs, close_overdue). Cause 2: a new test of a backend that closes after its answer hung for 7 s. The attempt ran hyper's connection again after its end and waited on it for readiness, so a whole answer was thrown away at the deadline (upstream.rs, Link). Ruled out: a broken read of the body, the answer was complete. An ended connection is now never run again and readiness is looked at once. Refusals: Retry-After comes from the module (2 s, the memory of its rate) in place of a fixed second in the proxy.

Tests: tests/proxy.rs, 17 cases over loopback.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -9,7 +9,7 @@
 use hyper::Response;
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -18,7 +18,8 @@
 /// A final answer.
 pub enum Answer {
     Served(Response<Bytes>),
-    Refused,
+    /// The client may come back after so long.
+    Refused(Micros),
     Failed,
 }
 
@@ -77,6 +78,8 @@
     backends: HashMap<BackendId, Rc<Upstream>>,
     requests: HashMap<RequestId, Open>,
     deadlines: BTreeSet<(Time, RequestId)>,
+    /// Requests past their deadline and the time at which the module's turn to answer them is over.
+    overdue: VecDeque<(Time, RequestId)>,
     timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
     events: Vec<Event>,
     actions: Vec<Action>,
@@ -112,6 +115,8 @@
 
 /// Idle connections are looked through this often.
 const SWEEP: Micros = Micros(1_000_000);
+/// Ticks after a deadline in which the module may still answer: its timers come a tick late at most.
+const GRACE_TICKS: u64 = 2;
 
 impl Driver {
     #[allow(clippy::too_many_arguments)]
@@ -129,6 +134,7 @@
             backends: HashMap::new(),
             requests: HashMap::new(),
             deadlines: BTreeSet::new(),
+            overdue: VecDeque::new(),
             timers: BinaryHeap::new(),
             events: Vec::new(),
             actions: Vec::new(),
@@ -166,6 +172,9 @@
             self.expire(now);
             if now >= self.turn {
                 self.act(now);
+                // Only now: a late wake-up brings deadlines and the module's turn at the same moment, and a
+                // request with less than a tick left gets its answer from the timer after its deadline.
+                self.close_overdue(now);
             }
             if now >= sweep {
                 sweep = now + SWEEP;
@@ -181,8 +190,9 @@
     fn wake(&self) -> Time {
         let timer = self.timers.peek().map_or(Time(u64::MAX), |t| t.0 .0);
         let due = if self.events.is_empty() { timer } else { self.turn };
+        let overdue = self.overdue.front().map_or(Time(u64::MAX), |d| d.0);
         let deadline = self.deadlines.first().map_or(Time(u64::MAX), |d| d.0);
-        due.max(self.turn).min(deadline)
+        due.min(overdue).max(self.turn).min(deadline)
     }
 
     /// What cannot wait for the module's turn: a good answer goes to its client at once.
@@ -202,7 +212,8 @@
 
     fn arrived(&mut self, new: Arrived) {
         if self.requests.len() >= self.open_cap {
-            let _ = new.reply.send(Answer::Refused); // it reaches neither the module nor a backend
+            // It reaches neither the module nor a backend.
+            let _ = new.reply.send(Answer::Refused(self.balancer.retry_after()));
             return;
         }
         let time_left = new.deadline - self.clock.now();
@@ -287,28 +298,35 @@
         self.events.push(Event::Members { update, backends: entries });
     }
 
-    /// Ends what is out at its deadline, and what the module has left unanswered even then.
+    /// Ends as timed out what is out at its deadline; the module still owes its answer.
     fn expire(&mut self, now: Time) {
-        while let Some(&(at, request)) = self.deadlines.first().filter(|d| d.0 <= now) {
+        while let Some((at, request)) = self.deadlines.first().filter(|d| d.0 <= now).copied() {
             self.deadlines.pop_first();
             let Some(r) = self.requests.get_mut(&request) else { continue };
             let settled = r.reply.is_none();
-            let out: Vec<(AttemptNo, Attempt)> = r.attempts.drain().collect();
-            for (attempt, Attempt { sent, task }) in out {
+            for (attempt, Attempt { sent, task }) in r.attempts.drain() {
                 task.abort();
                 let (outcome, latency) = (Outcome::TimedOut, now - sent);
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
                 self.events.push(Event::AttemptEnded(end));
             }
-            if at > r.deadline && r.reply.is_some() {
-                // The module owed an answer and gave none; failing promises nothing, so it is always true.
-                tracing::error!("request {:x} had no answer at its deadline", request.0);
+            if !settled {
+                self.overdue.push_back((at + Micros(GRACE_TICKS * self.config.tick.0), request));
+            }
+            self.forget(request);
+        }
+    }
+
+    /// The safety net: fails what the module has not answered though its turn came after the deadline. It
+    /// never refuses, for only the module knows what may have run.
+    fn close_overdue(&mut self, now: Time) {
+        while let Some((_, request)) = self.overdue.front().filter(|d| d.0 <= now).copied() {
+            self.overdue.pop_front();
+            if self.requests.get(&request).is_some_and(|r| r.reply.is_some()) {
+                tracing::error!("request {} had no answer at its deadline", request.0);
                 self.events.push(Event::ClientGone { request });
                 self.answer(request, Answer::Failed);
-            } else if r.reply.is_some() {
-                self.deadlines.insert((r.deadline + self.config.tick + Micros(1), request));
             }
-            self.forget(request);
         }
     }
 
@@ -354,6 +372,7 @@
             }
         }
         self.deadlines.clear();
+        self.overdue.clear();
         self.timers.clear();
         self.events.clear();
         let state = |u: &Rc<Upstream>| match u.open.get() {
@@ -368,7 +387,10 @@
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
             Action::Dispatch { request, backend } => self.dispatch(now, request, backend),
-            Action::Refuse { request } => self.answer(request, Answer::Refused),
+            Action::Refuse { request } => {
+                let after = self.balancer.retry_after();
+                self.answer(request, Answer::Refused(after));
+            }
             Action::Fail { request } => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let Some(r) = self.requests.get_mut(&request) else { return };
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -220,9 +220,10 @@
         ticket.answered = true;
         match answer {
             Ok(Answer::Served(answer)) => answer.map(Full::new),
-            Ok(Answer::Refused) => {
+            Ok(Answer::Refused(after)) => {
                 let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-                answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+                let whole = after.0.div_ceil(1_000_000); // whole seconds: not every client reads decimals
+                answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(whole));
                 answer
             }
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -129,28 +129,34 @@
     sender: SendRequest<Full<Bytes>>,
     driving: Pin<Box<Connection<Wire, Full<Bytes>>>>,
     progress: Rc<Progress>,
+    /// The connection has run to its end.
+    ended: bool,
     _slot: Slot,
 }
 
 impl Link {
-    /// Runs the connection until `work` is done; its own end shows in what `work` gets.
-    async fn drive<T>(
-        driving: &mut Pin<Box<Connection<Wire, Full<Bytes>>>>, work: impl Future<Output = T>,
-    ) -> T {
-        let (mut alive, mut work) = (true, std::pin::pin!(work));
+    /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
+    /// the exchange gets.
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
+        self.progress.begun.set(false);
+        self.progress.whole.set(false);
+        let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
         poll_fn(|cx| {
-            if alive && driving.as_mut().poll(cx).is_ready() {
-                alive = false;
+            if !self.ended {
+                self.ended = self.driving.as_mut().poll(cx).is_ready();
             }
-            work.as_mut().poll(cx)
+            exchange.as_mut().poll(cx)
         })
         .await
     }
 
-    /// Whether an idle connection can take a request: the other side has not closed it.
+    /// Whether it can take a request: the other side has not closed it and the last answer is done. An ended
+    /// connection is never run again; waiting on it would hold a good answer back until the deadline.
     async fn alive(&mut self) -> bool {
-        let ended = poll_fn(|cx| Poll::Ready(self.driving.as_mut().poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready()
+        if !self.ended {
+            self.ended = poll_fn(|cx| Poll::Ready(self.driving.as_mut().poll(cx).is_ready())).await;
+        }
+        !self.ended && self.sender.is_ready()
     }
 }
 
@@ -221,7 +227,7 @@
         let progress = Rc::new(Progress::default());
         let wire = Wire { io: TokioIo::new(stream), progress: progress.clone() };
         let (sender, connection) = http1::handshake(wire).await.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Link { sender, driving: Box::pin(connection), progress, _slot: slot })
+        Ok(Link { sender, driving: Box::pin(connection), progress, ended: false, _slot: slot })
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
@@ -241,15 +247,10 @@
             if !upstream.open.get() {
                 return Outcome::NeverSent.into();
             }
-            link.progress.begun.set(false);
-            link.progress.whole.set(false);
             let left = (deadline - self.clock.now()).0 / 1000;
-            let exchange = exchange(&mut link.sender, request(call, left));
-            let result = Link::drive(&mut link.driving, exchange).await;
-            return match result {
+            return match link.exchange(request(call, left)).await {
                 Ok(ended) => {
-                    let ready = Link::drive(&mut link.driving, link.sender.ready()).await.is_ok();
-                    if ready && upstream.open.get() {
+                    if link.alive().await && upstream.open.get() {
                         upstream.idle.borrow_mut().push((self.clock.now(), link));
                     }
                     ended
--- a/src/state.rs
+++ b/src/state.rs
@@ -263,6 +263,11 @@
         })
     }
 
+    /// When a client that is refused now may find room: until then the rate that left it none still counts.
+    pub fn retry_after(&self) -> Micros {
+        Micros::from_secs(RATE_MEMORY)
+    }
+
     /// Asks for attention at that time at the latest.
     pub(crate) fn wake_by(&mut self, at: Time) {
         self.due = self.due.min(at);
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,314 @@
+//! The built proxy over loopback sockets: what must hold whatever clients, backends and discovery do.
+
+mod sockets;
+use serde_json::{json, Value};
+use sockets::*;
+
+/// A proxy that knows these backends, by name, and its discovery.
+fn proxy_for(backends: &[(&str, &Backend)]) -> (Proxy, Discovery) {
+    let discovery = Discovery::start();
+    let lines: Vec<Value> = backends.iter().map(|(n, b)| line(n, b.address, "ready", 0)).collect();
+    (Proxy::start(&config(discovery.address, &lines)), discovery)
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_so_does_its_answer() {
+    let backend = Backend::start(|_| ok("the answer"));
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let answer = ask(&proxy, &request("vote", 7000));
+    assert_eq!((answer.status(), answer.body), (200, b"the answer".to_vec()));
+    let [seen] = &backend.requests()[..] else { panic!("one attempt") };
+    assert_eq!(seen.start, "POST /vote/a?b=c HTTP/1.1");
+    assert_eq!(seen.header("x-correlation-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen.header("idempotency-key"), Some("k1"));
+    assert_eq!(seen.body, b"body");
+    let left: u64 = seen.header("x-time-left-ms").unwrap().parse().unwrap();
+    assert!(left < 7000, "the time left is the proxy's own: {left}");
+}
+
+#[test]
+fn malformed_requests_reach_no_backend_and_leave_the_proxy_alive() {
+    let backend = Backend::start(|_| ok("x"));
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let (read, pay) = (request("read", 7000), request("pay", 7000));
+    let huge = "x".repeat((64 << 10) + 1);
+    let cases = [
+        (read.replace("X-Service-Class: read\r\n", ""), 400),
+        (read.replace("X-Service-Class: read", "X-Service-Class: none"), 400),
+        (read.replace("/read/", "/pay/"), 400),
+        (read.replace("GET", "POST"), 400),
+        (read.replace("X-Time-Left-Ms: 7000\r\n", ""), 400),
+        (read.replace("7000", "-1"), 400),
+        (read.replace("7000", "99999999999999999999999"), 400),
+        (read.replace("7000", "7000\r\nX-Weight-Hint: 1e3"), 400),
+        (read.replace("X-Correlation-Id: 9b1f03aa5c7e2d41\r\n", ""), 400),
+        (pay.replace("POST", "GET"), 400),
+        (pay.replace("X-Time", "Idempotency-Key: k\r\nX-Time"), 400),
+        (request("vote", 7000).replace("Idempotency-Key: k1\r\n", ""), 400),
+        (
+            pay.replace("Content-Length: 4", &format!("Content-Length: {}", huge.len()))
+                .replace("body", &huge),
+            413,
+        ),
+        ("nonsense\r\n\r\n".into(), 400),
+    ];
+    for (text, status) in cases {
+        assert_eq!(ask(&proxy, &text).status(), status, "{}", &text[..text.len().min(300)]);
+    }
+    assert!(backend.requests().is_empty());
+    // The largest wait that can be written is a wait like any other.
+    assert_eq!(ask(&proxy, &read.replace("7000", &u64::MAX.to_string())).status(), 200);
+    assert_eq!(ask(&proxy, &read).status(), 200);
+}
+
+/// Requests enough that the module has retries to spend.
+fn warm_up(proxy: &Proxy) {
+    (0..10).for_each(|_| assert_eq!(ask(proxy, &request("read", 7000)).status(), 200));
+}
+
+/// After the warm-up the first backend to be asked does `first`, whoever is asked next serves.
+fn outcome_of(first: fn() -> Reply, class: &str) -> (u16, usize) {
+    let asked = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let start = || {
+        let asked = asked.clone();
+        Backend::start(move |_| match asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+            10 => first(),
+            _ => ok("served"),
+        })
+    };
+    let (a, b) = (start(), start());
+    let (proxy, _discovery) = proxy_for(&[("a", &a), ("b", &b)]);
+    warm_up(&proxy);
+    let status = ask(&proxy, &request(class, 7000)).status();
+    (status, a.requests().len() + b.requests().len() - 10)
+}
+
+#[test]
+fn what_never_ran_is_sent_again() {
+    let full = || Reply::Say("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into());
+    assert_eq!(outcome_of(full, "pay"), (200, 2));
+    let over = || Reply::Say("HTTP/1.1 504 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into());
+    assert_eq!(outcome_of(over, "pay"), (200, 2));
+}
+
+/// An unsafe request that may have run is failed, and sent once: no broken answer passes for a refusal.
+#[test]
+fn what_may_have_run_is_not_sent_again() {
+    let cases: [fn() -> Reply; 6] = [
+        || Reply::Say("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".into()),
+        || Reply::Say("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n".into()),
+        || Reply::SayAndClose(String::new()),
+        || Reply::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort".into()),
+        || Reply::SayAndClose("HTTP/1.1 200 OK\r\n\r\nno length".into()),
+        || Reply::SayAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n".into()),
+    ];
+    for (n, first) in cases.into_iter().enumerate() {
+        assert_eq!(outcome_of(first, "pay"), (502, 1), "case {n}");
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let backend = Backend::start(|_| ok("served"));
+    let discovery = Discovery::start();
+    let lines = [line("a", free_address(), "ready", 0), line("b", backend.address, "ready", 0)];
+    let proxy = Proxy::start(&config(discovery.address, &lines));
+    // The first that meets it may find no retry to spend yet; after that the module leaves it out.
+    (0..10).for_each(|_| assert_ne!(ask(&proxy, &request("pay", 7000)).status(), 502));
+    (0..10).for_each(|_| assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200));
+}
+
+/// A backend that closed an idle connection has not seen the next request: it goes out on a new one.
+#[test]
+fn a_stale_pooled_connection_costs_no_attempt() {
+    let closing = std::sync::atomic::AtomicBool::new(true);
+    let backend = Backend::start(move |_| match closing.swap(false, std::sync::atomic::Ordering::SeqCst) {
+        true => Reply::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into()),
+        false => ok("x"),
+    });
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200);
+    until("the connection closed", || backend.closed() == 1);
+    assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200);
+    assert_eq!((backend.requests().len(), backend.opened()), (2, 2));
+}
+
+#[test]
+fn connections_are_kept_and_carry_one_request_at_a_time() {
+    let backend = Backend::start(|m| {
+        if m.start.contains("slow") {
+            std::thread::sleep(std::time::Duration::from_millis(500));
+        }
+        ok("x")
+    });
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let mut both = [Client::open(proxy.address), Client::open(proxy.address)];
+    both.iter_mut().for_each(|c| c.send(&request("read", 7000).replace("/a?", "/slow?")));
+    both.iter_mut().for_each(|c| assert_eq!(c.answer().map(|a| a.status()), Some(200)));
+    assert_eq!(backend.opened(), 2);
+    (0..10).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200));
+    assert_eq!((backend.opened(), backend.closed()), (2, 0));
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let backend = Backend::start(|_| Reply::Silence);
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let mut client = Client::open(proxy.address);
+    client.send(&request("pay", 60_000));
+    until("the attempt", || backend.requests().len() == 1);
+    drop(client);
+    until("its connection closed", || backend.closed() == 1);
+}
+
+/// The deadline ends attempts as timed out and the module answers; the safety net stays unused, also where
+/// less time is left than a tick.
+#[test]
+fn a_deadline_brings_one_answer_from_the_module() {
+    let backend = Backend::start(|_| Reply::Silence);
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    assert_eq!(ask(&proxy, &request("pay", 500)).status(), 502);
+    until("the attempt's connection closed", || backend.closed() == 1);
+    for left in (0..16).cycle().take(160) {
+        let status = ask(&proxy, &request("read", left)).status();
+        assert!(matches!(status, 502 | 503), "{status}");
+    }
+    assert!(!proxy.log().contains("no answer at its deadline"), "{}", proxy.log());
+}
+
+#[test]
+fn a_refusal_is_given_at_once_and_says_when_to_come_back() {
+    let (discovery, backend) = (Discovery::start(), Backend::start(|_| ok("x")));
+    let proxy = Proxy::spawn(&config(discovery.address, &[line("a", backend.address, "draining", 0)]));
+    until("an answer", || proxy.ready() == 503);
+    // No backend takes requests: the module holds it for as long as an answer could still be in time.
+    let answer = ask(&proxy, &request("read", 100));
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").unwrap().parse::<u32>().unwrap() > 0);
+    assert!(backend.requests().is_empty());
+}
+
+#[test]
+fn a_backend_that_drains_or_is_gone_gets_nothing_new() {
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let (proxy, discovery) = proxy_for(&[("a", &a), ("b", &b)]);
+    until("both served", || {
+        ask(&proxy, &request("read", 7000));
+        !a.requests().is_empty() && !b.requests().is_empty()
+    });
+    discovery.tell(false, &[line("a", a.address, "draining", 0)]);
+    until("the pool of a closed", || a.closed() == a.opened());
+    let before = a.requests().len();
+    (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b"));
+    discovery.tell(false, &[line("a", a.address, "ready", 0), line("b", b.address, "gone", 0)]);
+    until("the pool of b closed", || b.closed() == b.opened());
+    (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).body, b"a"));
+    assert!(a.requests().len() >= before + 20);
+    discovery.tell(true, &[line("b", b.address, "ready", 0)]);
+    until("the pool of a closed again", || a.closed() == a.opened());
+    (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b"));
+}
+
+/// A backend is known by its name: after a restart its old connections and its old address are not used.
+#[test]
+fn a_restarted_backend_gets_new_connections() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let (proxy, discovery) = proxy_for(&[("a", &old)]);
+    assert_eq!(ask(&proxy, &request("read", 7000)).body, b"old");
+    discovery.tell(false, &[line("a", old.address, "ready", 1_700_000_000_000)]);
+    until("the old connection closed", || old.closed() == 1);
+    assert_eq!(ask(&proxy, &request("read", 7000)).body, b"old");
+    assert_eq!(old.opened(), 2);
+    discovery.tell(false, &[line("a", new.address, "ready", 1_700_000_000_000)]);
+    until("its connection closed", || old.closed() == 2);
+    assert_eq!(ask(&proxy, &request("read", 7000)).body, b"new");
+}
+
+#[test]
+fn a_malformed_list_is_refused_and_the_old_one_stays() {
+    let backend = Backend::start(|_| ok("x"));
+    let (proxy, discovery) = proxy_for(&[("a", &backend)]);
+    let bad = json!({"index": 9, "snapshot": true, "endpoints": [{"name": "b"}]});
+    for text in [bad.to_string(), "[]".into(), "no json".into(), r#"{"index":1,"snapshot":true}"#.into()] {
+        discovery.say(&text);
+        assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200, "after {text}");
+    }
+    discovery.tell(true, &[line("a", backend.address, "draining", 0)]);
+    until("the good list after them", || proxy.ready() == 503);
+}
+
+/// An agent that takes calls and never answers: the proxy serves from what it knew, and asks anew.
+#[test]
+fn a_silent_agent_does_not_wedge_the_watch() {
+    let backend = Backend::start(|_| ok("x"));
+    let (proxy, discovery) = proxy_for(&[("a", &backend)]);
+    until("a second call after the first was given up", || discovery.calls() >= 2);
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+    assert_eq!(proxy.ready(), 200);
+}
+
+#[test]
+fn with_its_sockets_taken_a_new_client_still_gets_in() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    let mut idle: Vec<Client> = Vec::new();
+    for _ in 0..60 {
+        let mut client = Client::open(proxy.address);
+        client.send(&request("read", 7000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200));
+        idle.push(client);
+    }
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_ends_well() {
+    let backend = Backend::start(|m| {
+        if m.start.contains("slow") {
+            std::thread::sleep(std::time::Duration::from_millis(1500));
+        }
+        ok("x")
+    });
+    let (mut proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let mut idle = Client::open(proxy.address);
+    idle.send(&request("read", 7000));
+    assert_eq!(idle.answer().map(|a| a.status()), Some(200));
+    let mut slow = Client::open(proxy.address);
+    slow.send(&request("read", 7000).replace("/a?", "/slow?"));
+    until("the slow request", || backend.requests().len() == 2);
+    proxy.terminate();
+    until("not ready, yet accepting", || proxy.ready() == 503);
+    let answer = slow.answer().expect("an answer to what was taken");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(idle.ends());
+    assert!(proxy.exit().success());
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_that_names_the_key() {
+    let good = config(free_address(), &[]);
+    let bad = |pointer: &str, value: Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(pointer).unwrap() = value;
+        config
+    };
+    let cases = [
+        (bad("/listen", json!("nowhere")), "listen: expected an IP address and a port"),
+        (bad("/discovery", json!(5)), "discovery: expected text"),
+        (bad("/seed", json!("xyz")), "seed: expected up to 16 hex digits"),
+        (bad("/limits/sockets", json!(3)), "limits.sockets: expected at least 64"),
+        (bad("/known/endpoints", json!([{}])), "known.endpoints[0].status: missing"),
+        (bad("/settings/granularity_us", json!(-1)), "settings.granularity_us: expected whole microseconds"),
+        (bad("/settings/limits/dial_timeout_us", json!(null)), "settings.limits.dial_timeout_us"),
+        (bad("/settings/group_size", json!(0)), "settings: proxies: expected at least 1"),
+    ];
+    for (config, message) in cases {
+        let mut proxy = Proxy::spawn(&config);
+        assert!(!proxy.exit().success());
+        until("its message", || proxy.log().contains(message));
+        assert_eq!(proxy.log().lines().count(), 1, "{}", proxy.log());
+    }
+}
--- /dev/null
+++ b/tests/sockets/mod.rs
@@ -0,0 +1,361 @@
+//! The built proxy among small fake backends and a fake discovery on loopback.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything here takes; only a failure waits so long.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// Waits for a condition.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LONG;
+    while !holds() {
+        assert!(Instant::now() < end, "never came: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message as it stood on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
+    }
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads one message with a Content-Length or none; `None` where the connection ends before its end.
+pub fn read_message(from: &mut impl BufRead) -> Option<Message> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        match line.trim_end() {
+            "" => break,
+            text => lines.push(text.to_string()),
+        }
+    }
+    let mut lines = lines.into_iter();
+    let start = lines.next()?;
+    let split = |l: String| l.split_once(':').map(|(n, v)| (n.to_lowercase(), v.trim().to_string()));
+    let headers: Vec<(String, String)> = lines.filter_map(split).collect();
+    let mut message = Message { start, headers, ..Message::default() };
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body = vec![0; length];
+    from.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What a fake backend does with a request.
+pub enum Reply {
+    /// Writes this and keeps the connection.
+    Say(String),
+    /// Writes this and closes it.
+    SayAndClose(String),
+    /// Nothing; the connection stays open.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+#[derive(Default)]
+struct Seen {
+    requests: Mutex<Vec<Message>>,
+    opened: Mutex<usize>,
+    closed: Mutex<usize>,
+}
+
+/// A backend on a port of its own.
+pub struct Backend {
+    pub address: SocketAddr,
+    seen: Arc<Seen>,
+}
+
+impl Backend {
+    pub fn start(answer: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (seen, answer) = (Arc::new(Seen::default()), Arc::new(answer));
+        let all = seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (seen, answer) = (all.clone(), answer.clone());
+                std::thread::spawn(move || Backend::converse(stream, &seen, &*answer));
+            }
+        });
+        Backend { address, seen }
+    }
+
+    fn converse(mut stream: TcpStream, seen: &Seen, answer: &dyn Fn(&Message) -> Reply) {
+        *seen.opened.lock().unwrap() += 1;
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(message) = read_message(&mut reader) {
+            seen.requests.lock().unwrap().push(message.clone());
+            let (text, close) = match answer(&message) {
+                Reply::Say(text) => (text, false),
+                Reply::SayAndClose(text) => (text, true),
+                Reply::Silence => continue,
+            };
+            let _ = stream.write_all(text.as_bytes());
+            if close {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                break;
+            }
+        }
+        *seen.closed.lock().unwrap() += 1;
+    }
+
+    pub fn requests(&self) -> Vec<Message> {
+        self.seen.requests.lock().unwrap().clone()
+    }
+    pub fn opened(&self) -> usize {
+        *self.seen.opened.lock().unwrap()
+    }
+    pub fn closed(&self) -> usize {
+        *self.seen.closed.lock().unwrap()
+    }
+}
+
+/// A line of the list.
+pub fn line(name: &str, address: SocketAddr, status: &str, since_ms: u64) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "east", "type": "m1", "group": 1,
+           "status": status, "weight": 1.0, "since_ms": since_ms})
+}
+
+#[derive(Default)]
+struct News {
+    index: u64,
+    /// The next answer, word for word.
+    answer: Option<String>,
+}
+
+/// Discovery: answers a call once there is news, or after its wait, or never.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    news: Arc<(Mutex<News>, Condvar)>,
+    calls: Arc<Mutex<usize>>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let discovery = Discovery { address, news: Arc::default(), calls: Arc::default() };
+        let all = discovery.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let discovery = all.clone();
+                std::thread::spawn(move || discovery.converse(stream));
+            }
+        });
+        discovery
+    }
+
+    fn converse(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while read_message(&mut reader).is_some() {
+            *self.calls.lock().unwrap() += 1;
+            let mut news = self.news.0.lock().unwrap();
+            let answer = loop {
+                match news.answer.take() {
+                    Some(answer) => break answer,
+                    None => news = self.news.1.wait(news).unwrap(),
+                }
+            };
+            drop(news);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
+            let _ = stream.write_all((head + &answer).as_bytes());
+        }
+    }
+
+    /// Tells the whole list or changes, and waits until the proxy has asked again: it holds them then.
+    pub fn tell(&self, whole: bool, lines: &[Value]) {
+        let index = self.news.0.lock().unwrap().index + 1;
+        self.news.0.lock().unwrap().index = index;
+        self.say(&json!({"index": index, "snapshot": whole, "endpoints": lines}).to_string());
+    }
+
+    /// The same, word for word.
+    pub fn say(&self, answer: &str) {
+        let before = self.calls();
+        self.news.0.lock().unwrap().answer = Some(answer.into());
+        self.news.1.notify_all();
+        let least = if before == 0 { 2 } else { before + 1 };
+        until("the next call of discovery", || self.calls() >= least);
+    }
+
+    pub fn calls(&self) -> usize {
+        *self.calls.lock().unwrap()
+    }
+}
+
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "key_scope": "zone", "window_us": 1_200_000, "aim_us": 5_000_000,
+               "deadline_us": 8_000_000, "gain": 1.0, "late_worth": 0.0, "stream": false})
+    };
+    json!({
+        "blend": {"whole": 0.7, "worst_class": 0.3},
+        "costs": {"cross_zone": 0.0},
+        "customers": [],
+        "discovery": "automatic",
+        "granularity_us": 4000,
+        "group_size": 1,
+        "position": 0,
+        "limits": {"cancel": true, "conn_idle_us": 30_000_000, "dial_timeout_us": 2_000_000, "max_attempts": 4,
+                   "open_cap": 20_000, "parallel_tries": true},
+        "my_zone": "east",
+        "over_share_worth": 0.1,
+        "profiles": [class("read", "free"), class("vote", "guarded"), class("pay", "single_shot")],
+        "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 10_000_000,
+                  "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000},
+        "weight_source": "rough",
+        "zones": ["east", "west"],
+    })
+}
+
+/// A free address; the listener that held it is gone, so the next to bind it gets it.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
+    json!({
+        "name": "n1", "listen": free_address().to_string(), "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 0, "snapshot": true, "endpoints": known}, "settings": settings(),
+    })
+}
+
+/// A running proxy; it is killed with its test.
+pub struct Proxy {
+    child: Child,
+    pub address: SocketAddr,
+    log: Arc<Mutex<String>>,
+}
+
+impl Proxy {
+    /// Starts one and waits until it says that it is ready.
+    pub fn start(config: &Value) -> Proxy {
+        let proxy = Proxy::spawn(config);
+        until("ready", || proxy.ready() == 200);
+        proxy
+    }
+
+    pub fn spawn(config: &Value) -> Proxy {
+        let address = config["listen"].as_str().unwrap().parse().unwrap_or_else(|_| free_address());
+        let file = std::env::temp_dir().join(format!("gaugesaddle-{address}.json"));
+        std::fs::write(&file, config.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gaugesaddle"))
+            .env("BALANCER_CONFIG", &file)
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (mut stderr, log) =
+            (BufReader::new(child.stderr.take().unwrap()), Arc::<Mutex<String>>::default());
+        let kept = log.clone();
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            while stderr.read_line(&mut line).is_ok_and(|n| n > 0) {
+                kept.lock().unwrap().push_str(&std::mem::take(&mut line));
+            }
+        });
+        Proxy { child, address, log }
+    }
+
+    /// The status of its readiness, 0 if it does not answer.
+    pub fn ready(&self) -> u16 {
+        let Ok(mut client) = Client::try_open(self.address) else { return 0 };
+        client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        client.answer().map_or(0, |a| a.status())
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the end of the process", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(std::env::temp_dir().join(format!("gaugesaddle-{}.json", self.address)));
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    stream: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn open(to: SocketAddr) -> Client {
+        Client::try_open(to).unwrap()
+    }
+    pub fn try_open(to: SocketAddr) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(to)?;
+        stream.set_read_timeout(Some(LONG))?;
+        Ok(Client { stream: BufReader::new(stream) })
+    }
+    pub fn send(&mut self, text: &str) {
+        let _ = self.stream.get_mut().write_all(text.as_bytes());
+    }
+    pub fn answer(&mut self) -> Option<Message> {
+        read_message(&mut self.stream)
+    }
+    /// Whether the proxy has closed the connection; waits for it.
+    pub fn ends(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
+    }
+}
+
+/// A request of one of the classes in [`settings`].
+pub fn request(class: &str, left_ms: u64) -> String {
+    let (method, more) = match class {
+        "read" => ("GET", ""),
+        "vote" => ("POST", "Idempotency-Key: k1\r\nContent-Length: 4\r\n"),
+        _ => ("POST", "Content-Length: 4\r\n"),
+    };
+    let body = if method == "GET" { "" } else { "body" };
+    format!(
+        "{method} /{class}/a?b=c HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n\
+         X-Service-Class: {class}\r\nX-Time-Left-Ms: {left_ms}\r\n{more}\r\n{body}"
+    )
+}
+
+/// Sends a request on a connection of its own.
+pub fn ask(proxy: &Proxy, text: &str) -> Message {
+    let mut client = Client::open(proxy.address);
+    client.send(text);
+    client.answer().expect("a whole answer")
+}
