--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -3,6 +3,9 @@
 mod sockets;
 use serde_json::{json, Value};
 use sockets::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
 
 /// A proxy that knows these backends, by name, and its discovery.
 fn proxy_for(backends: &[(&str, &Backend)]) -> (Proxy, Discovery) {
@@ -137,7 +140,7 @@
 fn connections_are_kept_and_carry_one_request_at_a_time() {
     let backend = Backend::start(|m| {
         if m.start.contains("slow") {
-            std::thread::sleep(std::time::Duration::from_millis(500));
+            std::thread::sleep(Duration::from_millis(500));
         }
         ok("x")
     });
@@ -209,6 +212,40 @@
     (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b"));
 }
 
+/// A backend may be told to drain while the connection to it comes up: not a byte goes there then.
+#[test]
+fn a_drain_is_seen_after_the_connect() {
+    // Connections wait in a full queue until the listener accepts; the proxy's comes up after the news.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let brief = Duration::from_millis(300);
+    let queued: Vec<TcpStream> =
+        std::iter::from_fn(|| TcpStream::connect_timeout(&address, brief).ok()).take(10_000).collect();
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", address, "ready", 0)]);
+    config["settings"]["limits"]["dial_timeout_us"] = json!(20_000_000);
+    let proxy = Proxy::start(&config);
+    let mut client = Client::open(proxy.address);
+    client.send(&request("pay", 30_000));
+    std::thread::sleep(brief); // long enough as a rule for the attempt to wait in the queue
+    discovery.tell(false, &[line("a", address, "draining", 0)]);
+    drop(queued);
+    let bytes = std::thread::spawn(move || {
+        let (mut bytes, mut buffer) = (0, [0; 64]);
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            match stream.read(&mut buffer) {
+                Ok(n) if buffer.starts_with(b"done") => return bytes + n - 4,
+                Ok(n) => bytes += n,
+                Err(_) => {}
+            }
+        }
+        bytes
+    });
+    assert_eq!(client.answer().map(|a| a.status()), Some(503));
+    TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
+    assert_eq!(bytes.join().unwrap(), 0);
+}
+
 /// A backend is known by its name: after a restart its old connections and its old address are not used.
 #[test]
 fn a_restarted_backend_gets_new_connections() {
@@ -264,11 +301,25 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// Out of descriptors the proxy neither ends nor blames its backends, and serves again once it has some.
+#[test]
+fn the_proxy_outlives_a_want_of_descriptors() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    let proxy = Proxy::spawn_with(&config, "40");
+    until("ready", || proxy.ready() == 200);
+    let clients: Vec<Client> = (0..60).map(|_| Client::open(proxy.address)).collect();
+    until("a failed accept", || proxy.log().contains("accept: "));
+    drop(clients);
+    (0..5).for_each(|_| assert_eq!(ask(&proxy, &request("read", 20_000)).status(), 200));
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken_and_ends_well() {
     let backend = Backend::start(|m| {
         if m.start.contains("slow") {
-            std::thread::sleep(std::time::Duration::from_millis(1500));
+            std::thread::sleep(Duration::from_millis(1500));
         }
         ok("x")
     });
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -258,10 +258,18 @@
     }
 
     pub fn spawn(config: &Value) -> Proxy {
+        Proxy::spawn_with(config, "unlimited")
+    }
+
+    /// With the system's own limit on descriptors, which the configuration does not tell.
+    pub fn spawn_with(config: &Value, descriptors: &str) -> Proxy {
         let address = config["listen"].as_str().unwrap().parse().unwrap_or_else(|_| free_address());
         let file = std::env::temp_dir().join(format!("gaugesaddle-{address}.json"));
         std::fs::write(&file, config.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_gaugesaddle"))
+        let limit =
+            if descriptors == "unlimited" { String::new() } else { format!("ulimit -n {descriptors}; ") };
+        let mut child = Command::new("sh")
+            .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_gaugesaddle")])
             .env("BALANCER_CONFIG", &file)
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
