Keep the module's ticks on a grid; close idle clients rightly

The next tick was counted from each late wake-up (driver.rs, act). After an error the pushed list is asked for whole, as an agent that starts again may count anew. A dead driver makes the proxy not ready.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -146,6 +146,8 @@
                     line = None;
                     tracing::warn!("discovery: {text}");
                     if pushed {
+                        // An agent that starts again may count from anew; the whole list costs it nothing.
+                        self.index = None;
                         tokio::time::sleep(backoff).await;
                         backoff = (backoff * 2).min(BACKOFF.1);
                     } else {
--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -339,7 +339,8 @@
         if self.events.is_empty() {
             return;
         }
-        self.turn = now + self.config.tick;
+        // Ticks lie on a grid: counted from each turn, every late wake-up would put off all that follow.
+        self.turn = Time(now.0 - now.0 % self.config.tick.0) + self.config.tick;
         for event in std::mem::take(&mut self.events) {
             let mut actions = std::mem::take(&mut self.actions);
             let handled = catch_unwind(AssertUnwindSafe(|| self.balancer.handle(now, event, &mut actions)));
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -49,6 +49,7 @@
     let backends = config.sockets - RESERVE - clients;
     let (sender, inputs) = mpsc::unbounded_channel();
     let (follow, status) = (Rc::new(Notify::new()), Rc::new(driver::Status::default()));
+    let serving = status.clone();
     let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, backends));
     let server = Rc::new(server::Server {
         clock,
@@ -77,7 +78,14 @@
     let driver =
         driver::Driver::new(clock, config.module, config.seed, config.open_cap, pool, sender, follow, status);
     let driver = driver.map_err(|e| format!("settings: {e}"))?;
-    tokio::task::spawn_local(driver.run(inputs));
+    let driver = tokio::task::spawn_local(driver.run(inputs));
+    tokio::task::spawn_local(async move {
+        // Without its driver the proxy fails what it is sent; it says so, that no more is sent.
+        if let Err(e) = driver.await {
+            tracing::error!("the driver ended: {e}");
+        }
+        serving.serving.set(false);
+    });
     tokio::task::spawn_local(watch.run());
     let stop = async move {
         tokio::select! {
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -4,7 +4,7 @@
 use crate::driver::{Answer, Arrived, Input, Status};
 use crate::upstream::{strip, Call, BODY_BYTES, TIME_LEFT};
 use beechworks::settings::Names;
-use beechworks::{Class, Effect, Micros, RequestId};
+use beechworks::{Class, Effect, Micros, RequestId, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -59,10 +59,19 @@
 /// A client connection.
 #[derive(Default)]
 pub struct Link {
-    busy: Cell<bool>,
+    /// Since when it has been idle between requests; one that has yet to bring its first cannot be closed.
+    idle: Cell<Option<Time>>,
+    told: Cell<bool>,
     close: Notify,
 }
 
+impl Link {
+    fn tell_to_close(&self) {
+        self.told.set(true);
+        self.close.notify_one();
+    }
+}
+
 /// A request of which the driver knows; dropped before it is answered, its client has gone.
 struct Ticket<'a> {
     id: RequestId,
@@ -110,7 +119,7 @@
         drop(listener);
         let last = tokio::time::Instant::now() + duration(self.longest);
         loop {
-            self.links.borrow().values().for_each(|l| l.close.notify_one());
+            self.links.borrow().values().for_each(|l| l.tell_to_close());
             let freed = tokio::time::timeout_at(last, self.freed.notified());
             if self.links.borrow().is_empty() || freed.await.is_err() {
                 return;
@@ -122,15 +131,19 @@
     fn make_room(&self) {
         let links = self.links.borrow();
         if links.len() >= self.most {
-            if let Some(link) = links.values().find(|l| !l.busy.get()) {
-                link.close.notify_one();
+            let idle =
+                links.values().filter(|l| !l.told.get()).filter_map(|l| l.idle.get().map(|since| (since, l)));
+            if let Some((_, link)) = idle.min_by_key(|(since, _)| *since) {
+                link.tell_to_close();
             }
         }
     }
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (id, link) = (self.number(), Rc::new(Link::default()));
+        let idle = Cell::new(Some(self.clock.now()));
+        let (id, link) =
+            (self.number(), Rc::new(Link { idle, told: Cell::new(false), close: Notify::new() }));
         self.links.borrow_mut().insert(id, link.clone());
         tokio::task::spawn_local(async move {
             let _gone = Gone { id, server: &self };
@@ -160,9 +173,9 @@
     async fn handle(
         &self, request: Request<Incoming>, link: &Link,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        link.busy.set(true);
+        link.idle.set(None);
         let mut answer = self.answer(request).await;
-        link.busy.set(false);
+        link.idle.set(Some(self.clock.now()));
         if self.stopping.get() || self.links.borrow().len() >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -291,6 +291,8 @@
     let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
     config["limits"]["sockets"] = json!(64);
     let proxy = Proxy::start(&config);
+    // Some never ask; they are not in the way of closing those that have.
+    let _silent: Vec<Client> = (0..4).map(|_| Client::open(proxy.address)).collect();
     let mut idle: Vec<Client> = Vec::new();
     for _ in 0..60 {
         let mut client = Client::open(proxy.address);
