End a late attempt under its own number

Cause, found in review (driver.rs, dispatch and forget): a request was dropped as soon as it was answered, while its outcome still waited for the module's turn. A copy asked for in that turn ended as attempt 0 of a request nobody knew; the module drops such an outcome and counts the copy as out for ever, a slot lost each time. Requests are now dropped after the turn in which the module has heard of their end. A unit test of the driver fails without it.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -61,6 +61,12 @@
     count: u32,
 }
 
+impl Open {
+    fn is_over(&self) -> bool {
+        self.reply.is_none() && self.attempts.is_empty()
+    }
+}
+
 /// What the driver tells the rest of the program.
 #[derive(Default)]
 pub struct Status {
@@ -77,6 +83,7 @@
     pool: Rc<Pool>,
     backends: HashMap<BackendId, Rc<Upstream>>,
     requests: HashMap<RequestId, Open>,
+    over: Vec<RequestId>,
     deadlines: BTreeSet<(Time, RequestId)>,
     /// Requests past their deadline and the time at which the module's turn to answer them is over.
     overdue: VecDeque<(Time, RequestId)>,
@@ -133,6 +140,7 @@
             pool,
             backends: HashMap::new(),
             requests: HashMap::new(),
+            over: Vec::new(),
             deadlines: BTreeSet::new(),
             overdue: VecDeque::new(),
             timers: BinaryHeap::new(),
@@ -248,11 +256,22 @@
         self.forget(request);
     }
 
-    /// Drops a request once it is answered and nothing of it is out.
+    /// Marks a request to be dropped if it is answered and nothing of it is out.
     fn forget(&mut self, request: RequestId) {
-        if let Some(r) = self.requests.get(&request).filter(|r| r.reply.is_none() && r.attempts.is_empty()) {
-            self.deadlines.remove(&(r.deadline, request));
-            self.requests.remove(&request);
+        if self.requests.get(&request).is_some_and(Open::is_over) {
+            self.over.push(request);
+        }
+    }
+
+    /// Drops what is over once the module knows of it. Until then it may ask for a further attempt, which
+    /// must end under its own number: under another the module would take its slot as used for ever.
+    fn drop_over(&mut self) {
+        for request in self.over.drain(..) {
+            if self.requests.get(&request).is_some_and(Open::is_over) {
+                if let Some(r) = self.requests.remove(&request) {
+                    self.deadlines.remove(&(r.deadline, request));
+                }
+            }
         }
     }
 
@@ -352,6 +371,7 @@
                 return self.restart();
             }
         }
+        self.drop_over();
     }
 
     /// After a panic of the module its records cannot be trusted: it starts again from the list, and what it
@@ -410,23 +430,17 @@
 
     fn dispatch(&mut self, now: Time, request: RequestId, backend: BackendId) {
         let (inputs, pool) = (self.inputs.clone(), self.pool.clone());
-        let sendable = self.requests.get_mut(&request).filter(|r| r.reply.is_some() && r.deadline > now);
-        let target = self.backends.get(&backend).cloned();
-        let (Some(r), Some(upstream)) = (sendable, target) else {
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        let attempt = AttemptNo(r.count);
+        r.count += 1;
+        let upstream = self.backends.get(&backend).filter(|_| r.reply.is_some() && r.deadline > now).cloned();
+        let Some(upstream) = upstream else {
             // Answered meanwhile, or no such backend any more.
-            let r = self.requests.get_mut(&request);
-            let count = r.map(|r| {
-                r.count += 1;
-                (r.count - 1, r.reply.is_none())
-            });
-            let (no, settled) = count.unwrap_or((0, true));
-            let (attempt, outcome) = (AttemptNo(no), Outcome::NeverSent);
-            let end = AttemptEnd { request, attempt, outcome, latency: Micros(0), settled };
+            let (outcome, latency, settled) = (Outcome::NeverSent, Micros(0), r.reply.is_none());
+            let end = AttemptEnd { request, attempt, outcome, latency, settled };
             self.events.push(Event::AttemptEnded(end));
             return;
         };
-        let attempt = AttemptNo(r.count);
-        r.count += 1;
         if self.pool.is_full() {
             // An idle connection to any backend gives way.
             if let Some(u) = self.backends.values().find(|u| u.give_way()) {
@@ -442,3 +456,38 @@
         r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle() });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
+    #[tokio::test]
+    async fn an_attempt_after_the_answer_ends_under_its_own_number() {
+        let clock = Clock::new();
+        let (inputs, _taken) = mpsc::unbounded_channel();
+        let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
+        let (follow, status) = (Rc::default(), Rc::default());
+        let mut driver =
+            Driver::new(clock, Config::example(), 1, 8, pool, inputs, follow, status).expect("sound");
+        let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
+        let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
+        let deadline = clock.now() + Micros(1_000_000);
+        let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
+        driver.take(Input::Arrived(Arrived { id, class, tenant, deadline, work_hint, repeat, call, reply }));
+        let sent = clock.now();
+        let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
+        let open = driver.requests.get_mut(&id).expect("open");
+        open.attempts.insert(AttemptNo(0), Attempt { sent, task });
+        open.count = 1;
+        let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Bytes::new())) };
+        driver.take(Input::Ended(id, AttemptNo(0), ended));
+        assert!(matches!(answer.try_recv(), Ok(Answer::Served(_))), "at once");
+        driver.dispatch(clock.now(), id, BackendId(7));
+        let Some(Event::AttemptEnded(end)) = driver.events.last() else { panic!("an outcome") };
+        let expected = (AttemptNo(1), Outcome::NeverSent, true);
+        assert_eq!((end.attempt, end.outcome, end.settled), expected);
+        driver.drop_over();
+        assert!(driver.requests.is_empty() && driver.deadlines.is_empty());
+    }
+}
