Test the asked-for list; note what remains

The watch in the form that must be asked for had no test: it starts when the module asks and is asked for again after a failure. The test of scarce descriptors does not tell whom the proxy blames, and says so no more.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -284,6 +284,21 @@
     assert_eq!(proxy.ready(), 200);
 }
 
+/// Where the list must be asked for, the watch begins when the module asks, again after each failure.
+#[test]
+fn a_subscription_is_asked_for_by_the_module() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", free_address(), "draining", 0)]);
+    config["settings"]["discovery"] = json!("subscribe");
+    let proxy = Proxy::spawn(&config);
+    discovery.say("no list");
+    assert_eq!(proxy.ready(), 503);
+    discovery.tell(true, &[line("a", backend.address, "ready", 0)]);
+    until("ready", || proxy.ready() == 200);
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
+
 #[test]
 fn with_its_sockets_taken_a_new_client_still_gets_in() {
     let backend = Backend::start(|_| ok("x"));
@@ -303,7 +318,7 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
-/// Out of descriptors the proxy neither ends nor blames its backends, and serves again once it has some.
+/// Out of descriptors the proxy lives on, and serves again once it has some.
 #[test]
 fn the_proxy_outlives_a_want_of_descriptors() {
     let backend = Backend::start(|_| ok("x"));
