Keep connections that have yet to bring their first request

Cause: hyper closes a connection that has not been asked anything when it is told to shut down (seen in a test: accepted before SIGTERM, asked after the listener closed, no answer). What a client had just sent there was lost. The same choice served to make room when all client connections are taken. Connections are now told to close only between requests, where a client sends again (server.rs, Link). Test: sigterm_waits_for_the_first_request_of_a_connection fails without it.

--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -59,7 +59,8 @@
 /// A client connection.
 #[derive(Default)]
 pub struct Link {
-    /// Since when it has been idle between requests; one that has yet to bring its first cannot be closed.
+    /// Since when it has been idle between requests. One that has yet to bring its first is not closed: that
+    /// may be on the way, and ending the connection would lose it.
     idle: Cell<Option<Time>>,
     told: Cell<bool>,
     close: Notify,
@@ -119,7 +120,7 @@
         drop(listener);
         let last = tokio::time::Instant::now() + duration(self.longest);
         loop {
-            self.links.borrow().values().for_each(|l| l.tell_to_close());
+            self.links.borrow().values().filter(|l| l.idle.get().is_some()).for_each(|l| l.tell_to_close());
             let freed = tokio::time::timeout_at(last, self.freed.notified());
             if self.links.borrow().is_empty() || freed.await.is_err() {
                 return;
@@ -141,9 +142,7 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let idle = Cell::new(Some(self.clock.now()));
-        let (id, link) =
-            (self.number(), Rc::new(Link { idle, told: Cell::new(false), close: Notify::new() }));
+        let (id, link) = (self.number(), Rc::new(Link::default()));
         self.links.borrow_mut().insert(id, link.clone());
         tokio::task::spawn_local(async move {
             let _gone = Gone { id, server: &self };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -355,6 +355,19 @@
     assert!(proxy.exit().success());
 }
 
+/// A connection that was accepted may have its first request on the way when the listener closes.
+#[test]
+fn sigterm_waits_for_the_first_request_of_a_connection() {
+    let backend = Backend::start(|_| ok("x"));
+    let (mut proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let mut fresh = Client::open(proxy.address);
+    proxy.terminate();
+    until("the listener closed", || proxy.ready() == 0);
+    fresh.send(&request("read", 7000));
+    assert_eq!(fresh.answer().map(|a| a.status()), Some(200));
+    assert!(proxy.exit().success());
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_that_names_the_key() {
     let good = config(free_address(), &[]);
