Count a request's time left from the module's turn

The time left was taken when the request came, but the module counts it from its turn, up to a tick (under a stall, more) later, so its deadline lay behind the host's. Ruled out: the order of turn and net, which the code fixes. The driver now sets it at the turn (driver.rs, act).

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -360,7 +360,11 @@
         }
         // Ticks lie on a grid: counted from each turn, every late wake-up would put off all that follow.
         self.turn = Time(now.0 - now.0 % self.config.tick.0) + self.config.tick;
-        for event in std::mem::take(&mut self.events) {
+        for mut event in std::mem::take(&mut self.events) {
+            if let Event::Request(new) = &mut event {
+                // Counted from the turn: the wait for it must not put off the module's idea of the deadline.
+                new.time_left = self.requests.get(&new.request).map_or(Micros(0), |r| r.deadline - now);
+            }
             let mut actions = std::mem::take(&mut self.actions);
             let handled = catch_unwind(AssertUnwindSafe(|| self.balancer.handle(now, event, &mut actions)));
             for action in actions.drain(..) {
