Read the configuration again at SIGHUP and move the watch

Cause: no handler for SIGHUP (main.rs), so the first new configuration ended the process with 129 and lost what it held. And Watch held its address for good, so a caught signal alone would have dialled the old service for ever.

SIGHUP is caught before the configuration is first read. At each one the file is read again; a new `discovery` drops the call that is out, its connection, the pause and the version, and the new one is dialled at once while the list held serves on. A file that can't be used changes nothing and is told in a line; so are other keys that changed.

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -3,6 +3,7 @@
 use crate::discovery::{self, List};
 use beechworks::settings::{self, Key, Names};
 use beechworks::Micros;
+use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Everything that the deployment tells a proxy.
@@ -24,6 +25,32 @@
     pub dial_timeout: Micros,
     /// The longest time that a client waits.
     pub longest: Micros,
+    /// The document as it was read.
+    pub document: Value,
+}
+
+/// The keys whose new values a running proxy does not take up. `known` is none of them: the list that the
+/// proxy holds is newer.
+pub fn not_taken_up(running: &Value, newer: &Value) -> Vec<String> {
+    let mut keys = Vec::new();
+    differences(String::new(), running, newer, &mut keys);
+    keys.retain(|k| k != "discovery" && k != "known" && !k.starts_with("known."));
+    keys
+}
+
+/// The paths at which two documents differ.
+fn differences(path: String, old: &Value, new: &Value, found: &mut Vec<String>) {
+    let (Value::Object(old), Value::Object(new)) = (old, new) else {
+        return if old != new {
+            found.push(path)
+        };
+    };
+    let only_new = new.keys().filter(|k| !old.contains_key(*k));
+    for key in old.keys().chain(only_new) {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        let (old, new) = (old.get(key).unwrap_or(&Value::Null), new.get(key).unwrap_or(&Value::Null));
+        differences(path, old, new, found);
+    }
 }
 
 /// Fewer descriptors leave no room for clients, backends and discovery.
@@ -37,7 +64,7 @@
         .map_err(|e| format!("BALANCER_CONFIG: expected a readable file, got {}: {e}", path.display()))?;
     let value = serde_json::from_slice(&text)
         .map_err(|e| format!("BALANCER_CONFIG: expected JSON in {}: {e}", path.display()))?;
-    parse(&Key::root(&value))
+    parse(value)
 }
 
 fn address(key: &Key) -> Result<SocketAddr, String> {
@@ -45,7 +72,8 @@
     key.want(parsed, "an IP address and a port")
 }
 
-fn parse(root: &Key) -> Result<Config, String> {
+fn parse(document: Value) -> Result<Config, String> {
+    let root = Key::root(&document);
     let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
     let sockets = root.get("limits").get("sockets");
     let enough = Some(sockets.count()?).filter(|n| *n >= LEAST_SOCKETS);
@@ -69,5 +97,6 @@
         conn_idle: limits.get("conn_idle_us").micros()?,
         dial_timeout: limits.get("dial_timeout_us").micros()?,
         longest,
+        document,
     })
 }
--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -8,10 +8,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::JoinHandle;
 
 /// A line of the list.
@@ -110,32 +111,47 @@
     list(&Key::root(&value))
 }
 
-/// Where discovery is and how it is used.
+/// How discovery is used.
 pub struct Watch {
-    pub address: SocketAddr,
     pub mode: Discovery,
     /// The version last had.
     pub index: Option<u64>,
-    /// The module asks for changes; a pushed list is watched unasked.
+    /// Changes are asked for: from the start where lists are pushed, else from when the module asks.
+    pub watching: bool,
     pub follow: std::rc::Rc<Notify>,
     pub inputs: mpsc::UnboundedSender<Input>,
 }
 
 impl Watch {
-    /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
-    pub async fn run(mut self) {
+    /// Watches for ever, at the address that was told last. Another address drops the call that is out, its
+    /// connection, the pause after a failure and the version, which only the old service could tell.
+    pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
+        loop {
+            let address = *addresses.borrow_and_update();
+            tokio::select! {
+                never = self.watch(address) => match never {},
+                told = addresses.changed() => match told {
+                    Ok(()) => self.index = None,
+                    Err(_) => return, // the program ends
+                },
+            }
+        }
+    }
+
+    /// Each next call goes out at once, so that no change falls between two watches.
+    async fn watch(&mut self, address: SocketAddr) -> Infallible {
         let pushed = self.mode == Discovery::Push;
         let wait = if pushed { PUSH_WAIT } else { ASK_WAIT };
-        let (mut line, mut backoff, mut watching) = (None, BACKOFF.0, pushed);
+        let (mut line, mut backoff) = (None, BACKOFF.0);
         loop {
-            if !watching {
+            if !self.watching {
                 self.follow.notified().await;
             }
             // An agent that never answers must not hold the watch: every call has its time.
-            let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, wait));
+            let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, address, wait));
             match call.await.unwrap_or_else(|_| Err("no answer in time".into())) {
                 Ok(list) => {
-                    (watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
+                    (self.watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
                         let _ = self.inputs.send(Input::List(update, list.targets));
@@ -151,7 +167,7 @@
                         tokio::time::sleep(backoff).await;
                         backoff = (backoff * 2).min(BACKOFF.1);
                     } else {
-                        watching = false;
+                        self.watching = false;
                         let _ = self.inputs.send(Input::List(ListUpdate::Lost, Vec::new()));
                     }
                 }
@@ -159,16 +175,18 @@
         }
     }
 
-    async fn call(&mut self, line: &mut Option<Line>, wait: Duration) -> Result<List, String> {
+    async fn call(
+        &self, line: &mut Option<Line>, address: SocketAddr, wait: Duration,
+    ) -> Result<List, String> {
         if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
-            *line = Some(dial(self.address).await?);
+            *line = Some(dial(address).await?);
         }
         let path = match self.index {
             Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
             None => "/api/targets".into(),
         };
         match line {
-            Some(line) => ask(line, self.address, &path).await,
+            Some(line) => ask(line, address, &path).await,
             None => Err("no connection".into()),
         }
     }
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -9,11 +9,12 @@
 mod upstream;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, Notify};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch, Notify};
 
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
 const RESERVE: usize = 32;
@@ -22,7 +23,7 @@
     let verbose = std::env::var("GAUGESADDLE_LOG").ok().and_then(|l| l.parse().ok());
     let level = verbose.unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
-    match config::load().and_then(run) {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             eprintln!("gaugesaddle: {text}");
@@ -31,15 +32,40 @@
     }
 }
 
-fn run(config: config::Config) -> Result<(), String> {
+fn run() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+    tokio::task::LocalSet::new().block_on(&runtime, serve())
 }
 
-async fn serve(config: config::Config) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+/// Caught from before anything slow: uncaught, each of these signals ends the process.
+fn catch(kind: SignalKind, name: &str) -> Result<Signal, String> {
+    signal(kind).map_err(|e| format!("{name}: {e}"))
+}
+
+/// Reads the configuration again at each SIGHUP. Only `discovery` is taken up; the proxy goes on serving from
+/// the list that it holds, and a file that cannot be used changes nothing.
+async fn reload(mut hangup: Signal, running: serde_json::Value, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::load() {
+            Ok(newer) => {
+                let keys = config::not_taken_up(&running, &newer.document).join(", ");
+                let rest =
+                    if keys.is_empty() { keys } else { format!("; not taken up before a restart: {keys}") };
+                tracing::info!("configuration read again, discovery at {}{rest}", newer.discovery);
+                discovery
+                    .send_if_modified(|held| std::mem::replace(held, newer.discovery) != newer.discovery);
+            }
+            Err(text) => tracing::warn!("the configuration stays as it was: {text}"),
+        }
+    }
+}
+
+async fn serve() -> Result<(), String> {
+    let hangup = catch(SignalKind::hangup(), "SIGHUP")?;
+    let mut terminate = catch(SignalKind::terminate(), "SIGTERM")?;
+    let mut interrupt = catch(SignalKind::interrupt(), "SIGINT")?;
+    let config = config::load()?;
     let listener = TcpListener::bind(config.listen).await;
     let listener =
         listener.map_err(|e| format!("listen: expected a free address, got {}: {e}", config.listen))?;
@@ -66,8 +92,8 @@
         freed: Notify::new(),
     });
     let watch = discovery::Watch {
-        address: config.discovery,
         mode: config.module.discovery,
+        watching: config.module.discovery == beechworks::Discovery::Push,
         index: config.known.as_ref().map(|k| k.index),
         follow: follow.clone(),
         inputs: sender.clone(),
@@ -86,7 +112,9 @@
         }
         serving.serving.set(false);
     });
-    tokio::task::spawn_local(watch.run());
+    let (discovery, addresses) = watch::channel(config.discovery);
+    tokio::task::spawn_local(watch.run(addresses));
+    tokio::task::spawn_local(reload(hangup, config.document, discovery));
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -368,6 +368,36 @@
     assert!(proxy.exit().success());
 }
 
+/// Uncaught, SIGHUP would end the process; caught and not heeded, the old discovery would be asked for ever.
+#[test]
+fn sighup_moves_the_watch_to_the_new_discovery() {
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let (first, second, third) = (Discovery::start(), Discovery::start(), Discovery::start());
+    let mut config = config(first.address, &[line("a", a.address, "ready", 0)]);
+    let mut proxy = Proxy::start(&config);
+    assert_eq!(ask(&proxy, &request("read", 7000)).body, b"a");
+    config["discovery"] = json!(second.address.to_string());
+    config["limits"]["sockets"] = json!(512);
+    proxy.reload(&config.to_string());
+    second.tell(true, &[line("b", b.address, "ready", 0)]);
+    assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b");
+    assert!(proxy.log().contains("not taken up before a restart: limits.sockets"), "{}", proxy.log());
+    until("the connection to the old one closed", || first.closed() == 1);
+    for bad in ["", &config.to_string()[..200], r#"{"discovery":"nowhere"}"#] {
+        let before = proxy.log().matches("stays as it was").count();
+        proxy.reload(bad);
+        until("the refusal of a bad file", || proxy.log().matches("stays as it was").count() > before);
+        assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b");
+    }
+    config["discovery"] = json!(third.address.to_string());
+    (0..3).for_each(|_| proxy.reload(&config.to_string()));
+    third.tell(true, &[line("a", a.address, "ready", 0)]);
+    assert_eq!(ask(&proxy, &request("read", 7000)).body, b"a");
+    proxy.terminate();
+    proxy.reload(&config.to_string());
+    assert!(proxy.exit().success());
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_that_names_the_key() {
     let good = config(free_address(), &[]);
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -149,13 +149,15 @@
     pub address: SocketAddr,
     news: Arc<(Mutex<News>, Condvar)>,
     calls: Arc<Mutex<usize>>,
+    closed: Arc<Mutex<usize>>,
 }
 
 impl Discovery {
     pub fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let discovery = Discovery { address, news: Arc::default(), calls: Arc::default() };
+        let discovery =
+            Discovery { address, news: Arc::default(), calls: Arc::default(), closed: Arc::default() };
         let all = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -170,19 +172,32 @@
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while read_message(&mut reader).is_some() {
             *self.calls.lock().unwrap() += 1;
-            let mut news = self.news.0.lock().unwrap();
-            let answer = loop {
-                match news.answer.take() {
-                    Some(answer) => break answer,
-                    None => news = self.news.1.wait(news).unwrap(),
-                }
-            };
-            drop(news);
+            let Some(answer) = self.news(&stream) else { break };
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
             let _ = stream.write_all((head + &answer).as_bytes());
         }
     }
 
+    /// Waits for news; `None` once the other side has closed the connection.
+    fn news(&self, stream: &TcpStream) -> Option<String> {
+        let mut news = self.news.0.lock().unwrap();
+        stream.set_nonblocking(true).unwrap();
+        while !matches!(stream.peek(&mut [0]), Ok(0)) {
+            if let Some(answer) = news.answer.take() {
+                stream.set_nonblocking(false).unwrap();
+                return Some(answer);
+            }
+            news = self.news.1.wait_timeout(news, Duration::from_millis(5)).unwrap().0;
+        }
+        *self.closed.lock().unwrap() += 1;
+        None
+    }
+
+    /// Connections that the proxy has closed.
+    pub fn closed(&self) -> usize {
+        *self.closed.lock().unwrap()
+    }
+
     /// Tells the whole list or changes, and waits until the proxy has asked again: it holds them then.
     pub fn tell(&self, whole: bool, lines: &[Value]) {
         let index = self.news.0.lock().unwrap().index + 1;
@@ -264,7 +279,7 @@
     /// With the system's own limit on descriptors, which the configuration does not tell.
     pub fn spawn_with(config: &Value, descriptors: &str) -> Proxy {
         let address = config["listen"].as_str().unwrap().parse().unwrap_or_else(|_| free_address());
-        let file = std::env::temp_dir().join(format!("gaugesaddle-{address}.json"));
+        let file = Proxy::file(address);
         std::fs::write(&file, config.to_string()).unwrap();
         let limit =
             if descriptors == "unlimited" { String::new() } else { format!("ulimit -n {descriptors}; ") };
@@ -298,9 +313,23 @@
         self.log.lock().unwrap().clone()
     }
 
-    pub fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of the configuration and has the proxy read it again.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(Proxy::file(self.address), config).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn file(address: SocketAddr) -> std::path::PathBuf {
+        std::env::temp_dir().join(format!("gaugesaddle-{address}.json"))
     }
 
     pub fn exit(&mut self) -> ExitStatus {
@@ -317,7 +346,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(std::env::temp_dir().join(format!("gaugesaddle-{}.json", self.address)));
+        let _ = std::fs::remove_file(Proxy::file(self.address));
     }
 }
 
