Give clients that never ask, or ask wrongly, little time and no way on

Cause (server.rs as it was): a connection that never brought a request was never closed and never made room (Link::idle was None until the first answer), so hundreds that say nothing held every place and shut out everybody; half heads lived for HEAD_TIMEOUT, 30 s, and bodies for as long as they said themselves. A refused request left its connection open and its rest was read as a request. The id of an open request was sent on. hyper takes Content-Length out beside Transfer-Encoding, so no check of both in the handler can work.

Heads now have 2.2 s from the connect, bodies 2 s; idle connections go after 5 s, the longest waiting one at once where all places are taken or descriptors run out. Every malformed request is answered, its connection ends, and what still comes is thrown away for a moment so that no reset takes the answer. Transfer-Encoding is refused with 411 (usual clients never send it), doubled or unreadable headers that decide with 400, ids of open requests with 409. Read buffers are 16 KiB a connection, bodies together take a quarter of the memory at most, a time left counts up to the longest deadline. The form of requests has a file of its own.

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -13,6 +13,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
     /// The list of backends as this proxy last had it.
     pub known: Option<List>,
     pub module: beechworks::Config,
@@ -90,6 +92,7 @@
         discovery: address(&root.get("discovery"))?,
         seed: seed.want(hex, "up to 16 hex digits")?,
         sockets: sockets.want(enough, "at least 64")? as usize,
+        memory: (root.get("limits").get("memory_mb").count()? as usize).saturating_mul(1 << 20),
         known: known.value().map(|_| discovery::list(&known)).transpose()?,
         module,
         names,
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod form;
 mod server;
 mod upstream;
 
@@ -18,6 +19,8 @@
 
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
 const RESERVE: usize = 32;
+/// The bodies of open requests may take this part of the memory.
+const BODY_PART: usize = 4;
 
 fn main() -> ExitCode {
     let verbose = std::env::var("GAUGESADDLE_LOG").ok().and_then(|l| l.parse().ok());
@@ -79,16 +82,20 @@
     let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, backends));
     let server = Rc::new(server::Server {
         clock,
-        names: config.names,
-        classes: config.module.classes.clone(),
+        rules: form::Rules {
+            names: config.names,
+            classes: config.module.classes.clone(),
+            longest: config.longest,
+        },
         tick: config.module.tick,
         most: clients,
-        longest: config.longest,
+        body_room: Cell::new(config.memory / BODY_PART),
         inputs: sender.clone(),
         status: status.clone(),
         next: Cell::new(0),
         stopping: Cell::new(false),
         links: RefCell::default(),
+        ids: RefCell::default(),
         freed: Notify::new(),
     });
     let watch = discovery::Watch {
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -1,38 +1,50 @@
-//! The client side: connections, the form of requests, answers.
+//! The client side: connections, and a request from its first byte to its answer.
 
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
-use crate::upstream::{strip, Call, BODY_BYTES, TIME_LEFT};
-use beechworks::settings::Names;
-use beechworks::{Class, Effect, Micros, RequestId, Time};
+use crate::form::{self, Rules, Wrong};
+use crate::upstream::{strip, Call, BODY_BYTES};
+use beechworks::{Micros, RequestId, Time};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
-use hyper::http::request::Parts;
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
-
-const CLASS: HeaderName = HeaderName::from_static("x-service-class");
-const TENANT: HeaderName = HeaderName::from_static("x-account");
-const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-const HINT: HeaderName = HeaderName::from_static("x-weight-hint");
-const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
-const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// After SIGTERM new connections still come for a while; so long they are accepted.
 const STOP_ACCEPTING: Duration = Duration::from_millis(500);
-/// A client that has sent part of a head has this long for the rest.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// From its connect a client has this long for the head of its first request: those who never ask, or never
+/// end it, hold a place that others need.
+const FIRST_HEAD: Micros = Micros(2_200_000);
+/// A body has this long from its head, or what is left of the time above.
+const BODY: Micros = Micros(2_000_000);
+/// A connection that stands between requests is closed after this time: many are kept and never used again.
+const IDLE: Micros = Micros(5_000_000);
+/// Connections are looked through this often.
+const LOOK: Duration = Duration::from_millis(100);
+/// With every place taken a connection that has yet to ask must let others in after this time: what its client
+/// sent right behind the connect has come by then.
+const SETTLED: Micros = Micros(20_000);
+/// One that was told to close and has not done so is cut after this time: its client does not read.
+const CUT: Micros = Micros(2_000_000);
+/// A head is read up to this size, that of a usual one many times over.
+const HEAD_BYTES: usize = 16 << 10;
+/// After the answer to a request that can't be used, what else comes is thrown away up to this size and for
+/// this long: closing at once would reset the connection and could take the answer with it.
+const LINGER_BYTES: usize = 4 * BODY_BYTES;
+const LINGER: Duration = Duration::from_millis(500);
 /// After a failed accept (out of descriptors, say) the next is tried this much later.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Ticks between the answer to a client and the end of its patience, for the way there and back.
@@ -41,73 +53,142 @@
 /// What the handlers of all connections share.
 pub struct Server {
     pub clock: Clock,
-    pub names: Names,
-    pub classes: Vec<Class>,
+    pub rules: Rules,
     pub tick: Micros,
     /// Client connections that may be open.
     pub most: usize,
-    /// The longest time that a client waits.
-    pub longest: Micros,
+    /// Bytes that the bodies of open requests may hold together.
+    pub body_room: Cell<usize>,
     pub inputs: mpsc::UnboundedSender<Input>,
     pub status: Rc<Status>,
     pub next: Cell<u64>,
     pub stopping: Cell<bool>,
     pub links: RefCell<BTreeMap<u64, Rc<Link>>>,
+    /// The clients' own ids of the requests that are open.
+    pub ids: RefCell<HashSet<HeaderValue>>,
     pub freed: Notify,
 }
 
+/// What a client connection is doing.
+#[derive(Clone, Copy)]
+enum Phase {
+    /// Waiting for the head of a request since then.
+    Waiting(Time),
+    /// Waiting for its body.
+    Reading,
+    /// It has brought a whole request, which is owed an answer.
+    Taken,
+}
+
 /// A client connection.
-#[derive(Default)]
 pub struct Link {
-    /// Since when it has been idle between requests. One that has yet to bring its first is not closed: that
-    /// may be on the way, and ending the connection would lose it.
-    idle: Cell<Option<Time>>,
-    told: Cell<bool>,
+    opened: Time,
+    phase: Cell<Phase>,
+    /// It has brought a request.
+    used: Cell<bool>,
+    /// It was told to close, then.
+    told: Cell<Option<Time>>,
     close: Notify,
 }
 
 impl Link {
-    fn tell_to_close(&self) {
-        self.told.set(true);
-        self.close.notify_one();
+    fn new(now: Time) -> Link {
+        let phase = Cell::new(Phase::Waiting(now));
+        Link { opened: now, phase, used: Cell::default(), told: Cell::default(), close: Notify::new() }
+    }
+
+    /// Tells it to close unless it was told a moment ago.
+    fn tell_to_close(&self, now: Time) {
+        if self.told.get().is_none_or(|at| now - at >= CUT) {
+            self.told.set(Some(now));
+            self.close.notify_one();
+        }
+    }
+
+    /// Since when it has been waiting for a request that may never come.
+    fn waiting(&self) -> Option<Time> {
+        match self.phase.get() {
+            Phase::Waiting(since) => Some(since),
+            Phase::Reading => Some(self.opened),
+            Phase::Taken => None,
+        }
+    }
+
+    fn is_overdue(&self, now: Time) -> bool {
+        match self.phase.get() {
+            Phase::Waiting(since) => now - since >= if self.used.get() { IDLE } else { FIRST_HEAD },
+            Phase::Reading | Phase::Taken => false,
+        }
+    }
+
+    /// When the body of the request whose head has just come must be there.
+    fn body_due(&self, now: Time) -> Time {
+        let due = now + BODY;
+        if self.used.get() {
+            due
+        } else {
+            due.min(self.opened + FIRST_HEAD)
+        }
     }
 }
 
 /// A request of which the driver knows; dropped before it is answered, its client has gone.
 struct Ticket<'a> {
-    id: RequestId,
+    request: RequestId,
+    id: HeaderValue,
     server: &'a Server,
     answered: bool,
 }
 
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
+        self.server.ids.borrow_mut().remove(&self.id);
         if !self.answered {
-            let _ = self.server.inputs.send(Input::Left(self.id));
+            let _ = self.server.inputs.send(Input::Left(self.request));
         }
     }
 }
 
+/// Bytes taken from the room that bodies share.
+struct Room<'a> {
+    bytes: usize,
+    server: &'a Server,
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        let free = &self.server.body_room;
+        free.set(free.get() + self.bytes);
+    }
+}
+
 impl Server {
     /// Serves until `stop`; returns when all that was taken is answered.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         tokio::pin!(stop);
         let end = tokio::time::sleep(Duration::MAX);
         tokio::pin!(end);
+        let mut look = tokio::time::interval(LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            self.make_room();
+            let full = self.links.borrow().len() >= self.most;
+            if full {
+                self.make_room();
+            }
             tokio::select! {
                 biased;
                 () = &mut stop, if !self.stopping.get() => {
                     self.stopping.set(true);
-                    end.as_mut().reset(tokio::time::Instant::now() + STOP_ACCEPTING);
+                    end.as_mut().reset(Instant::now() + STOP_ACCEPTING);
                 }
                 () = &mut end, if self.stopping.get() => break,
+                _ = look.tick() => self.close_overdue(),
                 () = self.freed.notified() => {}
-                accepted = listener.accept(), if self.links.borrow().len() < self.most => match accepted {
+                accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => self.clone().serve(stream),
                     Err(e) => {
                         tracing::warn!("accept: {e}");
+                        self.make_room();
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
                 },
@@ -118,49 +199,72 @@
             self.clone().serve(stream);
         }
         drop(listener);
-        let last = tokio::time::Instant::now() + duration(self.longest);
-        loop {
-            self.links.borrow().values().filter(|l| l.idle.get().is_some()).for_each(|l| l.tell_to_close());
-            let freed = tokio::time::timeout_at(last, self.freed.notified());
-            if self.links.borrow().is_empty() || freed.await.is_err() {
-                return;
+        let last = Instant::now() + duration(self.rules.longest);
+        while !self.links.borrow().is_empty() && Instant::now() < last {
+            let now = self.clock.now();
+            let between = |l: &&Rc<Link>| l.used.get() && matches!(l.phase.get(), Phase::Waiting(_));
+            self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now));
+            tokio::select! {
+                _ = look.tick() => self.close_overdue(),
+                () = self.freed.notified() => {}
             }
         }
     }
 
-    /// With every connection taken, the one that has been idle longest is closed: new clients must get in.
+    fn close_overdue(&self) {
+        let now = self.clock.now();
+        self.links.borrow().values().filter(|l| l.is_overdue(now)).for_each(|l| l.tell_to_close(now));
+    }
+
+    /// With every connection taken, the one that has been waiting longest for a request is closed: new clients
+    /// must get in, however many others hold connections and never ask.
     fn make_room(&self) {
+        let now = self.clock.now();
         let links = self.links.borrow();
-        if links.len() >= self.most {
-            let idle =
-                links.values().filter(|l| !l.told.get()).filter_map(|l| l.idle.get().map(|since| (since, l)));
-            if let Some((_, link)) = idle.min_by_key(|(since, _)| *since) {
-                link.tell_to_close();
-            }
+        let may_go = |l: &&Rc<Link>| l.told.get().is_none() && (l.used.get() || now - l.opened >= SETTLED);
+        let waiting = links.values().filter(may_go).filter_map(|l| l.waiting().map(|since| (since, l)));
+        if let Some((_, link)) = waiting.min_by_key(|(since, _)| *since) {
+            link.tell_to_close(now);
         }
     }
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (id, link) = (self.number(), Rc::new(Link::default()));
-        self.links.borrow_mut().insert(id, link.clone());
+        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
+        self.links.borrow_mut().insert(number, link.clone());
         tokio::task::spawn_local(async move {
-            let _gone = Gone { id, server: &self };
-            let service = hyper::service::service_fn(|request| self.handle(request, &link));
+            let _gone = Gone { number, server: &self };
+            let wrong = Cell::new(false);
+            let service = hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong)));
             let mut http = http1::Builder::new();
-            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-            let connection = http.serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
+            http.max_buf_size(HEAD_BYTES).header_read_timeout(None);
+            let mut connection = http.serve_connection(TokioIo::new(stream), service);
+            let mut told = false;
             let ended = loop {
                 tokio::select! {
                     biased;
-                    ended = connection.as_mut() => break ended,
-                    () = link.close.notified() => connection.as_mut().graceful_shutdown(),
+                    ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break ended,
+                    () = link.close.notified() => match link.phase.get() {
+                        // Nothing is taken and no answer on its way.
+                        Phase::Reading => return,
+                        Phase::Waiting(_) if told || !link.used.get() => return,
+                        // Whatever is on its way is written to its end.
+                        Phase::Waiting(_) | Phase::Taken => std::pin::Pin::new(&mut connection).graceful_shutdown(),
+                    },
                 }
+                told = true;
             };
-            if let Err(e) = ended {
+            if let Err(e) = &ended {
                 tracing::debug!("client connection: {e}");
             }
+            if wrong.get() || ended.is_err() {
+                link.told.set(None);
+                let stream = connection.into_parts().io.into_inner();
+                tokio::select! {
+                    () = linger(stream) => {}
+                    () = link.close.notified() => {}
+                }
+            }
         });
     }
 
@@ -170,54 +274,58 @@
     }
 
     async fn handle(
-        &self, request: Request<Incoming>, link: &Link,
+        &self, request: Request<Incoming>, link: &Link, wrong: &Cell<bool>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        link.idle.set(None);
-        let mut answer = self.answer(request).await;
-        link.idle.set(Some(self.clock.now()));
-        if self.stopping.get() || self.links.borrow().len() >= self.most {
+        link.phase.set(Phase::Reading);
+        let answer = self.answer(request, link).await;
+        link.phase.set(Phase::Waiting(self.clock.now()));
+        link.used.set(true);
+        wrong.set(answer.is_err());
+        let mut answer = answer.unwrap_or_else(|Wrong(status, text)| plain(status, text));
+        if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+            answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        if self.stopping.get() || wrong.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        if request.uri().path() == "/-/ready" {
+    async fn answer(&self, request: Request<Incoming>, link: &Link) -> Result<Response<Full<Bytes>>, Wrong> {
+        let came = self.clock.now();
+        let (mut head, body) = request.into_parts();
+        let length = body.size_hint().exact();
+        form::framing(&head, length)?;
+        if head.uri.path() == "/-/ready" && length == Some(0) {
             let ready = self.status.serving.get() && !self.stopping.get();
-            return if ready {
+            return Ok(if ready {
                 plain(StatusCode::OK, "ready")
             } else {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
-            };
-        }
-        let came = self.clock.now();
-        let (mut head, body) = request.into_parts();
-        let form = match self.read(&head, body.size_hint().exact()) {
-            Ok(form) => form,
-            Err(text) => return plain(StatusCode::BAD_REQUEST, text),
-        };
-        if body.size_hint().lower() > BODY_BYTES as u64 {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE);
+            });
         }
-        let patience = duration(form.time_left).min(Duration::from_secs(3600));
-        let collected = tokio::time::timeout(patience, Limited::new(body, BODY_BYTES).collect());
-        let body = match collected.await {
+        let form = self.rules.read(&head, length)?;
+        let _room = self.room(length.unwrap_or(0) as usize)?;
+        let due = self.clock.instant(link.body_due(came));
+        let body = match tokio::time::timeout_at(due, Limited::new(body, BODY_BYTES).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE)
-            }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is broken"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+            Ok(Err(_)) => return Err("the body is broken".into()),
+            Err(_) => return Err(Wrong(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
+        if !self.ids.borrow_mut().insert(form.id.clone()) {
+            return Err(Wrong(StatusCode::CONFLICT, "X-Correlation-Id: that of a request that is open"));
+        }
+        link.phase.set(Phase::Taken);
+        let request = RequestId(self.number());
+        let mut ticket = Ticket { request, id: form.id, server: self, answered: false };
         strip(&mut head.headers);
         let mut sent = Request::new(());
         *sent.method_mut() = head.method;
         *sent.uri_mut() = head.uri.path_and_query().map(|p| p.clone().into()).unwrap_or_default();
         *sent.headers_mut() = head.headers;
         let (reply, answer) = oneshot::channel();
-        let id = RequestId(self.number());
         let arrived = Input::Arrived(Arrived {
-            id,
+            id: request,
             class: form.class,
             tenant: form.tenant,
             deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
@@ -227,10 +335,9 @@
             reply,
         });
         let _ = self.inputs.send(arrived);
-        let mut ticket = Ticket { id, server: self, answered: false };
         let answer = answer.await;
         ticket.answered = true;
-        match answer {
+        Ok(match answer {
             Ok(Answer::Served(answer)) => answer.map(Full::new),
             Ok(Answer::Refused(after)) => {
                 let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
@@ -239,66 +346,16 @@
                 answer
             }
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
-        }
-    }
-
-    /// What the module needs to know of a request; a message if its form is wrong.
-    fn read(&self, head: &Parts, length: Option<u64>) -> Result<Form, &'static str> {
-        let headers = &head.headers;
-        let name = text(headers, &CLASS).ok_or("expected X-Service-Class")?;
-        let class = self.names.class(name).ok_or("X-Service-Class: unknown class")?;
-        if head.uri.path().split('/').nth(1) != Some(name) {
-            return Err("expected the class as the first part of the path");
-        }
-        let keyed = headers.contains_key(&IDEMPOTENCY);
-        let fits = match self.classes[class.0].effect {
-            Effect::Free => head.method == Method::GET && length == Some(0),
-            Effect::Keyed(..) => head.method == Method::POST && keyed,
-            Effect::Unsafe => head.method == Method::POST && !keyed,
-        };
-        if !fits {
-            return Err("the method, the body or Idempotency-Key does not fit the class");
-        }
-        if !headers.contains_key(&CORRELATION) {
-            return Err("expected X-Correlation-Id");
-        }
-        let tenant = match text(headers, &TENANT) {
-            _ if !self.names.has_tenants() => None,
-            Some(name) => Some(self.names.tenant(name).ok_or("X-Account: unknown tenant")?),
-            None => return Err("expected X-Account"),
-        };
-        let left = number(headers, &TIME_LEFT)?.ok_or("expected X-Time-Left-Ms")?;
-        Ok(Form {
-            class,
-            tenant,
-            time_left: Micros(left.saturating_mul(1000)),
-            work_hint: number(headers, &HINT)?.map(Micros),
-            repeat: text(headers, &REPEAT) == Some("1"),
         })
     }
-}
-
-const TOO_LARGE: &str = "the body is over 64 KiB";
-
-struct Form {
-    class: beechworks::ClassId,
-    tenant: Option<beechworks::TenantId>,
-    time_left: Micros,
-    work_hint: Option<Micros>,
-    repeat: bool,
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name).and_then(|v| v.to_str().ok())
-}
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, &'static str> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    let digits = value.to_str().ok().filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-    digits
-        .and_then(|v| v.parse().ok())
-        .map(Some)
-        .ok_or("expected a whole number in X-Time-Left-Ms and X-Weight-Hint")
+    /// Room for a body of that size; without it many large ones together would use up the memory.
+    fn room(&self, bytes: usize) -> Result<Room<'_>, Wrong> {
+        let free = &self.body_room;
+        let left = free.get().checked_sub(bytes);
+        free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, "too many large requests at once"))?);
+        Ok(Room { bytes, server: self })
+    }
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
@@ -307,15 +364,33 @@
     answer
 }
 
+/// Ends a connection on which more may be coming than will be read.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut buffer = vec![0; 8 << 10];
+    let discard = async {
+        let mut left = LINGER_BYTES;
+        while let Ok(n @ 1..) = stream.read(&mut buffer).await {
+            left = left.saturating_sub(n);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LINGER, discard).await;
+}
+
 /// Takes a connection off the books however its task ends.
 struct Gone<'a> {
-    id: u64,
+    number: u64,
     server: &'a Server,
 }
 
 impl Drop for Gone<'_> {
     fn drop(&mut self) {
-        self.server.links.borrow_mut().remove(&self.id);
+        self.server.links.borrow_mut().remove(&self.number);
         self.server.freed.notify_one();
     }
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -18,50 +18,138 @@
 fn a_request_goes_on_unchanged_and_so_does_its_answer() {
     let backend = Backend::start(|_| ok("the answer"));
     let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
-    let answer = ask(&proxy, &request("vote", 7000));
+    let sent = request("vote", 7000);
+    let answer = ask(&proxy, &sent);
     assert_eq!((answer.status(), answer.body), (200, b"the answer".to_vec()));
     let [seen] = &backend.requests()[..] else { panic!("one attempt") };
     assert_eq!(seen.start, "POST /vote/a?b=c HTTP/1.1");
-    assert_eq!(seen.header("x-correlation-id"), Some("9b1f03aa5c7e2d41"));
+    assert!(sent.contains(&format!("X-Correlation-Id: {}\r\n", seen.header("x-correlation-id").unwrap())));
     assert_eq!(seen.header("idempotency-key"), Some("k1"));
     assert_eq!(seen.body, b"body");
     let left: u64 = seen.header("x-time-left-ms").unwrap().parse().unwrap();
     assert!(left < 7000, "the time left is the proxy's own: {left}");
 }
 
+/// Each is answered, its connection ends and nothing of it goes on: read on, the rest of one would be taken for
+/// a request of its own.
 #[test]
-fn malformed_requests_reach_no_backend_and_leave_the_proxy_alive() {
+fn malformed_requests_reach_no_backend_and_end_their_connection() {
     let backend = Backend::start(|_| ok("x"));
     let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
     let (read, pay) = (request("read", 7000), request("pay", 7000));
+    let twice = |line: &str| read.replace("\r\nHost", &format!("\r\n{line}\r\nHost"));
+    let id = read.lines().find(|l| l.starts_with("X-Correlation-Id")).unwrap();
     let huge = "x".repeat((64 << 10) + 1);
+    let chunked = "Transfer-Encoding: chunked";
     let cases = [
         (read.replace("X-Service-Class: read\r\n", ""), 400),
         (read.replace("X-Service-Class: read", "X-Service-Class: none"), 400),
+        (twice("X-Service-Class: read"), 400),
         (read.replace("/read/", "/pay/"), 400),
         (read.replace("GET", "POST"), 400),
+        (read.replace("Host: backend.local\r\n", ""), 400),
         (read.replace("X-Time-Left-Ms: 7000\r\n", ""), 400),
+        (twice("X-Time-Left-Ms: 1"), 400),
         (read.replace("7000", "-1"), 400),
+        (read.replace("7000", "soon"), 400),
         (read.replace("7000", "99999999999999999999999"), 400),
         (read.replace("7000", "7000\r\nX-Weight-Hint: 1e3"), 400),
-        (read.replace("X-Correlation-Id: 9b1f03aa5c7e2d41\r\n", ""), 400),
+        (read.replace(&format!("{id}\r\n"), ""), 400),
+        (read.replace(id, "X-Correlation-Id: "), 400),
+        (read.replace(id, "X-Correlation-Id: \u{e9}"), 400),
+        (read.replace(id, &format!("X-Correlation-Id: {}", "x".repeat(129))), 400),
+        (twice(id), 400),
         (pay.replace("POST", "GET"), 400),
         (pay.replace("X-Time", "Idempotency-Key: k\r\nX-Time"), 400),
         (request("vote", 7000).replace("Idempotency-Key: k1\r\n", ""), 400),
+        (
+            request("vote", 7000)
+                .replace("Idempotency-Key: k1", "Idempotency-Key: k1\r\nIdempotency-Key: k2"),
+            400,
+        ),
+        (pay.replace("Content-Length: 4", "Content-Length: -4"), 400),
+        (pay.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5"), 400),
+        (pay.replace("Content-Length: 4", "Content-Length: 60000000"), 413),
         (
             pay.replace("Content-Length: 4", &format!("Content-Length: {}", huge.len()))
                 .replace("body", &huge),
             413,
         ),
+        // A reader that goes by the other of the two finds another request in the body.
+        (pay.replace("Content-Length: 4", &format!("Content-Length: 4\r\n{chunked}")), 411),
+        (pay.replace("Content-Length: 4", &format!("{chunked}\r\nContent-Length: 4")), 411),
+        (pay.replace("Content-Length: 4", chunked).replace("body", "4\r\nbody\r\n0\r\n\r\n"), 411),
+        (pay.replace("Content-Length: 4", "Transfer-Encoding: gzip"), 400),
         ("nonsense\r\n\r\n".into(), 400),
+        (
+            format!("GET /read/a HTTP/1.1\r\n{}", "X-Pad: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n".repeat(10_000)),
+            431,
+        ),
     ];
     for (text, status) in cases {
-        assert_eq!(ask(&proxy, &text).status(), status, "{}", &text[..text.len().min(300)]);
+        let mut client = Client::open(proxy.address);
+        client.send(&(text.clone() + &request("read", 7000)));
+        let shown = &text[..text.len().min(300)];
+        assert_eq!(client.answer().map(|a| a.status()), Some(status), "{shown}");
+        assert!(client.ends(), "{shown}");
     }
     assert!(backend.requests().is_empty());
     // The largest wait that can be written is a wait like any other.
-    assert_eq!(ask(&proxy, &read.replace("7000", &u64::MAX.to_string())).status(), 200);
-    assert_eq!(ask(&proxy, &read).status(), 200);
+    assert_eq!(ask(&proxy, &request("read", u64::MAX)).status(), 200);
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
+
+/// Two requests with one id: the second is not sent on, and the first is answered as ever.
+#[test]
+fn the_id_of_an_open_request_is_refused() {
+    let (open, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let backend = Backend::start(move |_| {
+        let _ = held.lock().unwrap().recv();
+        ok("x")
+    });
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let text = request("read", 7000);
+    let mut owner = Client::open(proxy.address);
+    owner.send(&text);
+    until("the first", || backend.requests().len() == 1);
+    let mut other = Client::open(proxy.address);
+    other.send(&text);
+    assert_eq!(other.answer().map(|a| a.status()), Some(409));
+    assert!(other.ends());
+    drop(open);
+    assert_eq!(owner.answer().map(|a| a.status()), Some(200));
+    assert_eq!(backend.requests().len(), 1);
+    owner.send(&text);
+    assert_eq!(owner.answer().map(|a| a.status()), Some(200), "once answered, the id is free");
+}
+
+/// Clients that say nothing, or half of something, hold a place for a short time only.
+#[test]
+fn clients_that_never_ask_are_closed() {
+    let backend = Backend::start(|_| ok("x"));
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let (pay, start) = (request("pay", 7000), std::time::Instant::now());
+    let parts = ["", "\r\n", "GET /read", &pay[..60], &pay[..pay.len() - 1]];
+    let mut clients: Vec<Client> = parts
+        .iter()
+        .map(|part| {
+            let mut client = Client::open(proxy.address);
+            client.send(part);
+            client
+        })
+        .collect();
+    let mut idle = Client::open(proxy.address);
+    idle.send(&request("read", 7000));
+    assert_eq!(idle.answer().map(|a| a.status()), Some(200));
+    let late = clients.pop().expect("the last").answer().map(|a| a.status());
+    assert_eq!(late, Some(408), "a body that never comes");
+    clients.iter_mut().for_each(|c| assert!(c.ends()));
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+    idle.send(&request("read", 7000));
+    assert_eq!(idle.answer().map(|a| a.status()), Some(200), "one that is used stays longer");
+    assert!(idle.ends());
+    assert_eq!(backend.requests().len(), 2);
 }
 
 /// Requests enough that the module has retries to spend.
@@ -299,6 +387,7 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// Neither clients that keep their connection for good nor hundreds that never ask shut others out.
 #[test]
 fn with_its_sockets_taken_a_new_client_still_gets_in() {
     let backend = Backend::start(|_| ok("x"));
@@ -306,8 +395,6 @@
     let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
     config["limits"]["sockets"] = json!(64);
     let proxy = Proxy::start(&config);
-    // Some never ask; they are not in the way of closing those that have.
-    let _silent: Vec<Client> = (0..4).map(|_| Client::open(proxy.address)).collect();
     let mut idle: Vec<Client> = Vec::new();
     for _ in 0..60 {
         let mut client = Client::open(proxy.address);
@@ -315,7 +402,10 @@
         assert_eq!(client.answer().map(|a| a.status()), Some(200));
         idle.push(client);
     }
+    let start = std::time::Instant::now();
+    let _silent: Vec<Client> = (0..200).map(|_| Client::open(proxy.address)).collect();
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+    assert!(start.elapsed() < Duration::from_secs(8), "{:?}", start.elapsed());
 }
 
 /// Out of descriptors the proxy lives on, and serves again once it has some.
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -376,8 +377,10 @@
     }
 }
 
-/// A request of one of the classes in [`settings`].
+/// A request of one of the classes in [`settings`], with an id of its own.
 pub fn request(class: &str, left_ms: u64) -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let id = NEXT.fetch_add(1, Ordering::Relaxed);
     let (method, more) = match class {
         "read" => ("GET", ""),
         "vote" => ("POST", "Idempotency-Key: k1\r\nContent-Length: 4\r\n"),
@@ -385,7 +388,7 @@
     };
     let body = if method == "GET" { "" } else { "body" };
     format!(
-        "{method} /{class}/a?b=c HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n\
+        "{method} /{class}/a?b=c HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id:016x}\r\n\
          X-Service-Class: {class}\r\nX-Time-Left-Ms: {left_ms}\r\n{more}\r\n{body}"
     )
 }
