Take spoilt answers for errors and never reuse a connection with a surplus

Cause: an answer that can't be read ended as Reset (upstream.rs, every Err of the exchange), and a reset ejects its backend at once (logic.rs `learn`): some 400 spoilt answers, from any backend alike, threw out healthy backends until those left were full (1,302 turned away at 10 s). A 4xx of a backend counted as its error and was tried five times.

An exchange that fails while the connection lives is an Error now. Lengths over 64 KiB end it at the head, and whatever comes ends it after 144 KiB. 4xx but 429 is passed on and nothing held against the backend. Before the first byte of a request the socket itself is peeked: the runtime's readiness lags, and nothing in an answer tells whose it is (unit test; it fails without the check). The socket that keeps these accounts has a file of its own, wire.rs.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -8,6 +8,7 @@
 mod form;
 mod server;
 mod upstream;
+mod wire;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -2,12 +2,13 @@
 
 use crate::clock::{duration, Clock};
 use crate::discovery::Target;
+use crate::wire::{Progress, Wire};
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -16,12 +17,16 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use tokio::net::TcpStream;
 
 /// The most that a body holds, either way.
 pub const BODY_BYTES: usize = 64 << 10;
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+/// A head is read up to this size.
+const HEAD_BYTES: usize = 16 << 10;
+/// An answer is read up to this size, framing and 1xx answers ahead of it included.
+const ANSWER_BYTES: usize = 2 * BODY_BYTES + HEAD_BYTES;
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 /// Part of the backend's own limit after which an idle connection is closed from this side: a request
 /// written while the backend closes it would end as a reset.
@@ -71,63 +76,10 @@
     }
 }
 
-/// What has been done with a connection since the present request was given to it.
-#[derive(Default)]
-struct Progress {
-    /// Some byte was handed to the socket.
-    begun: Cell<bool>,
-    /// The last byte was: hyper flushes the socket only after its buffer is empty.
-    whole: Cell<bool>,
-}
-
-/// A socket that tells how far the request has come: what was not handed over whole has never run.
-struct Wire {
-    io: TokioIo<TcpStream>,
-    progress: Rc<Progress>,
-}
-
-impl Wire {
-    fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(wrote, Poll::Ready(Ok(n)) if n > 0) {
-            self.progress.begun.set(true);
-        }
-        wrote
-    }
-}
-
-impl Read for Wire {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
-    }
-}
-
-impl Write for Wire {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.note(wrote)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.note(wrote)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        self.progress.whole.set(self.progress.begun.get());
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
-
 /// A connection, driven only by the attempt that uses it: dropping it closes the socket at once.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    driving: Pin<Box<Connection<Wire, Full<Bytes>>>>,
+    driving: Pin<Box<Connection<TokioIo<Wire>, Full<Bytes>>>>,
     progress: Rc<Progress>,
     /// The connection has run to its end.
     ended: bool,
@@ -138,8 +90,7 @@
     /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
     /// the exchange gets.
     async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
-        self.progress.begun.set(false);
-        self.progress.whole.set(false);
+        self.progress.restart();
         let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
         poll_fn(|cx| {
             if !self.ended {
@@ -224,9 +175,10 @@
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         let _ = stream.set_nodelay(true);
-        let progress = Rc::new(Progress::default());
-        let wire = Wire { io: TokioIo::new(stream), progress: progress.clone() };
-        let (sender, connection) = http1::handshake(wire).await.map_err(|_| Outcome::ConnectFailed)?;
+        let wire = Wire::new(stream, ANSWER_BYTES);
+        let progress = wire.progress.clone();
+        let shake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(wire)).await;
+        let (sender, connection) = shake.map_err(|_| Outcome::ConnectFailed)?;
         Ok(Link { sender, driving: Box::pin(connection), progress, ended: false, _slot: slot })
     }
 
@@ -255,10 +207,13 @@
                     }
                     ended
                 }
-                // A pooled connection that closed before a byte was written: the attempt has not begun.
+                // A pooled connection that closed, or brought more than its answer, before a byte was written:
+                // the attempt has not begun.
                 Err(()) if !fresh && !link.progress.begun.get() => continue,
                 Err(()) if !link.progress.whole.get() => Outcome::ConnectFailed.into(),
-                Err(()) => Outcome::Reset.into(),
+                Err(()) if link.progress.broken.get() => Outcome::Reset.into(),
+                // It answers, though nothing that can be used: as much against it as an error.
+                Err(()) => Outcome::Error.into(),
             };
         }
     }
@@ -281,7 +236,11 @@
 /// Sends the request and reads the whole answer.
 async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
     let answer = sender.send_request(request).await.map_err(|_| ())?;
-    let (mut head, body) = answer.into_parts();
+    let (head, body) = answer.into_parts();
+    // What is said to be too long need not be read to be known as such.
+    if body.size_hint().lower() > BODY_BYTES as u64 {
+        return Err(());
+    }
     let framed = is_framed(&head.headers);
     // Whole before a byte of it goes on: a broken answer must not reach the client as a good one.
     let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|_| ())?.to_bytes();
@@ -289,15 +248,22 @@
     Ok(match head.status {
         // Where only the end of the connection ends the body, a short answer looks like a whole one.
         StatusCode::OK if !framed => Outcome::Reset.into(),
-        StatusCode::OK => {
-            strip(&mut head.headers);
-            Ended { outcome: Outcome::Ok, answer: Some(Response::from_parts(head, body)) }
-        }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen() => Outcome::Full.into(),
+        // The request is at fault and would be anywhere: its client is told so, and nothing is held against the
+        // backend. But 429 would promise the client that nothing ran.
+        status if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS => {
+            Ended { outcome: Outcome::Cancelled, answer: Some(pass_on(head, body)) }
+        }
+        StatusCode::OK => Ended { outcome: Outcome::Ok, answer: Some(pass_on(head, body)) },
         _ => Outcome::Error.into(),
     })
 }
 
+fn pass_on(mut head: hyper::http::response::Parts, body: Bytes) -> Response<Bytes> {
+    strip(&mut head.headers);
+    Response::from_parts(head, body)
+}
+
 fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(hyper::header::CONTENT_LENGTH)
         || headers.contains_key(hyper::header::TRANSFER_ENCODING)
@@ -319,3 +285,62 @@
     headers.remove("keep-alive");
     headers.remove("expect");
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use beechworks::Backend;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+
+    fn take_request(stream: &mut TcpStream) {
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("a request");
+            seen.push(byte[0]);
+        }
+    }
+
+    /// What comes late behind an answer must not become the next one, also where the runtime has not seen it:
+    /// here it has had no time to look between the two attempts.
+    #[tokio::test]
+    async fn a_late_surplus_does_not_become_the_next_answer() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (next, turn) = std::sync::mpsc::channel();
+        let (done, surplus) = std::sync::mpsc::channel();
+        let backend = std::thread::spawn(move || {
+            let answer = |body| format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{body}");
+            let mut first = listener.accept().expect("a connection").0;
+            take_request(&mut first);
+            first.write_all(answer("1").as_bytes()).expect("written");
+            turn.recv().expect("the answer was read");
+            first.write_all(answer("x").as_bytes()).expect("written");
+            done.send(()).expect("waited for");
+            let mut second = listener.accept().expect("another connection").0;
+            take_request(&mut second);
+            second.write_all(answer("2").as_bytes()).expect("written");
+            first.read(&mut [0]).unwrap_or(0) // closed with the surplus unread, it is reset
+        });
+        let clock = Clock::new();
+        let second = Micros(1_000_000);
+        let pool = Pool::new(clock, second, second.times(30.0), 8);
+        let entry = Backend { state: BackendState::Ready, ..Backend::default() };
+        let upstream = Upstream::new(Target { backend: entry, address });
+        let call = Call { head: Request::new(()), body: Bytes::new() };
+        let body = |ended: Ended| ended.answer.map(Response::into_body);
+        let deadline = clock.now() + second.times(30.0);
+        // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
+        let attempts = async move {
+            let one = body(pool.attempt(&upstream, &call, deadline).await);
+            next.send(()).expect("waited for");
+            surplus.recv().expect("written");
+            (one, body(pool.attempt(&upstream, &call, deadline).await))
+        };
+        let local = tokio::task::LocalSet::new();
+        let bodies = local.run_until(async { tokio::task::spawn_local(attempts).await.expect("no panic") });
+        assert_eq!(bodies.await, (Some(Bytes::from("1")), Some(Bytes::from("2"))));
+        assert_eq!(backend.join().expect("no panic"), 0, "not a byte of the second request on the first");
+    }
+}
--- /dev/null
+++ b/src/bin/gaugesaddle/wire.rs
@@ -0,0 +1,108 @@
+//! A socket to a backend that knows how far the present request and its answer have come.
+
+use socket2::SockRef;
+use std::cell::Cell;
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What has been done with a connection since the present request was given to it.
+#[derive(Default)]
+pub struct Progress {
+    /// Some byte was handed to the socket.
+    pub begun: Cell<bool>,
+    /// The last byte was: hyper flushes the socket only after its buffer is empty.
+    pub whole: Cell<bool>,
+    /// The other side has ended the connection or broken it.
+    pub broken: Cell<bool>,
+    /// Bytes of the answer so far.
+    read: Cell<usize>,
+}
+
+impl Progress {
+    pub fn restart(&self) {
+        self.begun.set(false);
+        self.whole.set(false);
+        self.read.set(0);
+    }
+}
+
+/// What was not handed over whole has never run.
+pub struct Wire {
+    stream: TcpStream,
+    pub progress: Rc<Progress>,
+    /// An answer is read up to so many bytes, whatever they are.
+    most: usize,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream, most: usize) -> Wire {
+        Wire { stream, progress: Rc::default(), most }
+    }
+
+    /// Asked right before the first byte of a request: what has come before it belongs to no answer of its own,
+    /// and nothing in an answer tells which request it is for. The runtime may not have seen it yet, so the
+    /// socket itself is asked.
+    fn check_quiet(&self) -> io::Result<()> {
+        if self.progress.begun.get() {
+            return Ok(());
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(()),
+            Err(e) => Err(e),
+            Ok(_) => Err(io::Error::new(ErrorKind::ConnectionReset, "closed, or more than an answer came")),
+        }
+    }
+
+    fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match wrote {
+            Poll::Ready(Ok(n)) if n > 0 => self.progress.begun.set(true),
+            Poll::Ready(Err(_)) => self.progress.broken.set(true),
+            _ => {}
+        }
+        wrote
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let (before, room) = (buf.filled().len(), buf.remaining());
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let n = buf.filled().len() - before;
+        self.progress.broken.set(read.is_err() || (n == 0 && room > 0));
+        self.progress.read.set(self.progress.read.get() + n);
+        if self.progress.read.get() > self.most {
+            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, "an answer without end")));
+        }
+        Poll::Ready(read)
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.check_quiet()?;
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note(wrote)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context, bufs: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        self.check_quiet()?;
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note(wrote)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        self.progress.whole.set(self.progress.begun.get());
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -158,10 +158,10 @@
 }
 
 /// After the warm-up the first backend to be asked does `first`, whoever is asked next serves.
-fn outcome_of(first: fn() -> Reply, class: &str) -> (u16, usize) {
+fn outcome_of(first: impl Fn() -> Reply + Clone + Send + Sync + 'static, class: &str) -> (u16, usize) {
     let asked = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
     let start = || {
-        let asked = asked.clone();
+        let (asked, first) = (asked.clone(), first.clone());
         Backend::start(move |_| match asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
             10 => first(),
             _ => ok("served"),
@@ -198,6 +198,78 @@
     }
 }
 
+/// Answers that can't be used: the connection lives on and is no more used, the attempt has failed at once and
+/// may have run.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt() {
+    let spoilt: [fn() -> String; 11] = [
+        || "\u{1}\u{2}noise\r\n\r\n".into(),
+        || "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx".into(),
+        || "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx".into(),
+        || "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx".into(),
+        || "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx".into(),
+        || "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nx".into(),
+        || "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx".into(),
+        || "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n".into(),
+        || "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n".into(),
+        || format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: pppppppppppppp\r\n".repeat(100_000)),
+        || "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx".into(),
+    ];
+    for answer in spoilt {
+        let start = std::time::Instant::now();
+        let reply = move || Reply::Say(answer());
+        assert_eq!(outcome_of(reply, "read"), (200, 2), "{:.60}", answer());
+        assert_eq!(outcome_of(reply, "pay"), (502, 1), "{:.60}", answer());
+        assert!(start.elapsed() < Duration::from_secs(6), "not at the deadline: {:.60}", answer());
+    }
+    // Many 1xx answers never end in one that counts.
+    let endless = || Reply::Say("HTTP/1.1 102 Processing\r\n\r\n".repeat(20_000));
+    assert_eq!(outcome_of(endless, "read"), (200, 2));
+}
+
+/// A good answer is served whatever comes with it, and what is left over is nobody's.
+#[test]
+fn more_than_an_answer_is_served_once() {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let backend = Backend::start(move |_| {
+        let n = next.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let good = |more: &str| format!("HTTP/1.1 200 OK\r\n{more}Content-Length: 2\r\n\r\n{n:02}");
+        Reply::Say(match n % 5 {
+            0 => good("") + &good(""),
+            1 => good("") + "noise\r\n\r\n",
+            2 => good("X-Backend-Load: TEXT =,=\r\n"),
+            3 => {
+                "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n".to_string()
+                    + &good("")
+            }
+            _ => good(""),
+        })
+    });
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    for n in 0..30 {
+        let answer = ask(&proxy, &request("pay", 7000));
+        assert_eq!((answer.status(), answer.body), (200, format!("{n:02}").into_bytes()));
+    }
+    assert_eq!(backend.requests().len(), 30);
+}
+
+/// The request is at fault, wherever it goes: not sent again, nor held against the backend.
+#[test]
+fn a_client_error_of_a_backend_is_passed_on() {
+    let backend = Backend::start(|m| match m.header("x-bad") {
+        Some(_) => Reply::Say("HTTP/1.1 400 Bad Request\r\nContent-Length: 3\r\n\r\nbad".into()),
+        None => ok("x"),
+    });
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    warm_up(&proxy);
+    for _ in 0..10 {
+        let answer = ask(&proxy, &request("read", 7000).replace("Host:", "X-Bad: 1\r\nHost:"));
+        assert_eq!((answer.status(), answer.body), (400, b"bad".to_vec()));
+    }
+    assert_eq!(backend.requests().len(), 20);
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
+
 #[test]
 fn a_refused_connection_proves_that_nothing_ran() {
     let backend = Backend::start(|_| ok("served"));
