Keep traffic near only where all zones have as many proxies

And zones were counted as those with ready backends: with the own zone's backends ejected two were left, neither "due more than it brings", and all pulls were 0 for 2 s (10.29 s: nothing out, nothing held, every request refused at once).

The module is told how many zones there are, counts them all, and keeps traffic near only where proxies divide evenly over them; nobody tells where the others are.

Open: 400 attempts turned away at 20 to 30 s by four throttled backends.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,6 +76,8 @@
     pub position: u32,
     /// The proxy's own zone.
     pub zone: ZoneId,
+    /// How many zones there are.
+    pub zones: u32,
     /// The sorts of requests.
     pub classes: Vec<Class>,
     /// The customers; may be empty.
@@ -117,6 +119,7 @@
             proxies: 3,
             position: 0,
             zone: ZoneId(0),
+            zones: 1,
             classes: vec![Class {
                 aim: Micros(500_000),
                 aim_stretch: 0.0,
@@ -150,6 +153,7 @@
         let tests = [
             (self.proxies > 0, "proxies", "at least 1"),
             (self.position < self.proxies, "position", "less than proxies"),
+            (self.zones > 0, "zones", "at least 1"),
             (!classes.is_empty(), "classes", "at least one class"),
             (classes.iter().all(|c| c.aim.0 > 0), "aim", "a time above 0"),
             (classes.iter().all(|c| c.aim_stretch >= 0.0), "aim_stretch", "at least 0"),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -385,8 +385,8 @@
     }
 
     /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
-    /// traffic stays near so far as all proxies together still give every backend the same part: a zone
-    /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
+    /// and all have as many proxies, traffic stays near so far as all together still give every backend
+    /// the same part: a zone that brings more than its backends are due sends the rest to zones due more.
     fn allot(&mut self, now: Time) {
         let epoch = now.0 / Micros::from_secs(TURN).0;
         let proxies = f64::from(self.cfg.proxies);
@@ -396,11 +396,11 @@
         let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
         let ready = self.peers.values().filter(|p| p.ready > 0.0);
         ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
-        let zones = due.len() as f64;
+        let zones = f64::from(self.cfg.zones);
+        let biased = self.cfg.cross_zone_cost > 0.0 && self.cfg.proxies % self.cfg.zones == 0;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
-        let ready: f64 = self.kinds.values().map(|k| k.ready).sum();
-        let mine = HOLD / proxies * ready;
+        let mine = HOLD / proxies * self.kinds.values().map(|k| k.ready).sum::<f64>();
         self.pool = mine + POOL_SPREAD * mine.sqrt() + 1.0;
         self.kinds.values_mut().for_each(|k| (k.pull, k.line) = (0.0, Vec::with_capacity(k.line.len())));
         let cold: Vec<f64> = self.peers.values().map(|p| self.fall_part(now, p)).collect();
@@ -408,7 +408,7 @@
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
             let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+            let bias = if biased && here > 0.0 { near / here } else { 1.0 };
             // Half of the room for all goes by that part, half evenly. With many proxies it is below one:
             // turns, by position and the backend's mark, keep the sum at the hold; one each would crowd all.
             let turn = id.0.wrapping_add(u64::from(self.cfg.position)).wrapping_add(epoch);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -150,6 +150,7 @@
         proxies: root.get("group_size").count()?,
         position: root.get("position").count()?,
         zone,
+        zones: zones.len() as u32,
         classes,
         tenants,
         over_quota_worth: root.get("over_share_worth").real()?,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -38,6 +38,7 @@
         Balancer::new(cfg, 1).err().map(|e| e.field)
     };
     assert_eq!(bad(|c| c.proxies = 0), Some("proxies"));
+    assert_eq!(bad(|c| c.zones = 0), Some("zones"));
     assert_eq!(bad(|c| c.classes.clear()), Some("classes"));
     assert_eq!(bad(|c| c.classes[0].aim = Micros(0)), Some("aim"));
     assert_eq!(bad(|c| c.classes[0].worth = f64::NAN), Some("worth"));
@@ -326,22 +327,41 @@
     assert!(rich > poor, "{rich} rich and {poor} poor requests were served");
 }
 
-fn zones(cost: f64) -> usize {
-    let cfg = Config { cross_zone_cost: cost, ..Config::example() };
+/// How many of 300 requests stay in the own zone, which holds a third of the backends.
+fn zones(cost: f64, proxies: u32) -> usize {
+    let cfg = Config { cross_zone_cost: cost, zones: 3, proxies, ..Config::example() };
     let mut host = host(cfg, (0..9).map(|i| backend(i, i % 3, 0)).collect());
     serve(&mut host, 300, 0, |_| 10_000).iter().filter(|b| *b % 3 == 0).count()
 }
 
 #[test]
 fn where_crossing_zones_costs_traffic_stays_near() {
-    assert!(zones(0.05) >= 270, "{} of 300 stayed", zones(0.05));
-    assert!((70..=130).contains(&zones(0.0)), "{} of 300 stayed without a cost", zones(0.0));
+    let (near, all) = (zones(0.05, 3), zones(0.0, 3));
+    assert!(near >= 270, "{near} of 300 stayed");
+    assert!((70..=130).contains(&all), "{all} of 300 stayed without a cost");
+}
+
+/// Two proxies over three zones: kept near, their traffic would leave a zone without any.
+#[test]
+fn zones_with_unlike_numbers_of_proxies_share_all_backends() {
+    let near = zones(0.05, 2);
+    assert!((70..=130).contains(&near), "{near} of 300 stayed");
+}
+
+/// With its own zone out of use a proxy's traffic goes to the others, as many as there are.
+#[test]
+fn a_zone_without_backends_is_no_reason_to_refuse() {
+    let cfg = Config { cross_zone_cost: 0.05, zones: 3, ..Config::example() };
+    let mut host = host(cfg, (0..9).map(|i| backend(i, i % 3, 0)).collect());
+    serve(&mut host, 50, 0, |_| 10_000);
+    host.members(ListUpdate::Full, (0..9).filter(|i| i % 3 > 0).map(|i| backend(i, i % 3, 0)).collect());
+    assert_eq!(serve(&mut host, 100, 0, |_| 10_000).len(), 100);
 }
 
 #[test]
 fn a_zone_short_of_backends_sends_its_surplus_out() {
     // Own zone holds one of seven backends; three zones' proxies bring a third each: 3/7 may stay.
-    let cfg = Config { cross_zone_cost: 0.05, ..Config::example() };
+    let cfg = Config { cross_zone_cost: 0.05, zones: 3, ..Config::example() };
     let list = (0..7).map(|i| backend(i, if i == 0 { 0 } else { 1 + i % 2 }, 0)).collect();
     let mut host = host(cfg, list);
     let near = serve(&mut host, 400, 0, |_| 10_000).iter().filter(|b| **b == 0).count();
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -66,6 +66,7 @@
     cfg.live_weights = bits & 2 == 0;
     cfg.proxies = if bits & 1 == 0 { 3 } else { 400 };
     cfg.cancel = bits & 4 == 0;
+    cfg.zones = 1 + (bits >> 5) % 3;
     cfg.cross_zone_cost = if bits & 16 == 0 { 0.05 } else { 0.0 };
     if bits & 8 == 0 {
         cfg.discovery = Discovery::Subscribe(Micros(2_000_000));
