Count a reset like an error instead of ejecting its backend

Cause: `learn` ejected a backend for any reset. Ruled out: stale reuse (the tried pool order changed nothing); dead backends, for those refuse connects, which ejects as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -261,7 +261,7 @@
             Outcome::Cancelled | Outcome::NeverSent => {}
             // A heavy request alone is no illness: other answers came back meanwhile.
             Outcome::TimedOut if p.answered >= sent => {}
-            Outcome::Error | Outcome::Full => {
+            Outcome::Error | Outcome::Full | Outcome::Reset => {
                 p.answered = now;
                 p.errors += (1.0 - p.errors) * ERROR_STEP;
                 let limit = if end.outcome == Outcome::Full { FULL_LIMIT } else { ERROR_LIMIT };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -391,6 +391,28 @@
     assert!(taken.iter().all(|n| *n >= 40), "{taken:?} taken");
 }
 
+/// One broken connection is no dead backend; that one refuses the next connect.
+#[test]
+fn a_reset_alone_puts_no_backend_out_of_use() {
+    let sent_after = |resets: usize| {
+        let mut host = host(config(vec![class(Effect::Free)]), fleet(2));
+        serve(&mut host, 20, 0, |_| 10_000);
+        let mut left = resets;
+        while left > 0 {
+            let id = host.arrive(0, 900_000);
+            let broken = host.sent_to(id) == [0];
+            host.end(id, 0, if broken { Outcome::Reset } else { Outcome::Ok });
+            host.advance(10_000);
+            host.end(id, 1, Outcome::Ok);
+            left -= usize::from(broken);
+        }
+        host.advance(500_000);
+        serve(&mut host, 30, 0, |_| 5_000).iter().filter(|b| **b == 0).count()
+    };
+    assert!(sent_after(1) >= 5, "{} of 30 after one", sent_after(1));
+    assert_eq!(sent_after(4), 0);
+}
+
 #[test]
 fn discovery_is_followed_at_once_and_again_after_a_loss() {
     let cfg = Config { discovery: Discovery::Subscribe(Micros(10_000_000)), ..Config::example() };
