Count every closed connection and unserved request under one reason

Each closed connection and each request without a served answer now has exactly one reason, counted in tally.rs and told at most once a second a reason, with the places that are open, asked on and in service.

No decision changes.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -20,6 +20,8 @@
     Served(Response<Bytes>),
     /// The client may come back after so long.
     Refused(Micros),
+    /// The same, because so many requests are open that it reaches neither the module nor a backend.
+    Crowded(Micros),
     Failed,
 }
 
@@ -220,8 +222,7 @@
 
     fn arrived(&mut self, new: Arrived) {
         if self.requests.len() >= self.open_cap {
-            // It reaches neither the module nor a backend.
-            let _ = new.reply.send(Answer::Refused(self.balancer.retry_after()));
+            let _ = new.reply.send(Answer::Crowded(self.balancer.retry_after()));
             return;
         }
         let time_left = new.deadline - self.clock.now();
--- a/src/bin/gaugesaddle/form.rs
+++ b/src/bin/gaugesaddle/form.rs
@@ -1,5 +1,6 @@
 //! The form of a client's request: what the module needs to know of it, or why it is turned away.
 
+use crate::tally::Reason;
 use crate::upstream::{BODY_BYTES, TIME_LEFT};
 use beechworks::settings::Names;
 use beechworks::{Class, ClassId, Effect, Micros, TenantId};
@@ -17,11 +18,11 @@
 const ID_BYTES: usize = 128;
 
 /// Why a request is turned away, whose connection ends with that: what follows on it can't be trusted.
-pub struct Wrong(pub StatusCode, pub &'static str);
+pub struct Wrong(pub StatusCode, pub &'static str, pub Reason);
 
 impl From<&'static str> for Wrong {
     fn from(text: &'static str) -> Wrong {
-        Wrong(StatusCode::BAD_REQUEST, text)
+        Wrong(StatusCode::BAD_REQUEST, text, Reason::WrongForm)
     }
 }
 
@@ -47,10 +48,11 @@
 /// `Transfer-Encoding` stands beside it, so a request that carries both can't be told from one that does not.
 pub fn framing(head: &Parts, length: Option<u64>) -> Result<(), Wrong> {
     if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err(Wrong(StatusCode::LENGTH_REQUIRED, "expected Content-Length, not Transfer-Encoding"));
+        let text = "expected Content-Length, not Transfer-Encoding";
+        return Err(Wrong(StatusCode::LENGTH_REQUIRED, text, Reason::WrongFraming));
     }
     if length.is_none_or(|n| n > BODY_BYTES as u64) {
-        return Err(Wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        return Err(Wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB", Reason::WrongFraming));
     }
     Ok(())
 }
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod form;
 mod server;
+mod tally;
 mod upstream;
 mod wire;
 
@@ -98,6 +99,7 @@
         links: RefCell::default(),
         ids: RefCell::default(),
         freed: Notify::new(),
+        tally: tally::Tally::new(),
     });
     let watch = discovery::Watch {
         mode: config.module.discovery,
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -3,6 +3,7 @@
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
 use crate::form::{self, Rules, Wrong};
+use crate::tally::{Reason, Tally};
 use crate::upstream::{strip, Call, BODY_BYTES};
 use beechworks::{Micros, RequestId, Time};
 use bytes::Bytes;
@@ -67,6 +68,7 @@
     /// The clients' own ids of the requests that are open.
     pub ids: RefCell<HashSet<HeaderValue>>,
     pub freed: Notify,
+    pub tally: Tally,
 }
 
 /// What a client connection is doing.
@@ -86,8 +88,8 @@
     phase: Cell<Phase>,
     /// It has brought a request.
     used: Cell<bool>,
-    /// It was told to close, then.
-    told: Cell<Option<Time>>,
+    /// It was told to close, then and why.
+    told: Cell<Option<(Time, Reason)>>,
     close: Notify,
 }
 
@@ -98,13 +100,19 @@
     }
 
     /// Tells it to close unless it was told a moment ago.
-    fn tell_to_close(&self, now: Time) {
-        if self.told.get().is_none_or(|at| now - at >= CUT) {
-            self.told.set(Some(now));
+    fn tell_to_close(&self, now: Time, why: Reason) {
+        let told = self.told.get();
+        if told.is_none_or(|(at, _)| now - at >= CUT) {
+            self.told.set(Some((now, told.map_or(why, |t| t.1))));
             self.close.notify_one();
         }
     }
 
+    /// Why it was told to close.
+    fn why(&self) -> Reason {
+        self.told.get().map_or(Reason::ClosedByClient, |told| told.1)
+    }
+
     /// Since when it has been waiting for a request that may never come.
     fn waiting(&self) -> Option<Time> {
         match self.phase.get() {
@@ -114,11 +122,12 @@
         }
     }
 
-    fn is_overdue(&self, now: Time) -> bool {
-        match self.phase.get() {
-            Phase::Waiting(since) => now - since >= if self.used.get() { IDLE } else { FIRST_HEAD },
-            Phase::Reading | Phase::Taken => false,
-        }
+    /// Why it has had its time, if it has.
+    fn overdue(&self, now: Time) -> Option<Reason> {
+        let Phase::Waiting(since) = self.phase.get() else { return None };
+        let (time, why) =
+            if self.used.get() { (IDLE, Reason::ClosedIdle) } else { (FIRST_HEAD, Reason::ClosedUnasked) };
+        (now - since >= time).then_some(why)
     }
 
     /// When the body of the request whose head has just come must be there.
@@ -187,7 +196,8 @@
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => self.clone().serve(stream),
                     Err(e) => {
-                        tracing::warn!("accept: {e}");
+                        tracing::debug!("accept: {e}");
+                        self.tally.count(Reason::AcceptFailed);
                         self.make_room();
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
@@ -203,7 +213,8 @@
         while !self.links.borrow().is_empty() && Instant::now() < last {
             let now = self.clock.now();
             let between = |l: &&Rc<Link>| l.used.get() && matches!(l.phase.get(), Phase::Waiting(_));
-            self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now));
+            let why = Reason::ClosedStopping;
+            self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now, why));
             tokio::select! {
                 _ = look.tick() => self.close_overdue(),
                 () = self.freed.notified() => {}
@@ -213,7 +224,20 @@
 
     fn close_overdue(&self) {
         let now = self.clock.now();
-        self.links.borrow().values().filter(|l| l.is_overdue(now)).for_each(|l| l.tell_to_close(now));
+        for link in self.links.borrow().values() {
+            if let Some(why) = link.overdue(now) {
+                link.tell_to_close(now, why);
+            }
+        }
+        if let Some(text) = self.tally.due(now) {
+            let links = self.links.borrow();
+            let (asked, taken) = links.values().fold((0, 0), |n, l| {
+                let taken = matches!(l.phase.get(), Phase::Taken);
+                (n.0 + usize::from(l.used.get() || taken), n.1 + usize::from(taken))
+            });
+            let open = links.len();
+            tracing::info!("{text}; open {open} of {}, asked on {asked}, in service {taken}", self.most);
+        }
     }
 
     /// With every connection taken, the one that has been waiting longest for a request is closed: new clients
@@ -224,7 +248,12 @@
         let may_go = |l: &&Rc<Link>| l.told.get().is_none() && (l.used.get() || now - l.opened >= SETTLED);
         let waiting = links.values().filter(may_go).filter_map(|l| l.waiting().map(|since| (since, l)));
         if let Some((_, link)) = waiting.min_by_key(|(since, _)| *since) {
-            link.tell_to_close(now);
+            let why = match (link.phase.get(), link.used.get()) {
+                (Phase::Reading, _) => Reason::ClosedForRoomReading,
+                (_, true) => Reason::ClosedForRoom,
+                (_, false) => Reason::ClosedForRoomUnasked,
+            };
+            link.tell_to_close(now, why);
         }
     }
 
@@ -233,7 +262,7 @@
         let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
         self.links.borrow_mut().insert(number, link.clone());
         tokio::task::spawn_local(async move {
-            let _gone = Gone { number, server: &self };
+            let mut gone = Gone { number, server: &self, why: Reason::ClosedByClient };
             let wrong = Cell::new(false);
             let service = hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong)));
             let mut http = http1::Builder::new();
@@ -246,8 +275,8 @@
                     ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break ended,
                     () = link.close.notified() => match link.phase.get() {
                         // Nothing is taken and no answer on its way.
-                        Phase::Reading => return,
-                        Phase::Waiting(_) if told || !link.used.get() => return,
+                        Phase::Reading => return gone.why = link.why(),
+                        Phase::Waiting(_) if told || !link.used.get() => return gone.why = link.why(),
                         // Whatever is on its way is written to its end.
                         Phase::Waiting(_) | Phase::Taken => std::pin::Pin::new(&mut connection).graceful_shutdown(),
                     },
@@ -257,6 +286,14 @@
             if let Err(e) = &ended {
                 tracing::debug!("client connection: {e}");
             }
+            gone.why = match (&ended, link.phase.get()) {
+                (_, Phase::Taken) => Reason::ClosedLeft,
+                _ if link.told.get().is_some() => link.why(),
+                _ if wrong.get() => Reason::ClosedWrong,
+                (Err(e), _) if e.is_parse() => Reason::ClosedUnreadable,
+                _ if self.stopping.get() => Reason::ClosedStopping,
+                _ => Reason::ClosedByClient,
+            };
             if wrong.get() || ended.is_err() {
                 link.told.set(None);
                 let stream = connection.into_parts().io.into_inner();
@@ -281,7 +318,10 @@
         link.phase.set(Phase::Waiting(self.clock.now()));
         link.used.set(true);
         wrong.set(answer.is_err());
-        let mut answer = answer.unwrap_or_else(|Wrong(status, text)| plain(status, text));
+        let mut answer = answer.unwrap_or_else(|Wrong(status, text, why)| {
+            self.tally.count(why);
+            plain(status, text)
+        });
         if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
@@ -309,11 +349,17 @@
         let due = self.clock.instant(link.body_due(came));
         let body = match tokio::time::timeout_at(due, Limited::new(body, BODY_BYTES).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err("the body is broken".into()),
-            Err(_) => return Err(Wrong(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+            Ok(Err(_)) => {
+                return Err(Wrong(StatusCode::BAD_REQUEST, "the body is broken", Reason::WrongBody));
+            }
+            Err(_) => {
+                let text = "the body did not come in time";
+                return Err(Wrong(StatusCode::REQUEST_TIMEOUT, text, Reason::WrongBody));
+            }
         };
         if !self.ids.borrow_mut().insert(form.id.clone()) {
-            return Err(Wrong(StatusCode::CONFLICT, "X-Correlation-Id: that of a request that is open"));
+            let text = "X-Correlation-Id: that of a request that is open";
+            return Err(Wrong(StatusCode::CONFLICT, text, Reason::WrongId));
         }
         link.phase.set(Phase::Taken);
         let request = RequestId(self.number());
@@ -339,21 +385,29 @@
         ticket.answered = true;
         Ok(match answer {
             Ok(Answer::Served(answer)) => answer.map(Full::new),
-            Ok(Answer::Refused(after)) => {
-                let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-                let whole = after.0.div_ceil(1_000_000); // whole seconds: not every client reads decimals
-                answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(whole));
-                answer
+            Ok(Answer::Refused(after)) => self.refusal(after, Reason::RefusedModule),
+            Ok(Answer::Crowded(after)) => self.refusal(after, Reason::RefusedOpenCap),
+            Ok(Answer::Failed) | Err(_) => {
+                self.tally.count(Reason::Failed);
+                plain(StatusCode::BAD_GATEWAY, "failed")
             }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
         })
     }
 
+    fn refusal(&self, after: Micros, why: Reason) -> Response<Full<Bytes>> {
+        self.tally.count(why);
+        let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
+        let whole = after.0.div_ceil(1_000_000); // whole seconds: not every client reads decimals
+        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(whole));
+        answer
+    }
+
     /// Room for a body of that size; without it many large ones together would use up the memory.
     fn room(&self, bytes: usize) -> Result<Room<'_>, Wrong> {
         let free = &self.body_room;
         let left = free.get().checked_sub(bytes);
-        free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, "too many large requests at once"))?);
+        let text = "too many large requests at once";
+        free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, text, Reason::RefusedBodies))?);
         Ok(Room { bytes, server: self })
     }
 }
@@ -386,10 +440,12 @@
 struct Gone<'a> {
     number: u64,
     server: &'a Server,
+    why: Reason,
 }
 
 impl Drop for Gone<'_> {
     fn drop(&mut self) {
+        self.server.tally.count(self.why);
         self.server.links.borrow_mut().remove(&self.number);
         self.server.freed.notify_one();
     }
