Keep few connections between requests, so that clients have some left to ask on

Change: connections between requests are kept up to a sixth of the descriptors; above that the ones asked on once and longest waiting are closed ahead of need. When places are short the order is: asked once a while ago, never asked, asked often, half a request there (its own time now counts, not the connection's: an old connection with a young request was cut off).

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -91,6 +91,7 @@
         },
         tick: config.module.tick,
         most: clients,
+        kept: config.sockets / server::KEPT_PART,
         body_room: Cell::new(config.memory / BODY_PART),
         inputs: sender.clone(),
         status: status.clone(),
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -33,6 +33,12 @@
 const BODY: Micros = Micros(2_000_000);
 /// A connection that stands between requests is closed after this time: many are kept and never used again.
 const IDLE: Micros = Micros(5_000_000);
+/// Connections between requests are kept up to this part of the descriptors. Usual clients hold a third of them
+/// at most for requests: what waits here is taken from the requests to come, so half of that third stays free
+/// for them. Clients that ask again have few connections waiting, for they use the same ones over and over.
+pub const KEPT_PART: usize = 6;
+/// One that was asked on once and has waited so long is likely kept for good: it is the first to give way.
+const LIKELY_ONCE: Micros = Micros(250_000);
 /// Connections are looked through this often.
 const LOOK: Duration = Duration::from_millis(100);
 /// With every place taken a connection that has yet to ask must let others in after this time: what its client
@@ -58,6 +64,8 @@
     pub tick: Micros,
     /// Client connections that may be open.
     pub most: usize,
+    /// Of these so many are kept between requests.
+    pub kept: usize,
     /// Bytes that the bodies of open requests may hold together.
     pub body_room: Cell<usize>,
     pub inputs: mpsc::UnboundedSender<Input>,
@@ -76,18 +84,31 @@
 enum Phase {
     /// Waiting for the head of a request since then.
     Waiting(Time),
-    /// Waiting for its body.
-    Reading,
+    /// Waiting for its body since then.
+    Reading(Time),
     /// It has brought a whole request, which is owed an answer.
     Taken,
 }
 
+/// Who gives way first when places are short: the less a close can hurt.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Yield {
+    /// Asked on once, a while ago: its client is served and will hardly come again.
+    AskedOnce,
+    /// Nothing has come on it: its client may yet ask, and would lose that request.
+    NeverAsked,
+    /// Asked on again and again: a close costs its client a connect.
+    AskedOften,
+    /// Half a request is there: a close cuts it off.
+    Reading,
+}
+
 /// A client connection.
 pub struct Link {
     opened: Time,
     phase: Cell<Phase>,
-    /// It has brought a request.
-    used: Cell<bool>,
+    /// Requests that it has brought and had answered.
+    asked: Cell<u32>,
     /// It was told to close, then and why.
     told: Cell<Option<(Time, Reason)>>,
     close: Notify,
@@ -96,7 +117,7 @@
 impl Link {
     fn new(now: Time) -> Link {
         let phase = Cell::new(Phase::Waiting(now));
-        Link { opened: now, phase, used: Cell::default(), told: Cell::default(), close: Notify::new() }
+        Link { opened: now, phase, asked: Cell::default(), told: Cell::default(), close: Notify::new() }
     }
 
     /// Tells it to close unless it was told a moment ago.
@@ -113,12 +134,27 @@
         self.told.get().map_or(Reason::ClosedByClient, |told| told.1)
     }
 
-    /// Since when it has been waiting for a request that may never come.
-    fn waiting(&self) -> Option<Time> {
+    fn is_used(&self) -> bool {
+        self.asked.get() > 0
+    }
+
+    /// Whether it stands between two requests and will go on doing so.
+    fn is_kept(&self) -> bool {
+        self.is_used() && self.told.get().is_none() && matches!(self.phase.get(), Phase::Waiting(_))
+    }
+
+    /// Its place in the order in which connections give way to others; `None`: it stays.
+    fn yields(&self, now: Time) -> Option<(Yield, Time)> {
+        let (asked, told) = (self.asked.get(), self.told.get().is_some());
         match self.phase.get() {
-            Phase::Waiting(since) => Some(since),
-            Phase::Reading => Some(self.opened),
-            Phase::Taken => None,
+            _ if told => None,
+            Phase::Waiting(since) if asked == 1 && now - since >= LIKELY_ONCE => {
+                Some((Yield::AskedOnce, since))
+            }
+            Phase::Waiting(since) if asked > 0 => Some((Yield::AskedOften, since)),
+            Phase::Waiting(since) if now - since >= SETTLED => Some((Yield::NeverAsked, since)),
+            Phase::Reading(since) if now - since >= SETTLED => Some((Yield::Reading, since)),
+            _ => None,
         }
     }
 
@@ -126,14 +162,14 @@
     fn overdue(&self, now: Time) -> Option<Reason> {
         let Phase::Waiting(since) = self.phase.get() else { return None };
         let (time, why) =
-            if self.used.get() { (IDLE, Reason::ClosedIdle) } else { (FIRST_HEAD, Reason::ClosedUnasked) };
+            if self.is_used() { (IDLE, Reason::ClosedIdle) } else { (FIRST_HEAD, Reason::ClosedUnasked) };
         (now - since >= time).then_some(why)
     }
 
     /// When the body of the request whose head has just come must be there.
     fn body_due(&self, now: Time) -> Time {
         let due = now + BODY;
-        if self.used.get() {
+        if self.is_used() {
             due
         } else {
             due.min(self.opened + FIRST_HEAD)
@@ -212,7 +248,7 @@
         let last = Instant::now() + duration(self.rules.longest);
         while !self.links.borrow().is_empty() && Instant::now() < last {
             let now = self.clock.now();
-            let between = |l: &&Rc<Link>| l.used.get() && matches!(l.phase.get(), Phase::Waiting(_));
+            let between = |l: &&Rc<Link>| l.is_used() && matches!(l.phase.get(), Phase::Waiting(_));
             let why = Reason::ClosedStopping;
             self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now, why));
             tokio::select! {
@@ -233,30 +269,46 @@
             let links = self.links.borrow();
             let (asked, taken) = links.values().fold((0, 0), |n, l| {
                 let taken = matches!(l.phase.get(), Phase::Taken);
-                (n.0 + usize::from(l.used.get() || taken), n.1 + usize::from(taken))
+                (n.0 + usize::from(l.is_used() || taken), n.1 + usize::from(taken))
             });
             let open = links.len();
             tracing::info!("{text}; open {open} of {}, asked on {asked}, in service {taken}", self.most);
         }
     }
 
-    /// With every connection taken, the one that has been waiting longest for a request is closed: new clients
-    /// must get in, however many others hold connections and never ask.
+    /// With every place taken, one that is not in service is closed: new clients must get in, however many
+    /// others hold connections and never ask.
     fn make_room(&self) {
         let now = self.clock.now();
         let links = self.links.borrow();
-        let may_go = |l: &&Rc<Link>| l.told.get().is_none() && (l.used.get() || now - l.opened >= SETTLED);
-        let waiting = links.values().filter(may_go).filter_map(|l| l.waiting().map(|since| (since, l)));
-        if let Some((_, link)) = waiting.min_by_key(|(since, _)| *since) {
-            let why = match (link.phase.get(), link.used.get()) {
-                (Phase::Reading, _) => Reason::ClosedForRoomReading,
-                (_, true) => Reason::ClosedForRoom,
-                (_, false) => Reason::ClosedForRoomUnasked,
+        let yielding = links.values().filter_map(|l| l.yields(now).map(|order| (order, l)));
+        if let Some(((rank, _), link)) = yielding.min_by_key(|(order, _)| *order) {
+            let why = match rank {
+                Yield::AskedOnce | Yield::AskedOften => Reason::ClosedForRoom,
+                Yield::NeverAsked => Reason::ClosedForRoomUnasked,
+                Yield::Reading => Reason::ClosedForRoomReading,
             };
             link.tell_to_close(now, why);
         }
     }
 
+    /// Closes connections between requests ahead of any need when more are kept than the clients can spare:
+    /// with all of theirs waiting here they can bring no request, and nobody would come to ask for room.
+    fn keep_few(&self) {
+        let links = self.links.borrow();
+        if links.len() <= self.kept {
+            return;
+        }
+        let now = self.clock.now();
+        let kept = links.values().filter(|l| l.is_kept());
+        let surplus = kept.clone().count().saturating_sub(self.kept);
+        for _ in 0..surplus {
+            if let Some(link) = kept.clone().min_by_key(|l| l.yields(now)) {
+                link.tell_to_close(now, Reason::ClosedAhead);
+            }
+        }
+    }
+
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
@@ -275,8 +327,8 @@
                     ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break ended,
                     () = link.close.notified() => match link.phase.get() {
                         // Nothing is taken and no answer on its way.
-                        Phase::Reading => return gone.why = link.why(),
-                        Phase::Waiting(_) if told || !link.used.get() => return gone.why = link.why(),
+                        Phase::Reading(_) => return gone.why = link.why(),
+                        Phase::Waiting(_) if told || !link.is_used() => return gone.why = link.why(),
                         // Whatever is on its way is written to its end.
                         Phase::Waiting(_) | Phase::Taken => std::pin::Pin::new(&mut connection).graceful_shutdown(),
                     },
@@ -313,10 +365,10 @@
     async fn handle(
         &self, request: Request<Incoming>, link: &Link, wrong: &Cell<bool>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        link.phase.set(Phase::Reading);
+        link.phase.set(Phase::Reading(self.clock.now()));
         let answer = self.answer(request, link).await;
         link.phase.set(Phase::Waiting(self.clock.now()));
-        link.used.set(true);
+        link.asked.set(link.asked.get().saturating_add(1));
         wrong.set(answer.is_err());
         let mut answer = answer.unwrap_or_else(|Wrong(status, text, why)| {
             self.tally.count(why);
@@ -325,6 +377,7 @@
         if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
+        self.keep_few();
         if self.stopping.get() || wrong.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/src/bin/gaugesaddle/tally.rs
+++ b/src/bin/gaugesaddle/tally.rs
@@ -27,6 +27,8 @@
     ClosedUnasked = "closed: no request in time";
     /// It stood between requests for too long.
     ClosedIdle = "closed: idle";
+    /// More stood between requests than are kept; nothing was short yet.
+    ClosedAhead = "closed: too many idle";
     /// All places were taken: it had been asked on before.
     ClosedForRoom = "closed: for room, idle";
     /// All places were taken: it had brought nothing.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -480,6 +480,66 @@
     assert!(start.elapsed() < Duration::from_secs(8), "{:?}", start.elapsed());
 }
 
+/// The recorded day r0cab0c: clients hold a third of the descriptors at most, most of them ask once on a
+/// connection and keep it for good. Before the mend all of that third stood
+/// waiting in the proxy until each had been idle for 5 s, and half of the requests never reached it.
+#[test]
+fn clients_that_ask_once_and_stay_leave_room_for_the_next() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    let sockets = 192;
+    config["limits"]["sockets"] = json!(sockets);
+    let proxy = Proxy::start(&config);
+    let mut steady = Client::open(proxy.address);
+    let mut held: Vec<Client> = Vec::new();
+    let start = std::time::Instant::now();
+    for turn in 0..400 {
+        // A usual client that asks again and again keeps its connection through all of it.
+        steady.send(&request("read", 7000));
+        assert_eq!(steady.answer().map(|a| a.status()), Some(200), "turn {turn}: cut off");
+        until("a connection that the clients may open", || {
+            held.retain_mut(|c| !c.has_ended());
+            held.len() < sockets / 3 - 1
+        });
+        let mut client = Client::open(proxy.address);
+        client.send(&request("read", 7000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200), "turn {turn}");
+        held.push(client);
+    }
+    // Each of six thirds would have waited for 5 s.
+    assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+    until("the count in the log", || proxy.log().contains("closed: too many idle +"));
+}
+
+/// With every place taken by connections that were asked on and idle a moment ago, a request of which half has
+/// come goes on, and is served.
+#[test]
+fn a_request_half_there_is_not_cut_off_for_room() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    // The connection is old, its request young.
+    let mut slow = Client::open(proxy.address);
+    slow.send(&request("read", 7000));
+    assert_eq!(slow.answer().map(|a| a.status()), Some(200));
+    std::thread::sleep(Duration::from_millis(300));
+    let text = request("vote", 7000);
+    let (head, body) = text.split_at(text.len() - 4);
+    slow.send(head);
+    let mut others = Vec::new();
+    for turn in 0..60 {
+        let mut client = Client::open(proxy.address);
+        client.send(&request("read", 7000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200), "turn {turn}");
+        others.push(client);
+    }
+    slow.send(body);
+    assert_eq!(slow.answer().map(|a| a.status()), Some(200), "cut off");
+}
+
 /// Out of descriptors the proxy lives on, and serves again once it has some.
 #[test]
 fn the_proxy_outlives_a_want_of_descriptors() {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -371,6 +371,17 @@
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.stream)
     }
+    /// Whether the proxy has closed the connection by now.
+    pub fn has_ended(&mut self) -> bool {
+        let stream = self.stream.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let seen = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        match seen {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
     /// Whether the proxy has closed the connection; waits for it.
     pub fn ends(&mut self) -> bool {
         matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
