--- a/src/bin/beechworks-simhost/main.rs
+++ b/crates/beechworks-simhost/src/main.rs
@@ -1,6 +1,5 @@
 //! Speaks the bench's wire on standard input and output: one [`beechworks::Balancer`] per instance.
 //! Translation only; every decision is the library's.
-#![forbid(unsafe_code)]
 
 mod wire;
 
--- a/src/bin/beechworks-simhost/wire.rs
+++ b/crates/beechworks-simhost/src/wire.rs
@@ -142,9 +142,9 @@
             return Err(f.bad(0, "an instance such as proxy-3"));
         }
         let seed = f.whole(1, "a seed")?;
-        let made = settings::read(&Key::root(&f.values[2])).and_then(|(config, names)| {
-            Balancer::new(config, seed).map(|b| (b, names)).map_err(|e| e.to_string())
-        });
+        let made = settings::read(&Key::root(&f.values[2])).map_err(|e| e.to_string()).and_then(
+            |(config, names)| Balancer::new(config, seed).map(|b| (b, names)).map_err(|e| e.to_string()),
+        );
         let instance = match made {
             Ok((balancer, names)) => Some(Instance { balancer, names }),
             Err(text) => {
--- a/src/lib.rs
+++ b/crates/beechworks/src/lib.rs
@@ -2,8 +2,6 @@
 //!
 //! [`Balancer`] is a state machine without clock, network or threads: a host feeds it [`Event`]s
 //! with the time at which they happened and carries out the [`Action`]s it returns.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod interface;
 mod logic;
@@ -16,5 +14,5 @@
 
 /// The README's example, kept true by the documentation tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/src/settings.rs
+++ b/crates/beechworks/src/settings.rs
@@ -27,12 +27,49 @@
     pub fn has_tenants(&self) -> bool {
         !self.tenants.is_empty()
     }
+    /// The names of the classes, in the order of their numbers.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The number of a tenant.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
         self.tenants.iter().position(|n| n == name).map(TenantId)
     }
 }
 
+/// What is wrong with a value of a document, by the path that leads to it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyError {
+    /// The key is not there.
+    #[error("{path}: missing, expected {expected}")]
+    Missing {
+        /// Where it was looked for.
+        path: String,
+        /// What was looked for.
+        expected: String,
+    },
+    /// The value is not what it must be.
+    #[error("{path}: expected {expected}, got {got}")]
+    Unfit {
+        /// Where it stands.
+        path: String,
+        /// What was expected.
+        expected: String,
+        /// The value, cut where it is long.
+        got: String,
+    },
+    /// A name that must be the only one.
+    #[error("{path}: the name stands twice")]
+    Twice {
+        /// Where the second one stands.
+        path: String,
+    },
+}
+
+/// Characters of a value that an error shows: a whole list would bury what it says.
+const SHOWN: usize = 120;
+
 /// A value inside a JSON document, with the path that led to it: what is wrong is told by that path.
 pub struct Key<'a> {
     path: String,
@@ -53,36 +90,37 @@
         let path = if self.path.is_empty() { name.into() } else { format!("{}.{name}", self.path) };
         Key { path, value: self.value.and_then(|v| v.get(name)) }
     }
-    /// What was got, or a message that says what was expected.
-    pub fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
+    /// What was got, or an error that says what was expected.
+    pub fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, KeyError> {
+        let (path, expected) = (self.path.clone(), what.to_string());
         got.ok_or_else(|| match self.value {
-            Some(v) => format!("{}: expected {what}, got {v}", self.path),
-            None => format!("{}: missing, expected {what}", self.path),
+            Some(v) => KeyError::Unfit { path, expected, got: v.to_string().chars().take(SHOWN).collect() },
+            None => KeyError::Missing { path, expected },
         })
     }
     /// Text.
-    pub fn text(&self) -> Result<&'a str, String> {
+    pub fn text(&self) -> Result<&'a str, KeyError> {
         self.want(self.value.and_then(Value::as_str), "text")
     }
     /// True or false.
-    pub fn flag(&self) -> Result<bool, String> {
+    pub fn flag(&self) -> Result<bool, KeyError> {
         self.want(self.value.and_then(Value::as_bool), "true or false")
     }
     /// A number.
-    pub fn real(&self) -> Result<f64, String> {
+    pub fn real(&self) -> Result<f64, KeyError> {
         self.want(self.value.and_then(Value::as_f64), "a number")
     }
     /// A span in whole microseconds.
-    pub fn micros(&self) -> Result<Micros, String> {
+    pub fn micros(&self) -> Result<Micros, KeyError> {
         self.want(self.value.and_then(Value::as_u64), "whole microseconds").map(Micros)
     }
     /// A whole number.
-    pub fn count(&self) -> Result<u32, String> {
+    pub fn count(&self) -> Result<u32, KeyError> {
         let got = self.value.and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
         self.want(got, "a whole number")
     }
     /// The items of an array.
-    pub fn list(&self) -> Result<Vec<Key<'a>>, String> {
+    pub fn list(&self) -> Result<Vec<Key<'a>>, KeyError> {
         let items = self.want(self.value.and_then(Value::as_array), "an array")?;
         let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v) };
         Ok(items.iter().enumerate().map(item).collect())
@@ -90,7 +128,7 @@
 }
 
 /// Reads the settings; unknown keys are skipped.
-pub fn read(root: &Key) -> Result<(Config, Names), String> {
+pub fn read(root: &Key) -> Result<(Config, Names), KeyError> {
     let mut names = Names::default();
     let (mut zones, my_zone) = (Vec::new(), root.get("my_zone"));
     for zone in root.get("zones").list()? {
@@ -104,7 +142,7 @@
     for class in root.get("profiles").list()? {
         let name = class.get("name");
         if names.classes.iter().any(|n| name.text().is_ok_and(|m| m == n)) {
-            return Err(format!("{}: the name stands twice", name.path));
+            return Err(KeyError::Twice { path: name.path });
         }
         names.classes.push(name.text()?.into());
         let scope = class.get("key_scope");
@@ -125,7 +163,7 @@
         let stretch = class.get("aim_stretch");
         let (aim, deadline) = (class.get("aim_us"), class.get("deadline_us"));
         if aim.micros()? > deadline.micros()? {
-            return Err(format!("{}: expected no more than deadline_us", aim.path));
+            return aim.want(None, "no more than deadline_us");
         }
         classes.push(Class {
             aim: aim.micros()?,
--- /dev/null
+++ b/crates/gaugesaddle-testbed/src/program.rs
@@ -0,0 +1,42 @@
+//! Where the built programs are.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// A program of this workspace that was built with the same profile as what runs now: it lies in the same folder,
+/// or, for a test, in the one above.
+///
+/// # Panics
+/// Where it has not been built; `cargo test` builds it for the tests of its own package, `cargo run` does not.
+pub fn path(name: &str) -> PathBuf {
+    let found = find(name);
+    assert!(found.is_file(), "{}: not built; run `cargo build` with the same profile first", found.display());
+    found
+}
+
+fn find(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("a path to this program");
+    let mut folder = own.parent().unwrap_or(Path::new("."));
+    if folder.file_name().is_some_and(|n| n == "deps" || n == "examples") {
+        folder = folder.parent().unwrap_or(folder);
+    }
+    folder.join(format!("{name}{}", std::env::consts::EXE_SUFFIX))
+}
+
+/// The same, brought up to date by cargo where this program was itself started by `cargo run`.
+pub fn built(name: &str) -> std::io::Result<PathBuf> {
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        let mut build = Command::new(cargo);
+        build.args(["build", "--quiet", "--locked", "--package", name]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        if let Some(root) = std::env::var_os("CARGO_MANIFEST_DIR") {
+            build.current_dir(root);
+        }
+        if !build.status()?.success() {
+            return Err(std::io::Error::other(format!("{name} could not be built")));
+        }
+    }
+    Ok(path(name))
+}
--- a/tests/sockets/mod.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -1,4 +1,5 @@
-//! The built proxy among small fake backends and a fake discovery on loopback.
+//! Scripted peers: backends whose every answer the test words, discovery that says what it is told, clients that
+//! write bytes. For tests of single exchanges; a fleet that behaves like one is in `crate::world`.
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -23,15 +24,20 @@
 /// A message as it stood on the wire.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
+    /// The first line.
     pub start: String,
+    /// Names in lower case, and values.
     pub headers: Vec<(String, String)>,
+    /// The body.
     pub body: Vec<u8>,
 }
 
 impl Message {
+    /// The first value of a header; its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
     }
+    /// The status of an answer, 0 if it has none.
     pub fn status(&self) -> u16 {
         self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
@@ -69,6 +75,7 @@
     Silence,
 }
 
+/// A 200 with that body.
 pub fn ok(body: &str) -> Reply {
     Reply::Say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
@@ -82,11 +89,13 @@
 
 /// A backend on a port of its own.
 pub struct Backend {
+    /// Where it listens.
     pub address: SocketAddr,
     seen: Arc<Seen>,
 }
 
 impl Backend {
+    /// Starts one that answers each request by that function.
     pub fn start(answer: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -120,12 +129,15 @@
         *seen.closed.lock().unwrap() += 1;
     }
 
+    /// What it has been sent whole.
     pub fn requests(&self) -> Vec<Message> {
         self.seen.requests.lock().unwrap().clone()
     }
+    /// Connections that it has accepted.
     pub fn opened(&self) -> usize {
         *self.seen.opened.lock().unwrap()
     }
+    /// Connections of these that have ended.
     pub fn closed(&self) -> usize {
         *self.seen.closed.lock().unwrap()
     }
@@ -147,6 +159,7 @@
 /// Discovery: answers a call once there is news, or after its wait, or never.
 #[derive(Clone)]
 pub struct Discovery {
+    /// Where it listens.
     pub address: SocketAddr,
     news: Arc<(Mutex<News>, Condvar)>,
     calls: Arc<Mutex<usize>>,
@@ -154,6 +167,7 @@
 }
 
 impl Discovery {
+    /// Starts one that has nothing to tell.
     pub fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -215,11 +229,13 @@
         until("the next call of discovery", || self.calls() >= least);
     }
 
+    /// Calls so far.
     pub fn calls(&self) -> usize {
         *self.calls.lock().unwrap()
     }
 }
 
+/// The settings of a small deployment with one class of each effect.
 pub fn settings() -> Value {
     let class = |name: &str, effect: &str| {
         json!({"name": name, "effect": effect, "key_scope": "zone", "window_us": 1_200_000, "aim_us": 5_000_000,
@@ -250,6 +266,7 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// A proxy's configuration in that deployment, listening on a free address.
 pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
     json!({
         "name": "n1", "listen": free_address().to_string(), "discovery": discovery.to_string(),
@@ -261,6 +278,7 @@
 /// A running proxy; it is killed with its test.
 pub struct Proxy {
     child: Child,
+    /// Where it listens.
     pub address: SocketAddr,
     log: Arc<Mutex<String>>,
 }
@@ -273,19 +291,25 @@
         proxy
     }
 
+    /// Starts one.
     pub fn spawn(config: &Value) -> Proxy {
-        Proxy::spawn_with(config, "unlimited")
+        Proxy::spawn_with(config, "unlimited", &[])
     }
 
-    /// With the system's own limit on descriptors, which the configuration does not tell.
-    pub fn spawn_with(config: &Value, descriptors: &str) -> Proxy {
+    /// With the system's own limit on descriptors, which the configuration does not tell, and with arguments.
+    pub fn spawn_with(config: &Value, descriptors: &str, arguments: &[&str]) -> Proxy {
         let address = config["listen"].as_str().unwrap().parse().unwrap_or_else(|_| free_address());
         let file = Proxy::file(address);
         std::fs::write(&file, config.to_string()).unwrap();
         let limit =
             if descriptors == "unlimited" { String::new() } else { format!("ulimit -n {descriptors}; ") };
         let mut child = Command::new("sh")
-            .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_gaugesaddle")])
+            .args([
+                "-c",
+                &format!("{limit}exec \"$0\" \"$@\""),
+                &crate::program::path("gaugesaddle").to_string_lossy(),
+            ])
+            .args(arguments)
             .env("BALANCER_CONFIG", &file)
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
@@ -310,6 +334,7 @@
         client.answer().map_or(0, |a| a.status())
     }
 
+    /// What it has written to standard error.
     pub fn log(&self) -> String {
         self.log.lock().unwrap().clone()
     }
@@ -319,6 +344,7 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -333,6 +359,7 @@
         std::env::temp_dir().join(format!("gaugesaddle-{address}.json"))
     }
 
+    /// Waits for its end.
     pub fn exit(&mut self) -> ExitStatus {
         let mut status = None;
         until("the end of the process", || {
@@ -357,17 +384,21 @@
 }
 
 impl Client {
+    /// Connects.
     pub fn open(to: SocketAddr) -> Client {
         Client::try_open(to).unwrap()
     }
+    /// Connects, if someone listens.
     pub fn try_open(to: SocketAddr) -> std::io::Result<Client> {
         let stream = TcpStream::connect(to)?;
         stream.set_read_timeout(Some(LONG))?;
         Ok(Client { stream: BufReader::new(stream) })
     }
+    /// Writes; that nobody reads it shows in what comes back.
     pub fn send(&mut self, text: &str) {
         let _ = self.stream.get_mut().write_all(text.as_bytes());
     }
+    /// Reads an answer; `None` where the connection ends before its end.
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.stream)
     }
--- a/src/bin/gaugesaddle/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -1,13 +1,16 @@
 //! `$BALANCER_CONFIG` into a checked struct.
 
 use crate::discovery::{self, List};
-use beechworks::settings::{self, Key, Names};
+use crate::error::Error;
+use beechworks::settings::{self, Key, KeyError, Names};
 use beechworks::Micros;
 use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Everything that the deployment tells a proxy.
 pub struct Config {
+    /// The proxy's name, for its state; the file may leave it out.
+    pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
@@ -59,28 +62,31 @@
 const LEAST_SOCKETS: u32 = 64;
 
 /// Reads the file that `$BALANCER_CONFIG` names.
-pub fn load() -> Result<Config, String> {
-    let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: missing, expected a file name")?;
-    let path = std::path::Path::new(&path);
-    let text = std::fs::read(path)
-        .map_err(|e| format!("BALANCER_CONFIG: expected a readable file, got {}: {e}", path.display()))?;
-    let value = serde_json::from_slice(&text)
-        .map_err(|e| format!("BALANCER_CONFIG: expected JSON in {}: {e}", path.display()))?;
-    parse(value)
+pub fn load() -> Result<Config, Error> {
+    let path = std::env::var_os("BALANCER_CONFIG").ok_or(Error::NoConfig)?;
+    let (what, path) = ("BALANCER_CONFIG", std::path::PathBuf::from(path));
+    let text = match std::fs::read(&path) {
+        Ok(text) => text,
+        Err(source) => return Err(Error::Read { what, path, source }),
+    };
+    match serde_json::from_slice(&text) {
+        Ok(value) => parse(value),
+        Err(source) => Err(Error::Json { what, path, source }),
+    }
 }
 
-fn address(key: &Key) -> Result<SocketAddr, String> {
+fn address(key: &Key) -> Result<SocketAddr, KeyError> {
     let parsed = key.text()?.parse().ok();
     key.want(parsed, "an IP address and a port")
 }
 
-fn parse(document: Value) -> Result<Config, String> {
+fn parse(document: Value) -> Result<Config, Error> {
     let root = Key::root(&document);
     let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
     let sockets = root.get("limits").get("sockets");
     let enough = Some(sockets.count()?).filter(|n| *n >= LEAST_SOCKETS);
     let (module, names) = settings::read(&settings)?;
-    module.validate().map_err(|e| format!("settings: {e}"))?;
+    module.validate()?;
     let limits = settings.get("limits");
     let mut longest = Micros(0);
     for class in settings.get("profiles").list()? {
@@ -88,6 +94,7 @@
     }
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
     Ok(Config {
+        name: root.get("name").value().and_then(Value::as_str).unwrap_or_default().into(),
         listen: address(&root.get("listen"))?,
         discovery: address(&root.get("discovery"))?,
         seed: seed.want(hex, "up to 16 hex digits")?,
--- a/src/bin/gaugesaddle/discovery.rs
+++ b/crates/gaugesaddle/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The list of backends: its form, and the watch on it.
 
-use crate::driver::Input;
-use beechworks::settings::{number, Key};
+use crate::exchange::{Input, Target};
+use beechworks::settings::{number, Key, KeyError};
 use beechworks::{Backend, BackendId, BackendState, CellId, Discovery, KindId, ListUpdate, Time, ZoneId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -15,13 +15,6 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::JoinHandle;
 
-/// A line of the list.
-#[derive(Clone)]
-pub struct Target {
-    pub backend: Backend,
-    pub address: SocketAddr,
-}
-
 /// What discovery told.
 #[derive(Clone)]
 pub struct List {
@@ -42,7 +35,7 @@
 const LIST_BYTES: usize = 4 << 20;
 
 /// Reads a list; one bad line refuses the whole of it, for a half-read list would drop backends.
-pub fn list(root: &Key) -> Result<List, String> {
+pub fn list(root: &Key) -> Result<List, KeyError> {
     let index = root.get("index");
     let version = index.value().and_then(serde_json::Value::as_u64);
     let mut targets = Vec::new();
@@ -56,17 +49,20 @@
         };
         let started = since.want(since.value().map_or(Some(0), |v| v.as_u64()), "whole milliseconds")?;
         let address = line.get("address");
+        let (name, zone, kind) =
+            (line.get("name").text()?, line.get("zone").text()?, line.get("type").text()?);
         let (cell, weight) = (line.get("group"), line.get("weight"));
         let backend = Backend {
-            id: BackendId(number(line.get("name").text()?)),
-            zone: ZoneId(number(line.get("zone").text()?)),
+            id: BackendId(number(name)),
+            zone: ZoneId(number(zone)),
             cell: CellId(cell.want(cell.value().and_then(serde_json::Value::as_u64), "a group number")?),
-            kind: KindId(number(line.get("type").text()?)),
+            kind: KindId(number(kind)),
             state,
             booted: Some(Time(started.saturating_mul(1000))).filter(|t| t.0 > 0),
             weight: weight.want(Some(weight.real()?).filter(|w| *w >= 0.0), "a weight of 0 or more")?,
         };
-        targets.push(Target { backend, address: address.want(address.text()?.parse().ok(), "an address")? });
+        let address = address.want(address.text()?.parse().ok(), "an address")?;
+        targets.push(Target { backend, address, name: name.into(), zone: zone.into(), kind: kind.into() });
     }
     Ok(List { index: index.want(version, "a version")?, whole: root.get("snapshot").flag()?, targets })
 }
@@ -83,10 +79,31 @@
     }
 }
 
-async fn dial(to: SocketAddr) -> Result<Line, String> {
-    let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
+/// Why a call to discovery brought no list.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error("connect: {0}")]
+    Connect(std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("the request: {0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("the list: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("expected JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    #[error("no answer in time")]
+    Late,
+}
+
+async fn dial(to: SocketAddr) -> Result<Line, CallError> {
+    let stream = TcpStream::connect(to).await.map_err(CallError::Connect)?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let driving = tokio::task::spawn_local(async move {
         if let Err(e) = connection.await {
             tracing::debug!("discovery connection: {e}");
@@ -95,20 +112,17 @@
     Ok(Line { sender, driving })
 }
 
-async fn ask(line: &mut Line, host: SocketAddr, path: &str) -> Result<List, String> {
-    line.sender.ready().await.map_err(|e| e.to_string())?;
-    let request = Request::get(path)
-        .header(hyper::header::HOST, host.to_string())
-        .body(Empty::new())
-        .map_err(|e| e.to_string())?;
-    let answer = line.sender.send_request(request).await.map_err(|e| e.to_string())?;
+async fn ask(line: &mut Line, host: SocketAddr, path: &str) -> Result<List, CallError> {
+    line.sender.ready().await?;
+    let request = Request::get(path).header(hyper::header::HOST, host.to_string()).body(Empty::new())?;
+    let answer = line.sender.send_request(request).await?;
     let status = answer.status();
-    let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await.map_err(|e| e.to_string())?;
+    let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await.map_err(CallError::Body)?;
     if status != StatusCode::OK {
-        return Err(format!("status {status}"));
+        return Err(CallError::Status(status));
     }
-    let value = serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("expected JSON: {e}"))?;
-    list(&Key::root(&value))
+    let value = serde_json::from_slice(&body.to_bytes())?;
+    Ok(list(&Key::root(&value))?)
 }
 
 /// How discovery is used.
@@ -149,18 +163,19 @@
             }
             // An agent that never answers must not hold the watch: every call has its time.
             let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, address, wait));
-            match call.await.unwrap_or_else(|_| Err("no answer in time".into())) {
+            match call.await.unwrap_or_else(|_| Err(CallError::Late)) {
                 Ok(list) => {
                     (self.watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
-                        let _ = self.inputs.send(Input::List(update, list.targets));
+                        let (index, targets) = (Some(list.index), list.targets);
+                        let _ = self.inputs.send(Input::List { update, index, targets });
                     }
                 }
-                Err(text) => {
+                Err(why) => {
                     // The list held stays in force.
                     line = None;
-                    tracing::warn!("discovery: {text}");
+                    tracing::warn!("discovery: {why}");
                     if pushed {
                         // An agent that starts again may count from anew; the whole list costs it nothing.
                         self.index = None;
@@ -168,7 +183,8 @@
                         backoff = (backoff * 2).min(BACKOFF.1);
                     } else {
                         self.watching = false;
-                        let _ = self.inputs.send(Input::List(ListUpdate::Lost, Vec::new()));
+                        let lost = Input::List { update: ListUpdate::Lost, index: None, targets: Vec::new() };
+                        let _ = self.inputs.send(lost);
                     }
                 }
             }
@@ -177,17 +193,17 @@
 
     async fn call(
         &self, line: &mut Option<Line>, address: SocketAddr, wait: Duration,
-    ) -> Result<List, String> {
-        if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
-            *line = Some(dial(address).await?);
-        }
+    ) -> Result<List, CallError> {
+        let mut held = match line.take().filter(|l| !l.sender.is_closed()) {
+            Some(held) => held,
+            None => dial(address).await?,
+        };
         let path = match self.index {
             Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
             None => "/api/targets".into(),
         };
-        match line {
-            Some(line) => ask(line, address, &path).await,
-            None => Err("no connection".into()),
-        }
+        let list = ask(&mut held, address, &path).await?;
+        *line = Some(held);
+        Ok(list)
     }
 }
--- a/src/bin/gaugesaddle/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -2,12 +2,9 @@
 //! and carries out actions; which backend, whether again, whether at all is the module's to say.
 
 use crate::clock::Clock;
-use crate::discovery::Target;
-use crate::upstream::{Call, Ended, Pool, Upstream};
+use crate::exchange::{Answer, Arrived, Call, Ended, Input, Target, Upstream, Upstreams};
+use crate::registry::{BackendRow, End, Registry};
 use beechworks::*;
-use bytes::Bytes;
-use hyper::Response;
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -15,45 +12,29 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 
-/// A final answer.
-pub enum Answer {
-    Served(Response<Bytes>),
-    /// The client may come back after so long.
-    Refused(Micros),
-    /// The same, because so many requests are open that it reaches neither the module nor a backend.
-    Crowded(Micros),
-    Failed,
-}
-
-/// A request that a client has sent whole.
-pub struct Arrived {
-    pub id: RequestId,
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
-    /// When it must have been answered.
-    pub deadline: Time,
-    pub work_hint: Option<Micros>,
-    pub repeat: bool,
-    pub call: Rc<Call>,
-    pub reply: oneshot::Sender<Answer>,
-}
-
-/// What happens to a proxy.
-pub enum Input {
-    Arrived(Arrived),
-    /// The client has closed its connection.
-    Left(RequestId),
-    Ended(RequestId, AttemptNo, Ended),
-    List(ListUpdate, Vec<Target>),
-}
-
 /// An attempt that is out.
 struct Attempt {
     sent: Time,
     task: AbortHandle,
+    /// Where its outcome is counted.
+    row: Option<Rc<BackendRow>>,
+}
+
+impl Attempt {
+    /// Counts its one outcome and stops what is left of it; returns when it was sent.
+    fn end(self, outcome: Outcome, now: Time) -> Time {
+        self.task.abort();
+        if let Some(row) = self.row {
+            row.ended(outcome, now - self.sent);
+        }
+        self.sent
+    }
 }
 
 struct Open {
+    class: ClassId,
+    /// Until when it is served as wanted.
+    aim: Time,
     deadline: Time,
     call: Rc<Call>,
     /// `None`: it has had its final answer, or its client is gone.
@@ -69,11 +50,19 @@
     }
 }
 
-/// What the driver tells the rest of the program.
-#[derive(Default)]
-pub struct Status {
-    /// Some backend can be sent requests.
-    pub serving: Cell<bool>,
+/// What a driver works with.
+pub struct Parts {
+    pub clock: Clock,
+    pub config: Config,
+    pub seed: u64,
+    /// Requests that may be open at once.
+    pub open_cap: usize,
+    pub upstreams: Rc<dyn Upstreams>,
+    /// Where the ends of attempts are told.
+    pub inputs: mpsc::UnboundedSender<Input>,
+    /// Told when the module wants to follow discovery.
+    pub follow: Rc<Notify>,
+    pub registry: Rc<Registry>,
 }
 
 pub struct Driver {
@@ -82,8 +71,8 @@
     seed: u64,
     open_cap: usize,
     balancer: Balancer,
-    pool: Rc<Pool>,
-    backends: HashMap<BackendId, Rc<Upstream>>,
+    upstreams: Rc<dyn Upstreams>,
+    backends: HashMap<BackendId, Rc<dyn Upstream>>,
     requests: HashMap<RequestId, Open>,
     over: Vec<RequestId>,
     deadlines: BTreeSet<(Time, RequestId)>,
@@ -96,7 +85,7 @@
     turn: Time,
     inputs: mpsc::UnboundedSender<Input>,
     follow: Rc<Notify>,
-    status: Rc<Status>,
+    registry: Rc<Registry>,
 }
 
 /// Tells the end of an attempt however its task ends, a panic included: it may have run then.
@@ -128,18 +117,15 @@
 const GRACE_TICKS: u64 = 2;
 
 impl Driver {
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        clock: Clock, config: Config, seed: u64, open_cap: usize, pool: Rc<Pool>,
-        inputs: mpsc::UnboundedSender<Input>, follow: Rc<Notify>, status: Rc<Status>,
-    ) -> Result<Driver, ConfigError> {
+    pub fn new(parts: Parts) -> Result<Driver, ConfigError> {
+        let Parts { clock, config, seed, open_cap, upstreams, inputs, follow, registry } = parts;
         Ok(Driver {
             clock,
             balancer: Balancer::new(config.clone(), seed)?,
             config,
             seed,
             open_cap,
-            pool,
+            upstreams,
             backends: HashMap::new(),
             requests: HashMap::new(),
             over: Vec::new(),
@@ -151,7 +137,7 @@
             turn: Time(0),
             inputs,
             follow,
-            status,
+            registry,
         })
     }
 
@@ -189,8 +175,7 @@
             if now >= sweep {
                 sweep = now + SWEEP;
                 for upstream in self.backends.values() {
-                    let (upstream, pool) = (upstream.clone(), self.pool.clone());
-                    tokio::task::spawn_local(async move { pool.sweep(&upstream).await });
+                    tokio::task::spawn_local(upstream.clone().sweep());
                 }
             }
         }
@@ -210,18 +195,22 @@
         match input {
             Input::Arrived(arrived) => self.arrived(arrived),
             Input::Left(request) => {
-                if self.requests.get_mut(&request).is_some_and(|r| r.reply.take().is_some()) {
+                if let Some(r) = self.requests.get_mut(&request).filter(|r| r.reply.is_some()) {
+                    r.reply = None;
+                    self.registry.ended(r.class, End::Left);
                     self.events.push(Event::ClientGone { request });
                     self.forget(request);
                 }
             }
             Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
-            Input::List(update, targets) => self.list(update, targets),
+            Input::List { update, index, targets } => self.list(update, index, targets),
         }
     }
 
     fn arrived(&mut self, new: Arrived) {
+        self.registry.taken(new.class);
         if self.requests.len() >= self.open_cap {
+            self.registry.ended(new.class, End::RefusedOpenCap);
             let _ = new.reply.send(Answer::Crowded(self.balancer.retry_after()));
             return;
         }
@@ -236,7 +225,11 @@
         }));
         self.deadlines.insert((new.deadline, new.id));
         let (attempts, reply) = (HashMap::new(), Some(new.reply));
-        let open = Open { deadline: new.deadline, call: new.call, reply, attempts, count: 0 };
+        let stretch = self.config.classes.get(new.class.0).map_or(Micros(0), |c| {
+            Micros(c.aim.0 + new.work_hint.unwrap_or_default().times(c.aim_stretch).0)
+        });
+        let (class, aim, deadline) = (new.class, new.came + stretch, new.deadline);
+        let open = Open { class, aim, deadline, call: new.call, reply, attempts, count: 0 };
         self.requests.insert(new.id, open);
     }
 
@@ -244,10 +237,11 @@
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&request) else { return };
         // One outcome an attempt: what it sends after it was called off does not count.
-        let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
-        task.abort();
+        let Some(out) = r.attempts.remove(&attempt) else { return };
+        let sent = out.end(ended.outcome, now);
         if let Some(answer) = ended.answer {
             if let Some(reply) = r.reply.take() {
+                self.registry.ended(r.class, if now <= r.aim { End::InAim } else { End::Late });
                 let _ = reply.send(Answer::Served(answer));
             }
         }
@@ -276,23 +270,30 @@
         }
     }
 
-    fn answer(&mut self, request: RequestId, answer: Answer) {
-        if let Some(reply) = self.requests.get_mut(&request).and_then(|r| r.reply.take()) {
-            let _ = reply.send(answer);
+    fn answer(&mut self, request: RequestId, answer: Answer, end: End) {
+        if let Some(r) = self.requests.get_mut(&request) {
+            if let Some(reply) = r.reply.take() {
+                self.registry.ended(r.class, end);
+                let _ = reply.send(answer);
+            }
         }
         self.forget(request);
     }
 
-    fn list(&mut self, update: ListUpdate, targets: Vec<Target>) {
+    fn list(&mut self, update: ListUpdate, index: Option<u64>, targets: Vec<Target>) {
         let whole = matches!(update, ListUpdate::Full | ListUpdate::Cached);
+        if update != ListUpdate::Lost {
+            self.registry.list(self.clock.now(), index, whole, &targets);
+        }
         let mut old = if whole { std::mem::take(&mut self.backends) } else { HashMap::new() };
         let mut entries = Vec::with_capacity(targets.len());
         for target in targets {
             let id = target.backend.id;
             entries.push(target.backend.clone());
             let known = old.remove(&id).or_else(|| self.backends.remove(&id));
-            let same = |u: &Rc<Upstream>| {
-                u.target.address == target.address && u.target.backend.booted == target.backend.booted
+            let same = |u: &Rc<dyn Upstream>| {
+                let held = u.target();
+                held.address == target.address && held.backend.booted == target.backend.booted
             };
             let ready = target.backend.state == BackendState::Ready;
             let upstream = match known {
@@ -300,12 +301,12 @@
                 // A restarted process shares no connection with the one before it.
                 Some(upstream) => {
                     upstream.shut();
-                    Rc::new(Upstream::new(target.clone()))
+                    self.upstreams.make(target.clone())
                 }
-                None => Rc::new(Upstream::new(target.clone())),
+                None => self.upstreams.make(target.clone()),
             };
             if ready {
-                upstream.open.set(true);
+                upstream.open();
             } else {
                 upstream.shut();
             }
@@ -314,7 +315,7 @@
             }
         }
         old.values().for_each(|upstream| upstream.shut());
-        self.status.serving.set(self.backends.values().any(|u| u.open.get()));
+        self.registry.serving.set(self.backends.values().any(|u| u.is_open()));
         self.events.push(Event::Members { update, backends: entries });
     }
 
@@ -324,9 +325,9 @@
             self.deadlines.pop_first();
             let Some(r) = self.requests.get_mut(&request) else { continue };
             let settled = r.reply.is_none();
-            for (attempt, Attempt { sent, task }) in r.attempts.drain() {
-                task.abort();
-                let (outcome, latency) = (Outcome::TimedOut, now - sent);
+            for (attempt, out) in r.attempts.drain() {
+                let outcome = Outcome::TimedOut;
+                let latency = now - out.end(outcome, now);
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
                 self.events.push(Event::AttemptEnded(end));
             }
@@ -345,7 +346,7 @@
             if self.requests.get(&request).is_some_and(|r| r.reply.is_some()) {
                 tracing::error!("request {} had no answer at its deadline", request.0);
                 self.events.push(Event::ClientGone { request });
-                self.answer(request, Answer::Failed);
+                self.answer(request, Answer::Failed, End::FailedUnanswered);
             }
         }
     }
@@ -392,8 +393,11 @@
             Err(e) => tracing::error!("the module refused its configuration: {e}"),
         }
         for (_, mut r) in self.requests.drain() {
-            r.attempts.values().for_each(|a| a.task.abort());
+            for (_, out) in r.attempts.drain() {
+                out.end(Outcome::Cancelled, self.clock.now());
+            }
             if let Some(reply) = r.reply.take() {
+                self.registry.ended(r.class, End::FailedRestart);
                 let _ = reply.send(Answer::Failed);
             }
         }
@@ -401,11 +405,11 @@
         self.overdue.clear();
         self.timers.clear();
         self.events.clear();
-        let state = |u: &Rc<Upstream>| match u.open.get() {
+        let state = |u: &Rc<dyn Upstream>| match u.is_open() {
             true => BackendState::Ready,
             false => BackendState::Draining,
         };
-        let entry = |u: &Rc<Upstream>| Backend { state: state(u), ..u.target.backend.clone() };
+        let entry = |u: &Rc<dyn Upstream>| Backend { state: state(u), ..u.target().backend.clone() };
         let backends = self.backends.values().map(entry).collect();
         self.events.push(Event::Members { update: ListUpdate::Cached, backends });
     }
@@ -415,13 +419,13 @@
             Action::Dispatch { request, backend } => self.dispatch(now, request, backend),
             Action::Refuse { request } => {
                 let after = self.balancer.retry_after();
-                self.answer(request, Answer::Refused(after));
+                self.answer(request, Answer::Refused(after), End::RefusedByModule);
             }
-            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Fail { request } => self.answer(request, Answer::Failed, End::FailedByModule),
             Action::Cancel { request, attempt } => {
                 let Some(r) = self.requests.get_mut(&request) else { return };
-                let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
-                task.abort();
+                let Some(out) = r.attempts.remove(&attempt) else { return };
+                let sent = out.end(Outcome::Cancelled, now);
                 let (outcome, latency, settled) = (Outcome::Cancelled, now - sent, r.reply.is_none());
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
                 self.events.push(Event::AttemptEnded(end));
@@ -434,7 +438,7 @@
     }
 
     fn dispatch(&mut self, now: Time, request: RequestId, backend: BackendId) {
-        let (inputs, pool) = (self.inputs.clone(), self.pool.clone());
+        let inputs = self.inputs.clone();
         let Some(r) = self.requests.get_mut(&request) else { return };
         let attempt = AttemptNo(r.count);
         r.count += 1;
@@ -446,25 +450,33 @@
             self.events.push(Event::AttemptEnded(end));
             return;
         };
-        if self.pool.is_full() {
+        if self.upstreams.is_full() {
             // An idle connection to any backend gives way.
             if let Some(u) = self.backends.values().find(|u| u.give_way()) {
-                tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
+                tracing::debug!("sockets are short: closed a connection to {}", u.target().address);
             }
         }
         let (call, deadline) = (r.call.clone(), r.deadline);
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
-            let ended = pool.attempt(&upstream, &call, deadline).await;
-            report.tell(ended);
+            report.tell(upstream.attempt(call, deadline).await);
         });
-        r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle() });
+        self.registry.upstream_sockets.set(self.upstreams.sockets());
+        let row = self.registry.backend(backend);
+        if let Some(row) = &row {
+            row.sent();
+        }
+        r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle(), row });
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::registry::Bounds;
+    use crate::upstream::{Http1, Pool};
+    use bytes::Bytes;
+    use hyper::Response;
 
     /// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
     #[tokio::test]
@@ -472,18 +484,29 @@
         let clock = Clock::new();
         let (inputs, _taken) = mpsc::unbounded_channel();
         let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
-        let (follow, status) = (Rc::default(), Rc::default());
-        let mut driver =
-            Driver::new(clock, Config::example(), 1, 8, pool, inputs, follow, status).expect("sound");
+        let bounds = Bounds { connections: 8, upstream_sockets: 8, body_bytes: 8 };
+        let parts = Parts {
+            clock,
+            config: Config::example(),
+            seed: 1,
+            open_cap: 8,
+            upstreams: Rc::new(Http1(pool)),
+            inputs,
+            follow: Rc::default(),
+            registry: Rc::new(Registry::new("n1", &["read".into()], &bounds, clock.now())),
+        };
+        let mut driver = Driver::new(parts).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
         let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
         let deadline = clock.now() + Micros(1_000_000);
         let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
-        driver.take(Input::Arrived(Arrived { id, class, tenant, deadline, work_hint, repeat, call, reply }));
+        let came = clock.now();
+        let arrived = Arrived { id, class, tenant, came, deadline, work_hint, repeat, call, reply };
+        driver.take(Input::Arrived(arrived));
         let sent = clock.now();
         let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
         let open = driver.requests.get_mut(&id).expect("open");
-        open.attempts.insert(AttemptNo(0), Attempt { sent, task });
+        open.attempts.insert(AttemptNo(0), Attempt { sent, task, row: None });
         open.count = 1;
         let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Bytes::new())) };
         driver.take(Input::Ended(id, AttemptNo(0), ended));
--- /dev/null
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -0,0 +1,135 @@
+//! What passes between fronts, driver, upstreams and discovery. Each of them knows these types and none of the
+//! others: a front brings [`Arrived`] requests and waits for their [`Answer`]; an [`Upstream`] carries attempts
+//! to one node; discovery tells [`Target`]s. Only the driver speaks with the module.
+
+use beechworks::{AttemptNo, Backend, ClassId, ListUpdate, Micros, Outcome, RequestId, TenantId, Time};
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::{Request, Response};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+/// The most that a body holds, either way.
+pub const BODY_BYTES: usize = 64 << 10;
+/// The header that tells how long the sender will wait, in whole milliseconds.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+
+/// A line of the list.
+#[derive(Clone)]
+pub struct Target {
+    pub backend: Backend,
+    pub address: SocketAddr,
+    /// The names behind the numbers of the backend, its zone and its kind.
+    pub name: Rc<str>,
+    pub zone: Rc<str>,
+    pub kind: Rc<str>,
+}
+
+/// What goes to a backend, the same in every attempt but for the time left.
+pub struct Call {
+    pub head: Request<()>,
+    pub body: Bytes,
+}
+
+/// How an attempt ended, with the answer if it was served.
+pub struct Ended {
+    pub outcome: Outcome,
+    pub answer: Option<Response<Bytes>>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Ended {
+        Ended { outcome, answer: None }
+    }
+}
+
+/// A final answer.
+pub enum Answer {
+    Served(Response<Bytes>),
+    /// The client may come back after so long.
+    Refused(Micros),
+    /// The same, because so many requests are open that it reaches neither the module nor a backend.
+    Crowded(Micros),
+    Failed,
+}
+
+/// A request that a client has sent whole.
+pub struct Arrived {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    /// When its last byte had come.
+    pub came: Time,
+    /// When it must have been answered.
+    pub deadline: Time,
+    pub work_hint: Option<Micros>,
+    pub repeat: bool,
+    pub call: Rc<Call>,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// What happens to a proxy.
+pub enum Input {
+    Arrived(Arrived),
+    /// The client has closed its connection.
+    Left(RequestId),
+    Ended(RequestId, AttemptNo, Ended),
+    List {
+        update: ListUpdate,
+        index: Option<u64>,
+        targets: Vec<Target>,
+    },
+}
+
+/// A future of the one thread that all of this runs on.
+pub type Local<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// One process of a node, and the connections to it. A restarted process gets a new one, so that none of the old
+/// connections is used for it.
+pub trait Upstream {
+    /// The line of the list that it was made for.
+    fn target(&self) -> &Target;
+    /// Whether new requests may go to it; asked again before the first byte of each.
+    fn is_open(&self) -> bool;
+    /// New requests may go to it from now on.
+    fn open(&self);
+    /// Nothing new goes to it from now on.
+    fn shut(&self);
+    /// Closes an idle connection, if there is one.
+    fn give_way(&self) -> bool;
+    /// Closes idle connections that are of no use any more.
+    fn sweep(self: Rc<Self>) -> Local<()>;
+    /// One attempt to one outcome. Dropped, it stops at once and closes what it used; whether it has run by
+    /// then is unknown. It never sends a second time what may have run.
+    fn attempt(self: Rc<Self>, call: Rc<Call>, deadline: Time) -> Local<Ended>;
+}
+
+/// What makes upstreams, and bounds them together.
+pub trait Upstreams {
+    /// One for a line of the list.
+    fn make(&self, target: Target) -> Rc<dyn Upstream>;
+    /// All sockets are taken: an idle one has to go before another is opened.
+    fn is_full(&self) -> bool;
+    /// Sockets that are open.
+    fn sockets(&self) -> usize;
+}
+
+/// Takes out what concerns one connection only (RFC 9110, 7.6.1).
+pub fn strip(headers: &mut HeaderMap) {
+    use hyper::header::*;
+    for named in headers.get_all(CONNECTION).iter().cloned().collect::<Vec<_>>() {
+        for name in named.to_str().unwrap_or("").split(',') {
+            if let Ok(name) = HeaderName::from_bytes(name.trim().as_bytes()) {
+                headers.remove(name);
+            }
+        }
+    }
+    for name in [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH, TE, TRAILER, UPGRADE] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("expect");
+}
--- a/src/bin/gaugesaddle/form.rs
+++ b/crates/gaugesaddle/src/form.rs
@@ -1,7 +1,7 @@
 //! The form of a client's request: what the module needs to know of it, or why it is turned away.
 
+use crate::exchange::{BODY_BYTES, TIME_LEFT};
 use crate::tally::Reason;
-use crate::upstream::{BODY_BYTES, TIME_LEFT};
 use beechworks::settings::Names;
 use beechworks::{Class, ClassId, Effect, Micros, TenantId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST, TRANSFER_ENCODING};
--- /dev/null
+++ b/crates/gaugesaddle/src/lib.rs
@@ -0,0 +1,29 @@
+//! The proxy `gaugesaddle`: HTTP/1.1 in front of a fleet of servers, every decision the module `beechworks`'s.
+//!
+//! Arrows run one way: fronts (`server`) and upstreams (`upstream`) know the types of `exchange` and never each
+//! other; the `driver` owns the module, the requests and their attempts; `discovery` tells the list. The
+//! [`registry`] is counted in by driver and fronts, and read by every exit. [`operator`] is the operator's file,
+//! `config` the platform's.
+//!
+//! Bounds: connections and sockets by the told number of descriptors, bodies by a quarter of the told memory and
+//! 64 KiB each, open requests by `open_cap`, rows of the registry by the list.
+
+mod app;
+pub mod cli;
+mod clock;
+mod config;
+mod discovery;
+mod driver;
+mod error;
+mod exchange;
+mod form;
+pub mod operator;
+pub mod registry;
+mod server;
+pub mod state;
+pub mod table;
+mod tally;
+mod upstream;
+mod wire;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/gaugesaddle/src/main.rs
@@ -0,0 +1,5 @@
+//! The proxy and its commands; all of it is the library's.
+
+fn main() -> std::process::ExitCode {
+    gaugesaddle::cli::main()
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/operator.rs
@@ -0,0 +1,263 @@
+//! The operator's own file (TOML): what the platform does not tell. Without it every default holds, and the
+//! program does what it did before there was such a file.
+//!
+//! `deploy/gaugesaddle.toml` lists every key with its unit, range, default and reason; a test holds it to this
+//! type. Each subsystem adds a section of its own.
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
+use std::path::{Path, PathBuf};
+
+/// A larger file is none of ours; reading it whole would cost memory that requests need.
+const FILE_BYTES: u64 = 1 << 20;
+/// The longest path that a Unix socket can have on the systems that this runs on (`sun_path`, less its end).
+const SOCKET_PATH_BYTES: usize = 100;
+
+/// Everything in the file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// What is logged.
+    pub log: Log,
+    /// Where the state of the running proxy can be read.
+    pub state: State,
+}
+
+/// `[log]`. Wants a restart.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// The least level that is written to standard error.
+    pub level: Level,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { level: Level::Info }
+    }
+}
+
+/// The levels of the log, from the least to the most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// What broke.
+    Error,
+    /// What may break.
+    Warn,
+    /// What changed, and counts at most once a second a reason.
+    Info,
+    /// Single connections.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl From<Level> for tracing::Level {
+    fn from(level: Level) -> tracing::Level {
+        match level {
+            Level::Error => tracing::Level::ERROR,
+            Level::Warn => tracing::Level::WARN,
+            Level::Info => tracing::Level::INFO,
+            Level::Debug => tracing::Level::DEBUG,
+            Level::Trace => tracing::Level::TRACE,
+        }
+    }
+}
+
+/// `[state]`. Taken up at SIGHUP.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct State {
+    /// The Unix socket on which `gaugesaddle state` asks; none: it is off.
+    #[serde(deserialize_with = "socket_path")]
+    pub socket: Option<PathBuf>,
+    /// Callers that are served at once; more wait in the system's queue.
+    #[serde(deserialize_with = "connections")]
+    pub connections: usize,
+}
+
+impl Default for State {
+    fn default() -> State {
+        // A tool and a scraper together; each holds a descriptor that requests could use.
+        State { socket: None, connections: 4 }
+    }
+}
+
+fn socket_path<'de, D: Deserializer<'de>>(from: D) -> Result<Option<PathBuf>, D::Error> {
+    let path = PathBuf::deserialize(from)?;
+    let length = path.as_os_str().len();
+    if !path.is_absolute() || length > SOCKET_PATH_BYTES {
+        return Err(D::Error::custom(format!(
+            "expected an absolute path of up to {SOCKET_PATH_BYTES} bytes, got {path:?}"
+        )));
+    }
+    Ok(Some(path))
+}
+
+fn connections<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    let count = i64::deserialize(from)?;
+    match usize::try_from(count) {
+        Ok(n @ 1..=64) => Ok(n),
+        _ => Err(D::Error::custom(format!("expected a whole number from 1 to 64, got {count}"))),
+    }
+}
+
+/// Why the operator's file can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorError {
+    /// It can't be read.
+    #[error("{}: expected a readable file: {source}", file.display())]
+    Read {
+        /// The file.
+        file: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// It is too large to be one.
+    #[error("{}: expected a file of up to {FILE_BYTES} bytes, got {bytes}", file.display())]
+    Large {
+        /// The file.
+        file: PathBuf,
+        /// Its size.
+        bytes: u64,
+    },
+    /// A key or the form.
+    #[error("{}: {}{what}", file.display(), place(*line, key))]
+    Form {
+        /// The file.
+        file: PathBuf,
+        /// The line, from 1, where it is known.
+        line: Option<usize>,
+        /// The key, as a path with dots, where it is known.
+        key: String,
+        /// What was expected.
+        what: String,
+    },
+}
+
+fn place(line: Option<usize>, key: &str) -> String {
+    let line = line.map(|n| format!("line {n}: ")).unwrap_or_default();
+    if key.is_empty() {
+        line
+    } else {
+        format!("{line}{key}: ")
+    }
+}
+
+/// Reads and checks the file.
+pub fn load(file: &Path) -> Result<Operator, OperatorError> {
+    let unread = |source| OperatorError::Read { file: file.into(), source };
+    let bytes = std::fs::metadata(file).map_err(unread)?.len();
+    if bytes > FILE_BYTES {
+        return Err(OperatorError::Large { file: file.into(), bytes });
+    }
+    let text = std::fs::read(file).map_err(unread)?;
+    let text = String::from_utf8(text).map_err(|e| OperatorError::Form {
+        file: file.into(),
+        line: Some(1 + e.as_bytes()[..e.utf8_error().valid_up_to()].iter().filter(|b| **b == b'\n').count()),
+        key: String::new(),
+        what: "expected UTF-8".into(),
+    })?;
+    parse(&text).map_err(|(line, key, what)| OperatorError::Form { file: file.into(), line, key, what })
+}
+
+/// The line (from 1), the key and what is wrong.
+type Flaw = (Option<usize>, String, String);
+
+fn parse(text: &str) -> Result<Operator, Flaw> {
+    toml::from_str(text).map_err(|e: toml::de::Error| {
+        let at = e.span().map(|s| s.start.min(text.len()));
+        let line = at.map(|at| 1 + text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count());
+        let key = line.map(|n| key_at(text, n)).unwrap_or_default();
+        (line, key, e.message().trim_end().to_string())
+    })
+}
+
+/// The key that a line sets, with the section above it: the parser's error knows only the place.
+fn key_at(text: &str, line: usize) -> String {
+    let mut section = "";
+    let mut key = "";
+    for line in text.lines().take(line) {
+        let line = line.trim();
+        if let Some(name) = line.strip_prefix('[').and_then(|l| l.split(']').next()) {
+            (section, key) = (name.trim_matches(['[', ' ']), "");
+        } else if !line.starts_with('#') {
+            if let Some((name, _)) = line.split_once('=') {
+                key = name.trim();
+            }
+        }
+    }
+    let parts = [section, key].into_iter().filter(|p| !p.is_empty());
+    parts.collect::<Vec<_>>().join(".")
+}
+
+/// The keys that differ and are not taken up before a restart.
+pub fn not_taken_up(running: &Operator, newer: &Operator) -> Vec<&'static str> {
+    let mut keys = Vec::new();
+    if running.log.level != newer.log.level {
+        keys.push("log.level");
+    }
+    keys
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn flaw(text: &str) -> String {
+        let (line, key, what) = parse(text).expect_err("unsound");
+        format!("{}{what}", place(line, &key))
+    }
+
+    #[test]
+    fn an_error_names_line_key_and_what_was_expected() {
+        let told = flaw("[log]\nlevel = \"info\"\n\n[state]\n# how many\nconnections = 65\n");
+        assert_eq!(told, "line 6: state.connections: expected a whole number from 1 to 64, got 65");
+        let told = flaw("[state]\nsocket = \"state.sock\"\n");
+        assert!(told.starts_with("line 2: state.socket: expected an absolute path"), "{told}");
+        let told = flaw("[state]\nsokket = \"/x\"\n");
+        assert!(told.starts_with("line 2: state.sokket: unknown field `sokket`"), "{told}");
+        assert!(told.contains("expected `socket` or `connections`"), "{told}");
+        let told = flaw("[stat]\n");
+        assert!(told.contains("unknown field `stat`"), "{told}");
+        let told = flaw("[log]\nlevel = \"loud\"\n");
+        assert!(told.starts_with("line 2: log.level: unknown variant `loud`"), "{told}");
+        let told = flaw("[log]\nlevel = = 3\n");
+        assert!(told.starts_with("line 2: "), "{told}");
+        let told = flaw("[state]\nconnections = -1\n");
+        assert!(told.ends_with("got -1"), "{told}");
+    }
+
+    #[test]
+    fn the_file_that_is_shipped_says_the_defaults_and_every_key() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gaugesaddle.toml");
+        assert_eq!(load(&path).expect("sound"), Operator::default(), "as shipped it changes nothing");
+        let text = std::fs::read_to_string(path).unwrap();
+        // With every commented key switched on it must still be read: no key is told that doesn't exist.
+        let on = |l: &str| match l.strip_prefix("#") {
+            Some(key) if !key.starts_with(' ') && key.contains('=') => key.to_string(),
+            _ => l.to_string(),
+        };
+        let all: Vec<String> = text.lines().map(on).collect();
+        let all = parse(&all.join("\n")).expect("every key is known");
+        assert!(all.state.socket.is_some());
+        for key in ["level", "socket", "connections"] {
+            assert!(
+                text.lines().any(|l| l.trim_start_matches('#').starts_with(&format!("{key} ="))),
+                "{key}"
+            );
+        }
+    }
+
+    #[test]
+    fn an_empty_file_changes_nothing_and_foreign_bytes_are_told() {
+        assert_eq!(parse("").unwrap(), Operator::default());
+        let file = std::env::temp_dir().join(format!("gaugesaddle-operator-{}", std::process::id()));
+        std::fs::write(&file, b"[log]\n\xff\xfe").unwrap();
+        let told = load(&file).expect_err("no text").to_string();
+        std::fs::remove_file(&file).unwrap();
+        assert!(told.ends_with("line 2: expected UTF-8"), "{told}");
+        assert!(load(Path::new("/nowhere/at/all")).is_err());
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/registry.rs
@@ -0,0 +1,485 @@
+//! The one registry of counters, gauges and states. The driver and the fronts count here and nowhere else; the
+//! log, the state socket and every later exit read a [`Snapshot`], a copy.
+//!
+//! Its size is fixed by names that are known: a row a class, a row a reason, a row a backend of the list. A
+//! backend's row leaves when the backend has left the list and nothing of it is out.
+
+use crate::exchange::Target;
+use crate::tally::Tally;
+use beechworks::{BackendId, BackendState, ClassId, Micros, Outcome, Time};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Bounds of the latency histogram: each is the square root of two times the one before, from 0.5 ms to 23 s. A
+/// quantile read from it is at most 42% too high.
+const BUCKETS: usize = 32;
+const FIRST_BOUND_US: f64 = 500.0;
+
+/// How a request of a class ended. Taken = the sum of these and the open ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    InAim,
+    Late,
+    RefusedByModule,
+    RefusedOpenCap,
+    FailedByModule,
+    /// The module had not answered when its turn after the deadline was over.
+    FailedUnanswered,
+    /// The module had to start anew.
+    FailedRestart,
+    /// Its client closed the connection first.
+    Left,
+}
+
+const ENDS: usize = End::Left as usize + 1;
+
+#[derive(Default)]
+struct ClassRow {
+    taken: Cell<u64>,
+    ends: [Cell<u64>; ENDS],
+}
+
+/// The counters of one backend.
+pub(crate) struct BackendRow {
+    target: RefCell<Target>,
+    state: Cell<BackendState>,
+    in_flight: Cell<u32>,
+    attempts: Cell<u64>,
+    outcomes: [Cell<u64>; OUTCOMES.len()],
+    latency: [Cell<u32>; BUCKETS],
+    latency_us: Cell<u64>,
+}
+
+/// All outcomes of an attempt, by the names that every exit uses.
+const OUTCOMES: [(Outcome, &str); 8] = [
+    (Outcome::Ok, "ok"),
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::ConnectFailed, "connect_failed"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::NeverSent, "never_sent"),
+];
+
+fn outcome_index(outcome: Outcome) -> usize {
+    match outcome {
+        Outcome::Ok => 0,
+        Outcome::Error => 1,
+        Outcome::Full => 2,
+        Outcome::TimedOut => 3,
+        Outcome::ConnectFailed => 4,
+        Outcome::Reset => 5,
+        Outcome::Cancelled => 6,
+        Outcome::NeverSent => 7,
+    }
+}
+
+fn add(cell: &Cell<u64>, more: u64) {
+    cell.set(cell.get().saturating_add(more));
+}
+
+impl BackendRow {
+    fn new(target: Target) -> BackendRow {
+        BackendRow {
+            state: Cell::new(target.backend.state),
+            target: RefCell::new(target),
+            in_flight: Cell::default(),
+            attempts: Cell::default(),
+            outcomes: Default::default(),
+            latency: Default::default(),
+            latency_us: Cell::default(),
+        }
+    }
+
+    pub fn sent(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+        add(&self.attempts, 1);
+    }
+
+    pub fn ended(&self, outcome: Outcome, latency: Micros) {
+        self.in_flight.set(self.in_flight.get().saturating_sub(1));
+        add(&self.outcomes[outcome_index(outcome)], 1);
+        if outcome == Outcome::Ok {
+            let bucket = &self.latency[bucket(latency)];
+            bucket.set(bucket.get().saturating_add(1));
+            add(&self.latency_us, latency.0);
+        }
+    }
+}
+
+fn bucket(latency: Micros) -> usize {
+    let steps = (latency.0 as f64 / FIRST_BOUND_US).max(1e-9).log2() * 2.0;
+    (steps.ceil().max(0.0) as usize).min(BUCKETS - 1)
+}
+
+/// The upper bound of a bucket, in microseconds.
+fn bound(bucket: usize) -> u64 {
+    (FIRST_BOUND_US * 2f64.powf(bucket as f64 / 2.0)) as u64
+}
+
+/// Everything that is counted.
+pub struct Registry {
+    /// Connections and requests by reason.
+    pub(crate) tally: Tally,
+    classes: Vec<(String, ClassRow)>,
+    backends: RefCell<HashMap<BackendId, Rc<BackendRow>>>,
+    open: Cell<usize>,
+    /// Some backend can be sent requests.
+    pub(crate) serving: Cell<bool>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) connections: Cell<usize>,
+    pub(crate) connections_most: usize,
+    pub(crate) upstream_sockets: Cell<usize>,
+    pub(crate) upstream_sockets_most: usize,
+    pub(crate) body_bytes: Cell<usize>,
+    pub(crate) body_bytes_most: usize,
+    list: Cell<(Option<u64>, Option<Time>)>,
+    name: String,
+    start: Time,
+}
+
+/// What bounds the registry's gauges.
+pub(crate) struct Bounds {
+    pub connections: usize,
+    pub upstream_sockets: usize,
+    pub body_bytes: usize,
+}
+
+impl Registry {
+    pub(crate) fn new(name: &str, classes: &[String], bounds: &Bounds, start: Time) -> Registry {
+        Registry {
+            tally: Tally::new(),
+            classes: classes.iter().map(|c| (c.clone(), ClassRow::default())).collect(),
+            backends: RefCell::default(),
+            open: Cell::default(),
+            serving: Cell::default(),
+            stopping: Cell::default(),
+            connections: Cell::default(),
+            connections_most: bounds.connections,
+            upstream_sockets: Cell::default(),
+            upstream_sockets_most: bounds.upstream_sockets,
+            body_bytes: Cell::default(),
+            body_bytes_most: bounds.body_bytes,
+            list: Cell::default(),
+            name: name.into(),
+            start,
+        }
+    }
+
+    pub(crate) fn taken(&self, class: ClassId) {
+        self.open.set(self.open.get() + 1);
+        if let Some((_, row)) = self.classes.get(class.0) {
+            add(&row.taken, 1);
+        }
+    }
+
+    pub(crate) fn ended(&self, class: ClassId, end: End) {
+        self.open.set(self.open.get().saturating_sub(1));
+        if let Some((_, row)) = self.classes.get(class.0) {
+            add(&row.ends[end as usize], 1);
+        }
+    }
+
+    /// News of the list: rows come, change and leave with it.
+    pub(crate) fn list(&self, now: Time, index: Option<u64>, whole: bool, targets: &[Target]) {
+        self.list.set((index.or(self.list.get().0), Some(now)));
+        let mut rows = self.backends.borrow_mut();
+        if whole {
+            rows.values().for_each(|row| row.state.set(BackendState::Gone));
+        }
+        for target in targets {
+            match rows.get(&target.backend.id) {
+                Some(row) => {
+                    row.state.set(target.backend.state);
+                    *row.target.borrow_mut() = target.clone();
+                }
+                None if target.backend.state == BackendState::Gone => {}
+                None => {
+                    rows.insert(target.backend.id, Rc::new(BackendRow::new(target.clone())));
+                }
+            }
+        }
+        rows.retain(|_, row| row.state.get() != BackendState::Gone || row.in_flight.get() > 0);
+    }
+
+    pub(crate) fn backend(&self, id: BackendId) -> Option<Rc<BackendRow>> {
+        self.backends.borrow().get(&id).cloned()
+    }
+
+    /// A copy of everything, as of now.
+    pub fn snapshot(&self, now: Time) -> Snapshot {
+        // Rows of backends that left while an attempt was out go once it has ended.
+        self.backends
+            .borrow_mut()
+            .retain(|_, r| r.state.get() != BackendState::Gone || r.in_flight.get() > 0);
+        let classes = self.classes.iter().map(|(name, row)| {
+            let end = |e: End| row.ends[e as usize].get();
+            ClassState {
+                name: name.clone(),
+                taken: row.taken.get(),
+                in_aim: end(End::InAim),
+                late: end(End::Late),
+                refused: Refused { module: end(End::RefusedByModule), open_cap: end(End::RefusedOpenCap) },
+                failed: Failed {
+                    module: end(End::FailedByModule),
+                    unanswered: end(End::FailedUnanswered),
+                    restart: end(End::FailedRestart),
+                },
+                left: end(End::Left),
+            }
+        });
+        let mut backends: Vec<BackendStateRow> = self.backends.borrow().values().map(|r| r.copy()).collect();
+        backends.sort_by(|a, b| a.name.cmp(&b.name));
+        let (index, told) = self.list.get();
+        Snapshot {
+            version: SNAPSHOT_VERSION,
+            program: env!("CARGO_PKG_VERSION").into(),
+            name: self.name.clone(),
+            time_us: now.0,
+            start_us: self.start.0,
+            serving: self.serving.get(),
+            stopping: self.stopping.get(),
+            open: self.open.get(),
+            classes: classes.collect(),
+            backends,
+            connections: Gauge { now: self.connections.get(), most: self.connections_most },
+            upstream_sockets: Gauge { now: self.upstream_sockets.get(), most: self.upstream_sockets_most },
+            body_bytes: Gauge { now: self.body_bytes.get(), most: self.body_bytes_most },
+            list: ListState { index, age_us: told.map(|t| (now - t).0) },
+            reasons: self.tally.all(),
+        }
+    }
+}
+
+impl BackendRow {
+    fn copy(&self) -> BackendStateRow {
+        let target = self.target.borrow();
+        let served: u64 = self.latency.iter().map(|c| u64::from(c.get())).sum();
+        let quantile = |part: f64| {
+            let rank = (served as f64 * part).ceil() as u64;
+            let mut seen = 0;
+            let at = self.latency.iter().position(|c| {
+                seen += u64::from(c.get());
+                seen >= rank
+            });
+            at.filter(|_| served > 0).map(bound)
+        };
+        BackendStateRow {
+            name: target.name.to_string(),
+            address: target.address.to_string(),
+            zone: target.zone.to_string(),
+            kind: target.kind.to_string(),
+            state: match self.state.get() {
+                BackendState::Ready => "ready",
+                BackendState::Draining => "draining",
+                BackendState::Gone => "gone",
+            }
+            .into(),
+            booted_us: target.backend.booted.map(|t| t.0),
+            in_flight: self.in_flight.get(),
+            attempts: self.attempts.get(),
+            outcomes: OUTCOMES
+                .iter()
+                .map(|(o, n)| (n.to_string(), self.outcomes[outcome_index(*o)].get()))
+                .collect(),
+            latency_mean_us: self.latency_us.get().checked_div(served),
+            latency_p50_us: quantile(0.5),
+            latency_p99_us: quantile(0.99),
+        }
+    }
+}
+
+/// Of the form of [`Snapshot`]: it grows by one when a field changes its meaning or leaves.
+pub const SNAPSHOT_VERSION: u32 = 1;
+
+/// A copy of the registry. Times are Unix microseconds, spans microseconds; counters count since `start_us`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The form of this document.
+    pub version: u32,
+    /// The program's version.
+    pub program: String,
+    /// The proxy's name.
+    pub name: String,
+    /// When the copy was made.
+    pub time_us: u64,
+    /// When the proxy started.
+    pub start_us: u64,
+    /// Some backend can be sent requests.
+    pub serving: bool,
+    /// The proxy was told to end.
+    pub stopping: bool,
+    /// Requests that are owed an answer.
+    pub open: usize,
+    /// By class, in the order of the settings.
+    pub classes: Vec<ClassState>,
+    /// By backend, by name.
+    pub backends: Vec<BackendStateRow>,
+    /// Connections of clients.
+    pub connections: Gauge,
+    /// Connections to backends.
+    pub upstream_sockets: Gauge,
+    /// Memory that the bodies of open requests hold.
+    pub body_bytes: Gauge,
+    /// The list of backends.
+    pub list: ListState,
+    /// Connections closed and requests not served, by reason.
+    pub reasons: Vec<(String, u64)>,
+}
+
+/// A value with its bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gauge {
+    /// The value.
+    pub now: usize,
+    /// Its bound.
+    pub most: usize,
+}
+
+/// What is known of the list's age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListState {
+    /// The version last told.
+    pub index: Option<u64>,
+    /// The time since discovery told anything.
+    pub age_us: Option<u64>,
+}
+
+/// The requests of a class: taken = in_aim + late + refused + failed + left + those open.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassState {
+    /// Its name.
+    pub name: String,
+    /// Requests that the driver took.
+    pub taken: u64,
+    /// Served within the class's aim.
+    pub in_aim: u64,
+    /// Served after it.
+    pub late: u64,
+    /// Refused.
+    pub refused: Refused,
+    /// Failed.
+    pub failed: Failed,
+    /// The client left before its answer.
+    pub left: u64,
+}
+
+/// Refusals by reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// By the module.
+    pub module: u64,
+    /// More requests were open than the settings allow.
+    pub open_cap: u64,
+}
+
+/// Failures by reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failed {
+    /// By the module.
+    pub module: u64,
+    /// The module did not answer in its turn after the deadline.
+    pub unanswered: u64,
+    /// The module had to start anew.
+    pub restart: u64,
+}
+
+/// A backend and the attempts sent to it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BackendStateRow {
+    /// Its name in the list.
+    pub name: String,
+    /// Its address.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// `ready`, `draining`, or `gone` while something of it is out.
+    pub state: String,
+    /// When it started, if that was told.
+    pub booted_us: Option<u64>,
+    /// Attempts that are out.
+    pub in_flight: u32,
+    /// Attempts so far.
+    pub attempts: u64,
+    /// Attempts by outcome; their sum and those in flight are the attempts.
+    pub outcomes: Vec<(String, u64)>,
+    /// The mean time of those served.
+    pub latency_mean_us: Option<u64>,
+    /// Half of those served took no longer; up to 42% too high.
+    pub latency_p50_us: Option<u64>,
+    /// 99 in 100 of those served took no longer; up to 42% too high.
+    pub latency_p99_us: Option<u64>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use beechworks::Backend;
+
+    fn target(id: u64, state: BackendState) -> Target {
+        Target {
+            backend: Backend { id: BackendId(id), state, ..Backend::default() },
+            address: ([127, 0, 0, 1], 80).into(),
+            name: format!("b{id}").into(),
+            zone: "z".into(),
+            kind: "k".into(),
+        }
+    }
+
+    fn registry() -> Registry {
+        let bounds = Bounds { connections: 4, upstream_sockets: 4, body_bytes: 4 };
+        Registry::new("n1", &["read".into()], &bounds, Time(0))
+    }
+
+    #[test]
+    fn a_row_leaves_with_its_backend_but_not_before_its_last_attempt() {
+        let registry = registry();
+        let ready = [target(1, BackendState::Ready), target(2, BackendState::Ready)];
+        registry.list(Time(1), Some(1), true, &ready);
+        let row = registry.backend(BackendId(1)).unwrap();
+        row.sent();
+        registry.list(Time(2), Some(2), true, &[target(3, BackendState::Ready)]);
+        let names = || registry.snapshot(Time(3)).backends.into_iter().map(|b| b.name).collect::<Vec<_>>();
+        assert_eq!(names(), ["b1", "b3"], "b2 left, b1 has an attempt out");
+        row.ended(Outcome::Ok, Micros(1000));
+        assert_eq!(names(), ["b3"]);
+        registry.list(
+            Time(4),
+            Some(3),
+            false,
+            &[target(3, BackendState::Gone), target(4, BackendState::Gone)],
+        );
+        assert!(names().is_empty());
+    }
+
+    #[test]
+    fn latency_quantiles_lie_within_their_stated_error() {
+        let row = BackendRow::new(target(1, BackendState::Ready));
+        for ms in 1..=100 {
+            row.sent();
+            row.ended(Outcome::Ok, Micros(ms * 1000));
+        }
+        let copy = row.copy();
+        let within = |got: Option<u64>, true_us: f64| {
+            let ratio = got.unwrap() as f64 / true_us;
+            assert!((0.99..=1.42).contains(&ratio), "{got:?} for {true_us}");
+        };
+        within(copy.latency_p50_us, 50_000.0);
+        within(copy.latency_p99_us, 99_000.0);
+        assert_eq!(copy.latency_mean_us, Some(50_500));
+        assert_eq!((copy.attempts, copy.in_flight), (100, 0));
+    }
+
+    #[test]
+    fn the_longest_and_shortest_latencies_have_a_bucket() {
+        assert_eq!(bucket(Micros(0)), 0);
+        assert_eq!(bucket(Micros(500)), 0);
+        assert_eq!(bucket(Micros(501)), 1);
+        assert_eq!(bucket(Micros(u64::MAX)), BUCKETS - 1);
+    }
+}
--- a/src/bin/gaugesaddle/server.rs
+++ b/crates/gaugesaddle/src/server.rs
@@ -1,10 +1,10 @@
 //! The client side: connections, and a request from its first byte to its answer.
 
 use crate::clock::{duration, Clock};
-use crate::driver::{Answer, Arrived, Input, Status};
+use crate::exchange::{strip, Answer, Arrived, Call, Input, BODY_BYTES};
 use crate::form::{self, Rules, Wrong};
-use crate::tally::{Reason, Tally};
-use crate::upstream::{strip, Call, BODY_BYTES};
+use crate::registry::Registry;
+use crate::tally::Reason;
 use beechworks::{Micros, RequestId, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -69,14 +69,12 @@
     /// Bytes that the bodies of open requests may hold together.
     pub body_room: Cell<usize>,
     pub inputs: mpsc::UnboundedSender<Input>,
-    pub status: Rc<Status>,
+    pub registry: Rc<Registry>,
     pub next: Cell<u64>,
-    pub stopping: Cell<bool>,
     pub links: RefCell<BTreeMap<u64, Rc<Link>>>,
     /// The clients' own ids of the requests that are open.
     pub ids: RefCell<HashSet<HeaderValue>>,
     pub freed: Notify,
-    pub tally: Tally,
 }
 
 /// What a client connection is doing.
@@ -204,6 +202,8 @@
     fn drop(&mut self) {
         let free = &self.server.body_room;
         free.set(free.get() + self.bytes);
+        let held = &self.server.registry.body_bytes;
+        held.set(held.get().saturating_sub(self.bytes));
     }
 }
 
@@ -222,18 +222,18 @@
             }
             tokio::select! {
                 biased;
-                () = &mut stop, if !self.stopping.get() => {
-                    self.stopping.set(true);
+                () = &mut stop, if !self.registry.stopping.get() => {
+                    self.registry.stopping.set(true);
                     end.as_mut().reset(Instant::now() + STOP_ACCEPTING);
                 }
-                () = &mut end, if self.stopping.get() => break,
+                () = &mut end, if self.registry.stopping.get() => break,
                 _ = look.tick() => self.close_overdue(),
                 () = self.freed.notified() => {}
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => self.clone().serve(stream),
                     Err(e) => {
                         tracing::debug!("accept: {e}");
-                        self.tally.count(Reason::AcceptFailed);
+                        self.registry.tally.count(Reason::AcceptFailed);
                         self.make_room();
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
@@ -265,7 +265,7 @@
                 link.tell_to_close(now, why);
             }
         }
-        if let Some(text) = self.tally.due(now) {
+        if let Some(text) = self.registry.tally.due(now) {
             let links = self.links.borrow();
             let (asked, taken) = links.values().fold((0, 0), |n, l| {
                 let taken = matches!(l.phase.get(), Phase::Taken);
@@ -313,6 +313,7 @@
         let _ = stream.set_nodelay(true);
         let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
         self.links.borrow_mut().insert(number, link.clone());
+        self.registry.connections.set(self.links.borrow().len());
         tokio::task::spawn_local(async move {
             let mut gone = Gone { number, server: &self, why: Reason::ClosedByClient };
             let wrong = Cell::new(false);
@@ -343,7 +344,7 @@
                 _ if link.told.get().is_some() => link.why(),
                 _ if wrong.get() => Reason::ClosedWrong,
                 (Err(e), _) if e.is_parse() => Reason::ClosedUnreadable,
-                _ if self.stopping.get() => Reason::ClosedStopping,
+                _ if self.registry.stopping.get() => Reason::ClosedStopping,
                 _ => Reason::ClosedByClient,
             };
             if wrong.get() || ended.is_err() {
@@ -371,14 +372,14 @@
         link.asked.set(link.asked.get().saturating_add(1));
         wrong.set(answer.is_err());
         let mut answer = answer.unwrap_or_else(|Wrong(status, text, why)| {
-            self.tally.count(why);
+            self.registry.tally.count(why);
             plain(status, text)
         });
         if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
         self.keep_few();
-        if self.stopping.get() || wrong.get() {
+        if self.registry.stopping.get() || wrong.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
@@ -390,7 +391,7 @@
         let length = body.size_hint().exact();
         form::framing(&head, length)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
-            let ready = self.status.serving.get() && !self.stopping.get();
+            let ready = self.registry.serving.get() && !self.registry.stopping.get();
             return Ok(if ready {
                 plain(StatusCode::OK, "ready")
             } else {
@@ -415,6 +416,7 @@
             return Err(Wrong(StatusCode::CONFLICT, text, Reason::WrongId));
         }
         link.phase.set(Phase::Taken);
+        let whole = self.clock.now();
         let request = RequestId(self.number());
         let mut ticket = Ticket { request, id: form.id, server: self, answered: false };
         strip(&mut head.headers);
@@ -427,6 +429,7 @@
             id: request,
             class: form.class,
             tenant: form.tenant,
+            came: whole,
             deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
             work_hint: form.work_hint,
             repeat: form.repeat,
@@ -441,14 +444,14 @@
             Ok(Answer::Refused(after)) => self.refusal(after, Reason::RefusedModule),
             Ok(Answer::Crowded(after)) => self.refusal(after, Reason::RefusedOpenCap),
             Ok(Answer::Failed) | Err(_) => {
-                self.tally.count(Reason::Failed);
+                self.registry.tally.count(Reason::Failed);
                 plain(StatusCode::BAD_GATEWAY, "failed")
             }
         })
     }
 
     fn refusal(&self, after: Micros, why: Reason) -> Response<Full<Bytes>> {
-        self.tally.count(why);
+        self.registry.tally.count(why);
         let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
         let whole = after.0.div_ceil(1_000_000); // whole seconds: not every client reads decimals
         answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(whole));
@@ -461,6 +464,7 @@
         let left = free.get().checked_sub(bytes);
         let text = "too many large requests at once";
         free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, text, Reason::RefusedBodies))?);
+        self.registry.body_bytes.set(self.registry.body_bytes.get() + bytes);
         Ok(Room { bytes, server: self })
     }
 }
@@ -498,8 +502,9 @@
 
 impl Drop for Gone<'_> {
     fn drop(&mut self) {
-        self.server.tally.count(self.why);
+        self.server.registry.tally.count(self.why);
         self.server.links.borrow_mut().remove(&self.number);
+        self.server.registry.connections.set(self.server.links.borrow().len());
         self.server.freed.notify_one();
     }
 }
--- /dev/null
+++ b/crates/gaugesaddle/src/state.rs
@@ -0,0 +1,211 @@
+//! The state of a running proxy, on a Unix socket of its own: the server in the proxy and the caller in
+//! `gaugesaddle state`.
+//!
+//! A caller writes one line, `state`, and reads one JSON document ([`Snapshot`]) to the end of the connection.
+//! Any other line is answered with `{"error": ...}`. The socket's mode is 0600: who may open it is the owner.
+
+use crate::error::Error;
+use crate::operator::State;
+use crate::registry::{Registry, Snapshot};
+use crate::{clock::Clock, table};
+use std::io::{self, Read, Write};
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{watch, Semaphore};
+
+/// The longest line that a caller may send.
+const LINE_BYTES: usize = 64;
+/// A caller that does not ask, or does not read, loses its place after this time.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// After a failed accept (out of descriptors, say) the next is tried this much later.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
+/// A document is read up to this size: 10,000 backends take about 5 MB.
+const DOCUMENT_BYTES: u64 = 64 << 20;
+
+/// A bound socket; its file goes with it.
+pub(crate) struct Bound {
+    listener: UnixListener,
+    path: PathBuf,
+}
+
+impl Drop for Bound {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Binds the socket. One that a dead process has left behind is replaced; one that answers is not.
+pub(crate) fn bind(path: &Path) -> Result<Bound, Error> {
+    let fail = |source| Error::Listen {
+        key: "state.socket",
+        expected: "a path where a socket can be made",
+        at: path.display().to_string(),
+        source,
+    };
+    if let Ok(found) = std::fs::symlink_metadata(path) {
+        if !found.file_type().is_socket() {
+            return Err(fail(io::Error::new(
+                io::ErrorKind::AlreadyExists,
+                "there is a file that is no socket",
+            )));
+        }
+        if std::os::unix::net::UnixStream::connect(path).is_ok() {
+            return Err(fail(io::Error::new(io::ErrorKind::AddrInUse, "another process answers there")));
+        }
+    }
+    // Made under another name and moved when its mode is right: at no moment can others open it.
+    let mut draft = path.as_os_str().to_owned();
+    draft.push(format!(".{}", std::process::id()));
+    let draft = PathBuf::from(draft);
+    let _ = std::fs::remove_file(&draft);
+    let listener = UnixListener::bind(&draft).map_err(fail)?;
+    let ready = std::fs::set_permissions(&draft, std::fs::Permissions::from_mode(0o600))
+        .and_then(|()| std::fs::rename(&draft, path));
+    if let Err(source) = ready {
+        let _ = std::fs::remove_file(&draft);
+        return Err(fail(source));
+    }
+    Ok(Bound { listener, path: path.into() })
+}
+
+/// Serves the state for ever, on the socket that was told last.
+pub(crate) async fn serve(
+    registry: Rc<Registry>, clock: Clock, mut settings: watch::Receiver<State>, mut bound: Option<Bound>,
+) {
+    loop {
+        let State { socket, connections } = settings.borrow_and_update().clone();
+        let held = bound.take().filter(|b| Some(&b.path) == socket.as_ref());
+        bound = match (held, socket) {
+            (Some(held), _) => Some(held),
+            (None, None) => None,
+            (None, Some(path)) => bind(&path).inspect_err(|e| tracing::warn!("{e}")).ok(),
+        };
+        let places = Arc::new(Semaphore::new(connections));
+        tokio::select! {
+            () = accept(&registry, clock, bound.as_ref(), places) => {}
+            told = settings.changed() => if told.is_err() {
+                return; // the program ends
+            },
+        }
+    }
+}
+
+async fn accept(registry: &Rc<Registry>, clock: Clock, bound: Option<&Bound>, places: Arc<Semaphore>) {
+    let Some(bound) = bound else { return std::future::pending().await };
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match bound.listener.accept().await {
+            Ok((stream, _)) => {
+                let registry = registry.clone();
+                tokio::task::spawn_local(async move {
+                    let _ = tokio::time::timeout(PATIENCE, answer(stream, &registry, clock)).await;
+                    drop(place);
+                });
+            }
+            Err(e) => {
+                tracing::warn!("state.socket: accept: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(mut stream: UnixStream, registry: &Registry, clock: Clock) -> io::Result<()> {
+    let mut line = Vec::new();
+    let mut buffer = [0; LINE_BYTES];
+    while !line.contains(&b'\n') && line.len() < LINE_BYTES {
+        match stream.read(&mut buffer).await? {
+            0 => return Ok(()),
+            n => line.extend_from_slice(&buffer[..n]),
+        }
+    }
+    let document = if line.split(|b| *b == b'\n').next() == Some(b"state") {
+        serde_json::to_vec(&registry.snapshot(clock.now()))?
+    } else {
+        b"{\"error\":\"expected one line: state\"}".to_vec()
+    };
+    stream.write_all(&document).await?;
+    stream.shutdown().await
+}
+
+/// Asks a running proxy for its state.
+pub fn ask(socket: &Path) -> Result<Snapshot, Error> {
+    let fail = |why: String| Error::State { socket: socket.into(), why };
+    let told = |e: io::Error| fail(format!("expected a proxy that answers here: {e}"));
+    let mut stream = std::os::unix::net::UnixStream::connect(socket).map_err(told)?;
+    stream.set_read_timeout(Some(PATIENCE)).map_err(told)?;
+    stream.set_write_timeout(Some(PATIENCE)).map_err(told)?;
+    stream.write_all(b"state\n").map_err(told)?;
+    let mut document = Vec::new();
+    stream.take(DOCUMENT_BYTES).read_to_end(&mut document).map_err(told)?;
+    serde_json::from_slice(&document).map_err(|e| fail(format!("expected the state of a proxy: {e}")))
+}
+
+/// The state for people to read.
+pub fn render(state: &Snapshot) -> String {
+    let seconds = |us: u64| format!("{:.1} s", us as f64 / 1e6);
+    let ms = |us: Option<u64>| us.map_or("-".into(), |us| format!("{:.1}", us as f64 / 1e3));
+    let age = state.list.age_us.map_or("never told".into(), |age| format!("told {} ago", seconds(age)));
+    let index = state.list.index.map_or("-".into(), |i| i.to_string());
+    let mut text = format!(
+        "{} (gaugesaddle {}), up {}{}{}\nlist version {index}, {age}; {} backends\n\
+         open requests {}; connections {} of {}; sockets to backends {} of {}; bodies {} of {} bytes\n\n",
+        if state.name.is_empty() { "proxy" } else { &state.name },
+        state.program,
+        seconds(state.time_us.saturating_sub(state.start_us)),
+        if state.serving { ", serving" } else { ", NOT SERVING" },
+        if state.stopping { ", stopping" } else { "" },
+        state.backends.len(),
+        state.open,
+        state.connections.now,
+        state.connections.most,
+        state.upstream_sockets.now,
+        state.upstream_sockets.most,
+        state.body_bytes.now,
+        state.body_bytes.most,
+    );
+    let head =
+        ["class", "taken", "in aim", "late", "refused", "crowded", "failed", "unanswered", "restart", "left"];
+    let rows = state.classes.iter().map(|c| {
+        let numbers = [
+            c.taken,
+            c.in_aim,
+            c.late,
+            c.refused.module,
+            c.refused.open_cap,
+            c.failed.module,
+            c.failed.unanswered,
+            c.failed.restart,
+            c.left,
+        ];
+        std::iter::once(c.name.clone()).chain(numbers.iter().map(u64::to_string)).collect()
+    });
+    text += &table::render(&head, rows);
+    text.push('\n');
+    let outcomes = ["ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "never_sent"];
+    let head = ["backend", "address", "zone", "kind", "state", "out", "sent"];
+    let head: Vec<&str> = head.into_iter().chain(outcomes).chain(["p50 ms", "p99 ms"]).collect();
+    let rows = state.backends.iter().map(|b| {
+        let mut row =
+            vec![b.name.clone(), b.address.clone(), b.zone.clone(), b.kind.clone(), b.state.clone()];
+        row.extend([b.in_flight.to_string(), b.attempts.to_string()]);
+        let count =
+            |name: &&str| b.outcomes.iter().find(|o| o.0 == **name).map_or("-".into(), |o| o.1.to_string());
+        row.extend(outcomes.iter().map(count));
+        row.extend([ms(b.latency_p50_us), ms(b.latency_p99_us)]);
+        row
+    });
+    text += &table::render(&head, rows);
+    let counted: Vec<&(String, u64)> = state.reasons.iter().filter(|r| r.1 > 0).collect();
+    if !counted.is_empty() {
+        text.push('\n');
+        text +=
+            &table::render(&["reason", "count"], counted.iter().map(|r| vec![r.0.clone(), r.1.to_string()]));
+    }
+    text
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/table.rs
@@ -0,0 +1,36 @@
+//! Tables for people: columns as wide as what stands in them, numbers to the right.
+
+/// Renders a head and its rows, each line ended.
+pub fn render(head: &[&str], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let head: Vec<String> = head.iter().map(|h| h.to_string()).collect();
+    let all: Vec<Vec<String>> = std::iter::once(head).chain(rows).collect();
+    let columns = all.iter().map(Vec::len).max().unwrap_or(0);
+    let cell = |row: &'_ Vec<String>, i: usize| row.get(i).map_or(0, |c| c.chars().count());
+    let width: Vec<usize> = (0..columns).map(|i| all.iter().map(|r| cell(r, i)).max().unwrap_or(0)).collect();
+    let number = |i: usize| {
+        let mut below = all[1..].iter().filter_map(|r| r.get(i)).peekable();
+        below.peek().is_some() && below.all(|c| c == "-" || c.parse::<f64>().is_ok())
+    };
+    let right: Vec<bool> = (0..columns).map(number).collect();
+    let mut text = String::new();
+    for row in &all {
+        let cells = row.iter().enumerate().map(|(i, c)| match right[i] {
+            true => format!("{c:>w$}", w = width[i]),
+            false => format!("{c:<w$}", w = width[i]),
+        });
+        let line = cells.collect::<Vec<_>>().join("  ");
+        text += line.trim_end();
+        text.push('\n');
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn columns_line_up_and_numbers_stand_right() {
+        let rows = [vec!["long name".to_string(), "7".into()], vec!["b".into(), "1234".into()]];
+        let text = super::render(&["name", "n"], rows.into_iter());
+        assert_eq!(text, "name          n\nlong name     7\nb          1234\n");
+    }
+}
--- a/src/bin/gaugesaddle/tally.rs
+++ b/crates/gaugesaddle/src/tally.rs
@@ -89,6 +89,11 @@
         self.rows.borrow()[reason as usize].count
     }
 
+    /// All counts, with the names of their reasons.
+    pub fn all(&self) -> Vec<(String, u64)> {
+        self.rows.borrow().iter().zip(TEXTS).map(|(row, text)| (text.to_string(), row.count)).collect()
+    }
+
     /// What is due to be told: every reason that has counted since and was not told within the last second.
     pub fn due(&self, now: Time) -> Option<String> {
         if !self.untold.get() {
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -1,7 +1,7 @@
-//! Connections to backends: the pool, and one attempt to one outcome.
+//! HTTP/1.1 to backends: pooled connections, and one attempt to one outcome.
 
 use crate::clock::{duration, Clock};
-use crate::discovery::Target;
+use crate::exchange::{strip, Call, Ended, Local, Target, Upstream, Upstreams, BODY_BYTES, TIME_LEFT};
 use crate::wire::{Progress, Wire};
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::Bytes;
@@ -20,9 +20,6 @@
 use std::task::Poll;
 use tokio::net::TcpStream;
 
-/// The most that a body holds, either way.
-pub const BODY_BYTES: usize = 64 << 10;
-pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
 /// A head is read up to this size.
 const HEAD_BYTES: usize = 16 << 10;
 /// An answer is read up to this size, framing and 1xx answers ahead of it included.
@@ -32,48 +29,59 @@
 /// written while the backend closes it would end as a reset.
 const IDLE_PART: f64 = 0.75;
 
-/// What goes to a backend, the same in every attempt but for the time left.
-pub struct Call {
-    pub head: Request<()>,
-    pub body: Bytes,
-}
-
-/// How an attempt ended, with the answer if it was served.
-pub struct Ended {
-    pub outcome: Outcome,
-    pub answer: Option<Response<Bytes>>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, answer: None }
-    }
-}
-
 /// One process of a backend: a restart makes a new one, so that no connection to the old is used.
-pub struct Upstream {
-    pub target: Target,
-    /// New requests may go to it; asked again before the first byte of each.
-    pub open: Cell<bool>,
+pub struct Node {
+    target: Target,
+    pool: Rc<Pool>,
+    open: Cell<bool>,
     idle: RefCell<Vec<(Time, Link)>>,
 }
 
-impl Upstream {
-    pub fn new(target: Target) -> Upstream {
+impl Node {
+    pub fn new(target: Target, pool: Rc<Pool>) -> Node {
         let open = Cell::new(target.backend.state == BackendState::Ready);
-        Upstream { target, open, idle: RefCell::default() }
+        Node { target, pool, open, idle: RefCell::default() }
     }
+}
 
-    /// Closes an idle connection, if there is one.
-    pub fn give_way(&self) -> bool {
-        self.idle.borrow_mut().pop().is_some()
+impl Upstream for Node {
+    fn target(&self) -> &Target {
+        &self.target
     }
-
-    /// Nothing new goes to it from now on.
-    pub fn shut(&self) {
+    fn is_open(&self) -> bool {
+        self.open.get()
+    }
+    fn open(&self) {
+        self.open.set(true);
+    }
+    fn shut(&self) {
         self.open.set(false);
         self.idle.borrow_mut().clear();
     }
+    fn give_way(&self) -> bool {
+        self.idle.borrow_mut().pop().is_some()
+    }
+    fn sweep(self: Rc<Self>) -> Local<()> {
+        Box::pin(async move { self.pool.sweep(&self).await })
+    }
+    fn attempt(self: Rc<Self>, call: Rc<Call>, deadline: Time) -> Local<Ended> {
+        Box::pin(async move { self.pool.attempt(&self, &call, deadline).await })
+    }
+}
+
+/// Speaks HTTP/1.1 to every node.
+pub struct Http1(pub Rc<Pool>);
+
+impl Upstreams for Http1 {
+    fn make(&self, target: Target) -> Rc<dyn Upstream> {
+        Rc::new(Node::new(target, self.0.clone()))
+    }
+    fn is_full(&self) -> bool {
+        self.0.is_full()
+    }
+    fn sockets(&self) -> usize {
+        self.0.sockets.get()
+    }
 }
 
 /// A connection, driven only by the attempt that uses it: dropping it closes the socket at once.
@@ -122,8 +130,8 @@
 
 /// What all attempts share.
 pub struct Pool {
-    pub clock: Clock,
-    pub dial_timeout: Micros,
+    clock: Clock,
+    dial_timeout: Micros,
     idle_limit: Micros,
     sockets: Rc<Cell<usize>>,
     most: usize,
@@ -136,7 +144,7 @@
     }
 
     /// Closes the connections that have stood idle for too long, or that the other side has closed.
-    pub async fn sweep(&self, upstream: &Upstream) {
+    async fn sweep(&self, upstream: &Node) {
         let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
         let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
         kept.retain(|(since, _)| *since > oldest);
@@ -148,12 +156,12 @@
     }
 
     /// All sockets are taken: an idle one has to go before another is opened.
-    pub fn is_full(&self) -> bool {
+    fn is_full(&self) -> bool {
         self.sockets.get() >= self.most
     }
 
     /// The pooled connection that was used last, if the backend has not closed it.
-    async fn pooled(&self, upstream: &Upstream) -> Option<Link> {
+    async fn pooled(&self, upstream: &Node) -> Option<Link> {
         loop {
             let (since, mut link) = upstream.idle.borrow_mut().pop()?;
             if self.clock.now() - since < self.idle_limit && link.alive().await {
@@ -183,7 +191,7 @@
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, deadline: Time) -> Ended {
+    async fn attempt(&self, upstream: &Node, call: &Call, deadline: Time) -> Ended {
         loop {
             let pooled = self.pooled(upstream).await;
             let fresh = pooled.is_none();
@@ -269,23 +277,6 @@
         || headers.contains_key(hyper::header::TRANSFER_ENCODING)
 }
 
-/// Takes out what concerns one connection only.
-pub fn strip(headers: &mut HeaderMap) {
-    use hyper::header::*;
-    for named in headers.get_all(CONNECTION).iter().cloned().collect::<Vec<_>>() {
-        for name in named.to_str().unwrap_or("").split(',') {
-            if let Ok(name) = HeaderName::from_bytes(name.trim().as_bytes()) {
-                headers.remove(name);
-            }
-        }
-    }
-    for name in [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH, TE, TRAILER, UPGRADE] {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("expect");
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -327,7 +318,9 @@
         let second = Micros(1_000_000);
         let pool = Pool::new(clock, second, second.times(30.0), 8);
         let entry = Backend { state: BackendState::Ready, ..Backend::default() };
-        let upstream = Upstream::new(Target { backend: entry, address });
+        let (name, zone, kind) = ("n".into(), "z".into(), "k".into());
+        let pool = Rc::new(pool);
+        let upstream = Node::new(Target { backend: entry, address, name, zone, kind }, pool.clone());
         let call = Call { head: Request::new(()), body: Bytes::new() };
         let body = |ended: Ended| ended.answer.map(Response::into_body);
         let deadline = clock.now() + second.times(30.0);
--- /dev/null
+++ b/crates/gaugesaddle/tests/operator.rs
@@ -0,0 +1,225 @@
+//! The operator's file and the state socket of the built proxy: what is told, what a reload takes up, and that
+//! nothing of it harms what is served.
+
+use gaugesaddle_testbed::program;
+use gaugesaddle_testbed::scripted::*;
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+/// A folder of the test's own, gone with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("gaugesaddle-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn command(arguments: &[&str]) -> Output {
+    Command::new(program::path("gaugesaddle"))
+        .args(arguments)
+        .env_remove("GAUGESADDLE_CONFIG")
+        .output()
+        .unwrap()
+}
+
+fn state(socket: &Path) -> Value {
+    let told = command(&["state", "--json", "--socket", socket.to_str().unwrap()]);
+    assert!(told.status.success(), "{}", String::from_utf8_lossy(&told.stderr));
+    serde_json::from_slice(&told.stdout).unwrap()
+}
+
+/// A proxy with a state socket, one backend and a discovery.
+struct Setting {
+    folder: Folder,
+    file: PathBuf,
+    socket: PathBuf,
+    proxy: Proxy,
+    backend: Backend,
+    discovery: Discovery,
+    config: Value,
+}
+
+fn setting(name: &str, more: &str) -> Setting {
+    let folder = Folder::new(name);
+    let socket = folder.0.join("state.sock");
+    let file = folder.file("gaugesaddle.toml", &format!("[state]\nsocket = {socket:?}\n{more}"));
+    let backend = Backend::start(|m| match m.start.contains("slow") {
+        true => Reply::Silence,
+        false => ok("x"),
+    });
+    let discovery = Discovery::start();
+    let config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    let proxy = Proxy::spawn_with(&config, "unlimited", &["--config", file.to_str().unwrap()]);
+    until("ready", || proxy.ready() == 200);
+    Setting { folder, file, socket, proxy, backend, discovery, config }
+}
+
+#[test]
+fn check_tells_whether_a_file_would_be_taken() {
+    let folder = Folder::new("check");
+    let good = folder.file("good.toml", "[state]\nsocket = \"/run/x.sock\"\n");
+    let told = command(&["check", good.to_str().unwrap()]);
+    assert_eq!(told.status.code(), Some(0));
+    assert!(String::from_utf8_lossy(&told.stdout).contains("good"));
+    let bad = folder.file("bad.toml", "[state]\nconnections = 0\n");
+    let told = command(&["check", bad.to_str().unwrap()]);
+    assert_eq!(told.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(
+        text.contains("line 2: state.connections: expected a whole number from 1 to 64, got 0"),
+        "{text}"
+    );
+    assert_eq!(command(&["check", "/nowhere/at/all"]).status.code(), Some(1));
+    assert_ne!(command(&["chekc"]).status.code(), Some(0));
+    // A proxy that is to serve with a bad file does not start.
+    let mut proxy =
+        Proxy::spawn_with(&config(free_address(), &[]), "unlimited", &["--config", bad.to_str().unwrap()]);
+    assert!(!proxy.exit().success());
+    until("its reason", || proxy.log().contains("state.connections"));
+}
+
+/// Each request is counted once and under what its client saw.
+#[test]
+fn the_state_adds_up_with_what_clients_and_backends_saw() {
+    let s = setting("adds-up", "");
+    for _ in 0..20 {
+        assert_eq!(ask(&s.proxy, &request("read", 7000)).status(), 200);
+    }
+    assert_eq!(ask(&s.proxy, "GET /read HTTP/1.1\r\n\r\n").status(), 400);
+    // One that its client leaves, and one whose time is up.
+    let mut gone = Client::open(s.proxy.address);
+    gone.send(&request("read", 7000).replace("/a?", "/slow?"));
+    until("its attempt", || s.backend.requests().len() == 21);
+    drop(gone);
+    let late = ask(&s.proxy, &request("pay", 300).replace("/a?", "/slow?")).status();
+    assert_eq!(late, 502);
+    until("all ended", || state(&s.socket)["open"] == 0);
+    let told = state(&s.socket);
+    let read = &told["classes"][0];
+    assert_eq!((read["name"].as_str(), read["taken"].as_u64()), (Some("read"), Some(21)));
+    assert_eq!((read["in_aim"].as_u64(), read["left"].as_u64()), (Some(20), Some(1)));
+    let pay = &told["classes"][2];
+    assert_eq!((pay["taken"].as_u64(), pay["failed"]["module"].as_u64()), (Some(1), Some(1)));
+    let backend = &told["backends"][0];
+    assert_eq!((backend["name"].as_str(), backend["state"].as_str()), (Some("a"), Some("ready")));
+    assert_eq!(backend["attempts"].as_u64(), Some(s.backend.requests().len() as u64));
+    let outcomes = backend["outcomes"].as_array().unwrap();
+    let of = |name: &str| outcomes.iter().find(|o| o[0] == name).unwrap()[1].as_u64().unwrap();
+    // Whether the module calls the late one off or its time runs out first is the module's to say.
+    assert_eq!((of("ok"), of("cancelled") + of("timed_out")), (20, 2));
+    assert_eq!(outcomes.iter().map(|o| o[1].as_u64().unwrap()).sum::<u64>(), 22);
+    let reason = |text: &str| {
+        let all = told["reasons"].as_array().unwrap();
+        all.iter().find(|r| r[0] == text).unwrap_or_else(|| panic!("{text}"))[1].as_u64()
+    };
+    assert_eq!((reason("wrong: form"), reason("closed: left before its answer")), (Some(1), Some(1)));
+    assert_eq!(told["list"]["index"], 0);
+    s.discovery.tell(true, &[line("b", s.backend.address, "ready", 0)]);
+    until("the new list", || state(&s.socket)["list"]["index"] == 1);
+    let told = state(&s.socket);
+    let names: Vec<_> = told["backends"].as_array().unwrap().iter().map(|b| b["name"].clone()).collect();
+    assert_eq!(names, [json!("b")], "a row leaves with its backend");
+    // For people.
+    let table = command(&["--config", s.file.to_str().unwrap(), "state"]);
+    let table = String::from_utf8_lossy(&table.stdout).into_owned();
+    assert!(table.contains("serving") && table.contains("wrong: form"), "{table}");
+}
+
+#[test]
+fn only_the_owner_may_open_the_socket_and_it_goes_with_the_proxy() {
+    let mut s = setting("owner", "");
+    let mode = std::fs::metadata(&s.socket).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    assert_eq!(std::fs::read_dir(&s.folder.0).unwrap().count(), 2, "no draft is left");
+    // A second proxy on the same socket does not start and takes nothing away.
+    let mut other = s.config.clone();
+    other["listen"] = json!(free_address().to_string());
+    let mut second = Proxy::spawn_with(&other, "unlimited", &["--config", s.file.to_str().unwrap()]);
+    assert!(!second.exit().success());
+    until("its reason", || second.log().contains("state.socket") && second.log().contains("answers"));
+    state(&s.socket);
+    s.proxy.terminate();
+    assert!(s.proxy.exit().success());
+    assert!(!s.socket.exists());
+    // What a killed proxy leaves behind is replaced.
+    drop(std::os::unix::net::UnixListener::bind(&s.socket).unwrap());
+    let third = Proxy::spawn_with(&other, "unlimited", &["--config", s.file.to_str().unwrap()]);
+    until("ready", || third.ready() == 200);
+    state(&s.socket);
+    // A file that is no socket is left alone.
+    let file = s.folder.file("precious", "text");
+    let toml = s.folder.file("precious.toml", &format!("[state]\nsocket = {file:?}\n"));
+    other["listen"] = json!(free_address().to_string());
+    let mut fourth = Proxy::spawn_with(&other, "unlimited", &["--config", toml.to_str().unwrap()]);
+    assert!(!fourth.exit().success());
+    assert_eq!(std::fs::read_to_string(&file).unwrap(), "text");
+}
+
+/// Callers that say nothing, too much, or nonsense.
+#[test]
+fn bad_callers_cost_the_others_a_few_seconds_at_most() {
+    let s = setting("callers", "connections = 1\n");
+    let mut silent = UnixStream::connect(&s.socket).unwrap();
+    let said = |text: &[u8]| {
+        let mut caller = UnixStream::connect(&s.socket).unwrap();
+        let _ = caller.write_all(text);
+        let mut answer = String::new();
+        let _ = caller.read_to_string(&mut answer);
+        answer
+    };
+    // It waits until the silent one has lost its place.
+    assert!(said(b"what?\n").contains("error"));
+    assert_eq!(silent.read(&mut [0]).unwrap_or(0), 0, "closed");
+    let long = said(&[b'x'; 1 << 20]);
+    assert!(long.is_empty() || long.contains("error"), "{long}");
+    assert!(said(b"state\n").contains("\"classes\""));
+    assert_eq!(ask(&s.proxy, &request("read", 7000)).status(), 200);
+}
+
+#[test]
+fn sighup_takes_up_what_it_says_and_a_bad_file_changes_nothing() {
+    let s = setting("sighup", "");
+    let config = s.config.to_string();
+    // Bad: nothing changes, neither of this file nor of the platform's.
+    let elsewhere = Discovery::start();
+    let mut moved = s.config.clone();
+    moved["discovery"] = json!(elsewhere.address.to_string());
+    std::fs::write(&s.file, "[state]\nsocket = 7\n").unwrap();
+    s.proxy.reload(&moved.to_string());
+    until("the reason", || {
+        s.proxy.log().contains("stays as it was") && s.proxy.log().contains("state.socket")
+    });
+    state(&s.socket);
+    assert_eq!(elsewhere.calls(), 0);
+    // Another socket, and a level that wants a restart.
+    let second = s.folder.0.join("second.sock");
+    std::fs::write(&s.file, format!("[log]\nlevel = \"debug\"\n[state]\nsocket = {second:?}\n")).unwrap();
+    s.proxy.reload(&config);
+    until("the second socket", || second.exists());
+    until("the old one is gone", || !s.socket.exists());
+    state(&second);
+    until("what is not taken up", || s.proxy.log().contains("not taken up before a restart: log.level"));
+    // Off.
+    std::fs::write(&s.file, "").unwrap();
+    s.proxy.reload(&config);
+    until("off", || !second.exists());
+    assert_eq!(ask(&s.proxy, &request("read", 7000)).status(), 200);
+}
--- a/tests/proxy.rs
+++ b/crates/gaugesaddle/tests/proxy.rs
@@ -1,8 +1,7 @@
 //! The built proxy over loopback sockets: what must hold whatever clients, backends and discovery do.
 
-mod sockets;
+use gaugesaddle_testbed::scripted::*;
 use serde_json::{json, Value};
-use sockets::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -546,7 +545,7 @@
     let backend = Backend::start(|_| ok("x"));
     let discovery = Discovery::start();
     let config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
-    let proxy = Proxy::spawn_with(&config, "40");
+    let proxy = Proxy::spawn_with(&config, "40", &[]);
     until("ready", || proxy.ready() == 200);
     let clients: Vec<Client> = (0..60).map(|_| Client::open(proxy.address)).collect();
     until("a failed accept", || proxy.log().contains("accept: "));
