--- /dev/null
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -0,0 +1,66 @@
+//! Measurements of gaugesaddle. Each prints what it does, then as its last line one JSON object with its figures and
+//! whether they hold their bounds (`"held"`); the exit code is 0 where they do, 1 where not, 2 where it could not
+//! measure. Figures in time are ratios within one call, from runs that alternate: a machine's speed drops out.
+
+mod bare;
+mod load;
+mod proc;
+mod relay;
+mod rig;
+
+use clap::{Parser, Subcommand};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "gaugesaddle-measure", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// CPU a request, throughput of one core, added latency and memory of the proxy, against a bare relay that
+    /// decides nothing, on the same stand-ins.
+    Relay {
+        /// Pairs of runs at the steady rate.
+        #[arg(long, default_value_t = 5)]
+        pairs: usize,
+        /// Seconds a run.
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+    },
+    /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
+    Testbed,
+    /// The bare relay itself, as a process of its own; `relay` starts it.
+    #[command(hide = true)]
+    Bare {
+        /// Where it listens.
+        listen: SocketAddr,
+        /// The nodes that it passes on to, in turn.
+        nodes: Vec<SocketAddr>,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Arguments::parse().command {
+        Command::Relay { pairs, seconds } => relay::measure(pairs.max(1), seconds.max(1.0)),
+        Command::Testbed => rig::measure(),
+        Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
+    };
+    match done {
+        Ok(figures) => {
+            println!("{figures}");
+            match figures.get("held").and_then(Value::as_bool) {
+                Some(true) => ExitCode::SUCCESS,
+                _ => ExitCode::FAILURE,
+            }
+        }
+        Err(e) => {
+            eprintln!("gaugesaddle-measure: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-measure/src/proc.rs
@@ -0,0 +1,42 @@
+//! What the system says of a process.
+
+use std::io;
+
+/// Clock ticks a second in /proc (`USER_HZ`, which Linux fixes at 100 for user space).
+const TICKS: f64 = 100.0;
+
+/// CPU seconds of a process so far, its own and the system's for it.
+pub fn cpu_seconds(pid: u32) -> io::Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The name may hold anything; the fields are counted from behind it.
+    let fields = text.rsplit(')').next().unwrap_or("").split_whitespace().collect::<Vec<_>>();
+    let field = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok());
+    let ticks = field(11).zip(field(12)).ok_or_else(|| io::Error::other("no CPU time in /proc"))?;
+    Ok((ticks.0 + ticks.1) / TICKS)
+}
+
+/// The most memory that it has had, in kilobytes.
+pub fn peak_kb(pid: u32) -> io::Result<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    line.and_then(|l| l.trim().trim_end_matches(" kB").trim().parse().ok())
+        .ok_or_else(|| io::Error::other("no VmHWM in /proc"))
+}
+
+/// CPU seconds of this process.
+pub fn own_cpu_seconds() -> io::Result<f64> {
+    cpu_seconds(std::process::id())
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn this_process_has_used_some_memory_and_time_passes_for_it() {
+        let before = super::own_cpu_seconds().unwrap();
+        let mut x = 1u64;
+        while super::own_cpu_seconds().unwrap() < before + 0.02 {
+            x = x.wrapping_mul(3);
+        }
+        assert!(x > 0 && super::peak_kb(std::process::id()).unwrap() > 500);
+    }
+}
--- a/crates/gaugesaddle-testbed/src/world.rs
+++ b/crates/gaugesaddle-testbed/src/world.rs
@@ -47,6 +47,9 @@
     pub verdict: Verdict,
     /// The last lines of each proxy's log.
     pub logs: Vec<Vec<String>>,
+    /// 99 in 100 first tries began no later than this after their planned time, in microseconds: how late this
+    /// process itself was.
+    pub late_p99_us: u64,
 }
 
 /// A look at a run under way.
@@ -67,12 +70,12 @@
     s.check().map_err(io::Error::other)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    let (records, dropped, logs) = local.block_on(&runtime, async {
+    let (records, dropped, logs, late_p99_us) = local.block_on(&runtime, async {
         let world = World::build(s, cast).await?;
         world.play(look).await
     })?;
     let verdict = audit(s, &records, dropped);
-    Ok(Outcome { records, verdict, logs })
+    Ok(Outcome { records, verdict, logs, late_p99_us })
 }
 
 enum Actor {
@@ -305,7 +308,7 @@
 
     async fn play(
         self: Rc<Self>, look: &mut dyn FnMut(&Live),
-    ) -> io::Result<(Vec<Record>, u64, Vec<Vec<String>>)> {
+    ) -> io::Result<(Vec<Record>, u64, Vec<Vec<String>>, u64)> {
         let addresses: Vec<SocketAddr> = (0..self.s.proxies).map(|p| self.lease.proxy(p)).collect();
         let fleet = self.fleet.clone();
         let tell = move |id: u64, ask: &Ask| {
@@ -317,10 +320,13 @@
         let mut asking = tokio::task::JoinSet::new();
         let asks = self.plan.asks.clone();
         let (journal, askers) = (self.journal.clone(), clients.clone());
+        let late = Rc::new(RefCell::new(Vec::with_capacity(asks.len())));
+        let lateness = late.clone();
         let arrivals = tokio::task::spawn_local(async move {
             for ask in asks {
                 let at = tokio::time::Instant::from_std(journal.instant(start + ask.at_us));
                 tokio::time::sleep_until(at).await;
+                lateness.borrow_mut().push(journal.now().saturating_sub(start + ask.at_us));
                 while asking.try_join_next().is_some() {}
                 asking.spawn_local(askers.clone().ask(ask));
             }
@@ -350,7 +356,10 @@
         look(&self.live(start, &mut seen));
         self.end().await;
         let (records, dropped) = self.journal.take();
-        Ok((records, dropped, self.logs.take()))
+        let mut late = late.take();
+        late.sort_unstable();
+        let late_p99 = late.get(late.len() * 99 / 100).copied().unwrap_or(0);
+        Ok((records, dropped, self.logs.take(), late_p99))
     }
 
     fn live(&self, start: u64, seen: &mut usize) -> Live {
