Begin the watch for storms: state, pace, calendar of returns, ledger, and crowds to try it

Need: a hall that comes back brings all of its clients at once, and a refusal without a spread of return times feeds that storm.

gaugesaddle-storm (no I/O) tells a storm from honest growth by what comes again, finds a rate by trying, deals refused clients whole seconds from a calendar that no second overfills, and knows sources that come before their moment (429). Its pressure goes to the module as an event: the module lets in the budget by worth, sends no second copies, and has a retry budget a class. Wired into the driver behind [storm] in the operator's file, off by default; gaugesaddle state shows it. The test bed has crowds, each client from an address of its own, and counts a hall's memory of a key from its arrival (a hung node's late run of a repeat had counted as a second effect).

--- a/crates/beechworks-simhost/src/wire.rs
+++ b/crates/beechworks-simhost/src/wire.rs
@@ -213,6 +213,7 @@
                 request: f.request(1)?,
                 work_hint: f.values[2].as_u64().filter(|_| flags & 1 == 1).map(Micros),
                 repeat: flags & 2 == 2,
+                out_of_turn: false,
                 time_left: Micros(f.whole(3, "the time left in microseconds")?),
                 tenant: match &f.values[5] {
                     Value::String(name) => {
--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -331,6 +331,19 @@
     pub work_hint: Option<Micros>,
     /// The client says that it asked before.
     pub repeat: bool,
+    /// Its source comes back before it was told to.
+    pub out_of_turn: bool,
+}
+
+/// What the host sees of a storm, and what may be done while it lasts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pressure {
+    /// Requests a second that this proxy may let in; `None`: no storm, as many as come.
+    pub let_in_per_s: Option<f64>,
+    /// Second copies may be sent beside an attempt that is out.
+    pub copies: bool,
+    /// Attempts beside those that may have run, for each new request of the class.
+    pub retry_ratio: f64,
 }
 
 /// How an attempt ended.
@@ -369,6 +382,8 @@
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
+    /// A storm began, changed or ended.
+    Pressure(Pressure),
     /// The client left; no answer is owed.
     ClientGone {
         /// The request.
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -47,7 +47,11 @@
 /// Spreads of a random count that the whole traffic to a cold backend stays under the limit.
 const FALL_SPREADS: f64 = 3.0;
 /// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
-const RETRY_RATIO: f64 = 0.2;
+pub(crate) const RETRY_RATIO: f64 = 0.2;
+/// In a storm what finds no room is held so long, s, then refused: it comes again, and a line of them grows.
+const STORM_HOLD: f64 = 0.03;
+/// Worth of a request whose source comes before it was told to, beside one in its turn.
+const OUT_OF_TURN: f64 = 0.05;
 /// Least worth of a client's repeat beside a first try: some still come in time.
 const LATE_FLOOR: f64 = 0.1;
 /// A brisk answer comes in this part of the time from an unloaded one to the aim: at twice that tails miss.
@@ -112,6 +116,7 @@
                 }
             }
             Event::AttemptEnded(end) => self.ended(now, end),
+            Event::Pressure(pressure) => self.press(now, pressure),
             Event::ClientGone { request } => self.close(request, None),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = None,
@@ -156,7 +161,10 @@
         if self.requests.contains_key(&new.request) {
             return;
         }
-        self.extra = (self.extra + RETRY_RATIO).min(RETRY_RATIO * KIND_SAMPLES);
+        let ratio = self.pressure.retry_ratio;
+        let budget = &mut self.classes[new.class.0].extra;
+        *budget = (*budget + ratio).min((ratio * KIND_SAMPLES).max(1.0));
+        self.arrivals.add(now, 1.0);
         for (i, s) in self.classes.iter_mut().enumerate() {
             s.asked += (f64::from(i == new.class.0) - s.asked) / KIND_SAMPLES;
         }
@@ -168,12 +176,14 @@
         // A client that comes again waited for its first try: what is left to earn is mostly the late worth,
         // and serving it before a new request would make both late, all through a storm of repeats.
         let again = if new.repeat { c.late_worth.max(LATE_FLOOR) } else { 1.0 };
-        let value = again * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
+        let turn = if new.out_of_turn { OUT_OF_TURN } else { 1.0 };
+        let value = again * turn * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
         self.requests.insert(new.request, Request { class, came, aim, deadline, value, streaming, sent });
         self.low += (f64::from(value < LOW) - self.low) / KIND_SAMPLES;
         // What is shed reaches no backend: the formula's rate is of what is let in.
-        let admitted = self.admitted(class, value);
+        let storm = self.pressure.let_in_per_s;
+        let admitted = self.admitted(class, value) && storm.is_none_or(|rate| self.let_in.take(now, rate));
         self.rate.add(now, f64::from(admitted));
         // Where cold backends are held to less than their parts, the rest of the traffic has no place.
         let pull: f64 = self.kinds.values().map(|k| k.pull).sum();
@@ -186,7 +196,10 @@
 
     /// Load shedding: what is admitted covers the densest worth first; the layer at the edge is thinned.
     fn admitted(&mut self, class: usize, value: f64) -> bool {
-        if self.admit >= 1.0 {
+        // In a storm the budget's part of what comes, if that is less than what answers leave.
+        let part = |rate: f64| rate / self.arrivals.per_s().unwrap_or(rate).max(1e-9);
+        let admit = self.admit.min(self.pressure.let_in_per_s.map_or(1.0, part));
+        if admit >= 1.0 {
             return true;
         }
         let density = self.densities();
@@ -199,7 +212,15 @@
             let denser: f64 = (0..density.len()).filter(over).map(share).sum();
             (denser / all * (1.0 - self.low), share(class) / all * (1.0 - self.low))
         };
-        self.dice.unit() * own < self.admit - above
+        self.dice.unit() * own < admit - above
+    }
+
+    /// A storm's budget begins empty: what has been let in before it is still out.
+    fn press(&mut self, now: Time, pressure: Pressure) {
+        if self.pressure.let_in_per_s.is_none() {
+            self.let_in = Bucket::empty(now);
+        }
+        self.pressure = pressure;
     }
 
     /// Until when an attempt's answer is brisk.
@@ -304,14 +325,16 @@
             let lost = matches!(&r.sent[..], [only] if lost(only));
             let held = if r.out() { r.deadline } else { now + self.cfg.tick.times(HELD_TICKS) };
             self.due = self.due.min(held).min(Time(r.deadline.0.saturating_sub(self.cfg.tick.0)));
-            if now + self.cfg.tick >= r.deadline || (!r.out() && now + usual >= last_start) {
+            let storm = self.pressure.let_in_per_s.is_some() && r.sent.is_empty();
+            let too_long = storm && (now - r.came).secs() >= STORM_HOLD;
+            if now + self.cfg.tick >= r.deadline || (!r.out() && (now + usual >= last_start || too_long)) {
                 // The deadline's own tick would be too late to answer; a request that was held so long
                 // that it cannot make it is refused while that is still harmless.
                 over.push(id);
-            } else if lost && now + usual < r.aim && self.extra >= 1.0 {
+            } else if lost && now + usual < r.aim && self.classes[r.class].extra >= 1.0 {
                 // Age alone is no reason: copies of merely heavy requests crowd every backend.
                 if self.cfg.second_copies {
-                    if self.may_send(now, r) && !self.held.contains(&id) {
+                    if self.pressure.copies && self.may_send(now, r) && !self.held.contains(&id) {
                         self.held.push(id);
                     }
                 } else if self.cfg.cancel && self.cfg.classes[r.class].effect != Effect::Unsafe {
@@ -527,10 +550,10 @@
             let (again, work) = (!r.sent.is_empty(), self.work(r.class));
             // What never ran has cost no work: only attempts beside those that may have are held to a number.
             let extra = r.sent.iter().any(|s| !s.never_ran);
-            let sendable = self.may_send(now, &r) && (!extra || self.extra >= 1.0);
+            let sendable = self.may_send(now, &r) && (!extra || self.classes[r.class].extra >= 1.0);
             let backend = if sendable { self.draw(now, &r) } else { None };
             if let Some(p) = backend.and_then(|b| self.peers.get_mut(&b)) {
-                self.extra -= f64::from(extra);
+                self.classes[r.class].extra -= f64::from(extra);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
                 r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
                 p.out += 1;
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -1,7 +1,9 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
 use crate::interface::*;
-use crate::logic::{BRISK, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_RISE};
+use crate::logic::{
+    BRISK, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, RETRY_RATIO, SPEED_MEMORY, UNLOADED_RISE,
+};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
@@ -83,6 +85,11 @@
 }
 
 impl Bucket {
+    /// An empty one.
+    pub fn empty(now: Time) -> Bucket {
+        Bucket { tokens: 0.0, at: Some(now) }
+    }
+
     /// Takes a token if there is one, at so many a second.
     pub fn take(&mut self, now: Time, rate: f64) -> bool {
         let gap = self.at.map_or(f64::MAX, |at| (now - at).secs());
@@ -157,6 +164,8 @@
     pub asked: f64,
     /// Its part of all that ended, served in time.
     pub in_time: f64,
+    /// Attempts that it may make beside those that may have run: the retry budget of the class.
+    pub extra: f64,
 }
 
 /// An attempt of a request.
@@ -217,7 +226,10 @@
     pub(crate) pool: f64,
     pub(crate) silent: Vec<BackendId>,
     pub(crate) rate: Rate,
-    pub(crate) extra: f64,
+    /// Requests that came, let in or not, and what is left of what a storm lets in.
+    pub(crate) arrivals: Rate,
+    pub(crate) let_in: Bucket,
+    pub(crate) pressure: Pressure,
     /// The shares are solved this often, and when.
     pub(crate) period: Micros,
     pub(crate) solved: Time,
@@ -250,7 +262,9 @@
             pool: 0.0,
             silent: Vec::new(),
             rate: Rate::default(),
-            extra: 0.0,
+            arrivals: Rate::default(),
+            let_in: Bucket::default(),
+            pressure: Pressure { let_in_per_s: None, copies: true, retry_ratio: RETRY_RATIO },
             // No answer is told late by less than an aim: estimates move no faster.
             period: cfg.classes.iter().map(|c| c.aim).min().unwrap_or_default(),
             solved: Time(0),
--- a/crates/beechworks/tests/common/mod.rs
+++ b/crates/beechworks/tests/common/mod.rs
@@ -170,6 +170,7 @@
             time_left: Micros(left),
             work_hint: None,
             repeat: self.repeat,
+            out_of_turn: false,
         }));
         id
     }
--- a/crates/beechworks/tests/failures.rs
+++ b/crates/beechworks/tests/failures.rs
@@ -528,3 +528,48 @@
         "{cold} of 300 went to the cold one, while its part of the capacity is under a hundredth"
     );
 }
+
+fn storm(let_in_per_s: Option<f64>) -> Event {
+    Event::Pressure(Pressure { let_in_per_s, copies: let_in_per_s.is_none(), retry_ratio: 0.02 })
+}
+
+#[test]
+fn in_a_storm_no_more_is_let_in_than_its_budget() {
+    let mut host = host(config(vec![class(Effect::Free)]), fleet(10));
+    host.event(storm(Some(20.0)));
+    let mut sent = 0;
+    for _ in 0..500 {
+        let id = host.arrive(0, 900_000);
+        host.advance(10_000);
+        if !host.sent_to(id).is_empty() {
+            sent += 1;
+            host.end(id, 0, Outcome::Ok);
+        }
+    }
+    // Five seconds at 20 a second.
+    assert!((60..=101).contains(&sent), "{sent}");
+    host.event(storm(None));
+    let id = host.arrive(0, 900_000);
+    host.advance(10_000);
+    assert_eq!(host.sent_to(id).len(), 1, "as many as come once it is over");
+}
+
+#[test]
+fn in_a_storm_no_second_copy_goes_out() {
+    let copies = |pressed: bool| {
+        let mut host = host(Config { proxies: 1, ..config(vec![class(Effect::Free)]) }, fleet(4));
+        serve(&mut host, 60, 0, |_| 10_000);
+        if pressed {
+            host.event(storm(Some(1000.0)));
+            host.advance(100_000);
+        }
+        let id = host.arrive(0, 900_000);
+        host.advance(5_000);
+        let first = host.sent_to(id);
+        assert_eq!(first.len(), 1);
+        // Its backend falls silent: others would be asked beside it.
+        host.advance(300_000);
+        host.sent_to(id).len() - 1
+    };
+    assert_eq!((copies(false), copies(true)), (1, 0));
+}
--- a/crates/gaugesaddle-testbed/src/clients.rs
+++ b/crates/gaugesaddle-testbed/src/clients.rs
@@ -92,7 +92,8 @@
                 return;
             }
             let advised = ended.advice_ms.filter(|_| ask.honours).map(|ms| ms.min(LONGEST_ADVICE_MS) * 1000);
-            let wait = advised.unwrap_or(ask.backoff_us << number.min(8));
+            let doubled = if ask.crowd.is_some() { 0 } else { number.min(8) };
+            let wait = advised.unwrap_or(ask.backoff_us << doubled);
             number += 1;
             tokio::time::sleep(Duration::from_micros(wait)).await;
         }
@@ -115,7 +116,7 @@
         for proxy in self.order(ask, number) {
             // A kept connection that was closed meanwhile is no try: it goes on with a new one.
             for _ in 0..2 {
-                let Some((reader, fresh)) = self.connection(proxy).await else { break };
+                let Some((reader, fresh)) = self.connection(proxy, ask.crowd).await else { break };
                 match self.exchange(proxy, reader, fresh, ask, id, number).await {
                     Some(ended) => return ended,
                     None => continue,
@@ -127,7 +128,12 @@
     }
 
     /// A kept connection that is still open, or a new one.
-    async fn connection(&self, proxy: usize) -> Option<(Reader<TcpStream>, bool)> {
+    async fn connection(&self, proxy: usize, crowd: Option<u32>) -> Option<(Reader<TcpStream>, bool)> {
+        if let Some(number) = crowd {
+            let address = self.doors.borrow().get(proxy)?.address;
+            let stream = tokio::time::timeout(CONNECT, connect_from(number, address)).await;
+            return Some((Reader::new(stream.ok()?.ok()?), true));
+        }
         let address = {
             let mut doors = self.doors.borrow_mut();
             let door = &mut doors[proxy];
@@ -161,7 +167,10 @@
         }
     }
 
-    fn close(&self, proxy: usize) {
+    fn close(&self, proxy: usize, ask: &Ask) {
+        if ask.crowd.is_some() {
+            return; // a crowd's connections are its own
+        }
         self.doors.borrow_mut()[proxy].open -= 1;
     }
 
@@ -180,7 +189,7 @@
         }
         if !written {
             // The proxy never had its last byte.
-            self.close(proxy);
+            self.close(proxy, ask);
             if !fresh {
                 return None;
             }
@@ -201,7 +210,7 @@
         let answer = match answer {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => {
-                self.close(proxy);
+                self.close(proxy, ask);
                 let bytes = reader.unread() - before.min(reader.unread());
                 self.journal.put(Event::Broken { id, bytes });
                 // Between two requests a proxy may close. Whether this one was read before it closed, or died with
@@ -210,7 +219,7 @@
                 return if again { None } else { Some(reached(0, None)) };
             }
             Err(_) => {
-                self.close(proxy);
+                self.close(proxy, ask);
                 self.journal.put(if leaves.is_some() {
                     Event::Left { id }
                 } else {
@@ -228,9 +237,9 @@
         self.journal.put(Event::Answered { id, status, attempt, retry_after_ms });
         if reader.unread() > 0 {
             self.journal.put(Event::Surplus { id });
-            self.close(proxy);
-        } else if answer.wants_close() {
-            self.close(proxy);
+            self.close(proxy, ask);
+        } else if answer.wants_close() || ask.crowd.is_some() {
+            self.close(proxy, ask);
         } else if ask.once && number == 0 {
             // Kept for good; it counts among those that clients may open.
             self.kept.borrow_mut().push((proxy, reader));
@@ -273,6 +282,18 @@
     }
 }
 
+/// A connection from an address that only this client of a crowd has.
+async fn connect_from(number: u32, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let (high, low) = ((number / 250) as u8, 1 + (number % 250) as u8);
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    // The system picks the port with the connect, by both ends: 28,000 to each proxy from each address.
+    socket2::SockRef::from(&socket).set_reuse_address(true)?;
+    socket.bind(SocketAddr::from(([127, 255, high, low], 0)))?;
+    let stream = socket.connect(to).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
 /// The attempt that a body says it comes from, if it says that it is for this request.
 fn attempt_of(answer: &Message, id: u64) -> Option<u64> {
     let body = std::str::from_utf8(&answer.body).ok()?;
--- a/crates/gaugesaddle-testbed/src/main.rs
+++ b/crates/gaugesaddle-testbed/src/main.rs
@@ -41,6 +41,12 @@
         /// Keep the records here, one JSON line each.
         #[arg(long, value_name = "FILE")]
         records: Option<PathBuf>,
+        /// Print the last lines of the proxies' logs, too.
+        #[arg(long)]
+        logs: bool,
+        /// The operator's file that the proxies are started with.
+        #[arg(long, value_name = "FILE", conflicts_with = "fault")]
+        config: Option<PathBuf>,
         /// A relay that breaks a rule in the proxies' place, to see the auditor find it: drops, closes-after-sending,
         /// answers-twice, answers-late, mixes-up, sends-after-answer, repeats, refuses-after-run, ignores-drains,
         /// floods-newest, none.
@@ -88,7 +94,16 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Demo { seed, seconds, plain } => demo::demo(seed, seconds, plain),
-        Command::Run { file, seed, records, fault } => play(&file, seed, records.as_deref(), fault),
+        Command::Run { file, seed, records, logs, config, fault } => {
+            let cast = match fault {
+                Some(fault) => Ok(Cast::Faulty(fault)),
+                None => program::built("gaugesaddle").map(|path| {
+                    let config = config.iter().flat_map(|c| ["--config".into(), c.display().to_string()]);
+                    Cast::Program(Program { path, arguments: config.collect() })
+                }),
+            };
+            cast.and_then(|cast| play(&file, seed, records.as_deref(), logs, &cast))
+        }
         Command::Audit { scenario, records } => judge(&scenario, &records),
         Command::Example => example(),
     };
@@ -113,18 +128,17 @@
     Ok(true)
 }
 
-fn play(file: &Path, seed: Option<u64>, records: Option<&Path>, fault: Option<Fault>) -> io::Result<bool> {
+fn play(file: &Path, seed: Option<u64>, records: Option<&Path>, logs: bool, cast: &Cast) -> io::Result<bool> {
     let mut s = scenario(file)?;
     s.seed = seed.unwrap_or(s.seed);
-    let cast = match fault {
-        Some(fault) => Cast::Faulty(fault),
-        None => Cast::Program(Program { path: program::built("gaugesaddle")?, arguments: Vec::new() }),
-    };
     println!("{}, seed {}: {} proxies, {} nodes, {} s", s.name, s.seed, s.proxies, s.nodes(), s.seconds);
-    let outcome = run(&s, &cast, &mut |_| {})?;
+    let outcome = run(&s, cast, &mut |_| {})?;
     if let Some(path) = records {
         keep(path, &outcome)?;
     }
+    for (proxy, lines) in outcome.logs.iter().enumerate().filter(|_| logs) {
+        lines.iter().for_each(|line| println!("p{proxy}: {line}"));
+    }
     print!("{}", outcome.verdict);
     Ok(outcome.verdict.is_clean())
 }
--- a/crates/gaugesaddle-testbed/src/node.rs
+++ b/crates/gaugesaddle-testbed/src/node.rs
@@ -316,6 +316,8 @@
     attempt: u64,
     id: u64,
     facts: Facts,
+    /// It takes effect when it runs: the hall had not seen its key within the window when it came.
+    counts: bool,
 }
 
 impl Connection {
@@ -371,7 +373,13 @@
         };
         let at = fleet.journal.put(Event::Whole { attempt, id, work_us: facts.work_us });
         self.node.bear(at, facts.work_us);
-        Some(Taken { attempt, id, facts })
+        let (effect, window_us) = fleet.classes[facts.class];
+        let counts = match effect {
+            Effect::Safe => false,
+            Effect::Unsafe => true,
+            Effect::Keyed => fleet.memories.borrow_mut()[self.node.hall].first(at, facts.key, window_us),
+        };
+        Some(Taken { attempt, id, facts, counts })
     }
 
     async fn write(&mut self, text: &str) -> io::Result<()> {
@@ -380,18 +388,9 @@
 
     /// The effect of a request that has run.
     fn effect(&self, taken: &Taken) {
-        let fleet = &self.node.fleet;
-        let (attempt, key) = (taken.attempt, taken.facts.key);
-        let (effect, window_us) = fleet.classes[taken.facts.class];
-        let counts = match effect {
-            Effect::Safe => false,
-            Effect::Unsafe => true,
-            Effect::Keyed => {
-                fleet.memories.borrow_mut()[self.node.hall].first(fleet.journal.now(), key, window_us)
-            }
-        };
-        if counts {
-            fleet.journal.put(Event::Effect { attempt, key });
+        if taken.counts {
+            let (attempt, key) = (taken.attempt, taken.facts.key);
+            self.node.fleet.journal.put(Event::Effect { attempt, key });
         }
     }
 
--- a/crates/gaugesaddle-testbed/src/plan.rs
+++ b/crates/gaugesaddle-testbed/src/plan.rs
@@ -33,6 +33,8 @@
     pub slow_reading: bool,
     /// It keeps its connection and never asks on it again.
     pub once: bool,
+    /// One of a crowd, by its number: an address and connections of its own, and even waits.
+    pub crowd: Option<u32>,
 }
 
 /// One thing done to the fleet.
@@ -82,47 +84,82 @@
 fn asks(s: &Scenario) -> Vec<Ask> {
     let mut times = Dice::new(s.seed, "arrivals");
     let mut what = Dice::new(s.seed, "requests");
-    let shares: f64 = s.classes.iter().map(|c| c.share).sum();
     let (mut at, mut asks) = (0.0, Vec::new());
     loop {
         // Thinning: drawn at the highest rate, kept by the present one.
         let most = rates(s).fold(1.0, f64::max);
         at += times.exponential(1.0 / (s.clients.per_s * most));
         if at >= s.seconds {
+            asks.extend(crowds(s));
+            asks.sort_by_key(|a| a.at_us);
             return asks;
         }
         if !times.chance(rate(s, at) / most) {
             continue;
         }
-        let mut point = what.unit() * shares;
-        let class = s.classes.iter().position(|c| {
-            point -= c.share;
-            point < 0.0
-        });
-        let class = class.unwrap_or(s.classes.len() - 1);
-        let c = &s.classes[class];
-        let patience = c.deadline_ms * what.within(s.clients.patience);
-        let leaves = what.chance(s.clients.leaving).then(|| (patience * what.unit() * 1e3) as u64);
-        asks.push(Ask {
-            at_us: (at * 1e6) as u64,
-            id: what.whole() | 1,
-            class,
-            key: what.whole(),
-            work_us: (what.lognormal(c.work_ms, c.work_cv) * 1e3) as u64,
-            wait_us: (what.exponential(c.wait_ms) * 1e3) as u64,
-            hall: what.below(s.halls),
-            patience_us: patience as u64 * 1000,
-            retries: what.below(s.clients.retries as usize + 1) as u32,
-            backoff_us: (what.within(s.clients.backoff_ms) * 1e3) as u64,
-            honours: what.chance(s.clients.honour),
-            leaves_us: leaves,
-            slow_writing: what.chance(s.clients.slow_writing),
-            slow_reading: what.chance(s.clients.slow_reading),
-            once: what.chance(s.clients.asking_once),
-        });
+        let retries = what.below(s.clients.retries as usize + 1) as u32;
+        let usual =
+            Tries { retries, backoff_ms: s.clients.backoff_ms, honour: s.clients.honour, crowd: None };
+        asks.push(ask(s, &mut what, at, &usual));
     }
 }
 
+/// How a client tries.
+struct Tries {
+    retries: u32,
+    backoff_ms: [f64; 2],
+    honour: f64,
+    crowd: Option<u32>,
+}
+
+fn ask(s: &Scenario, what: &mut Dice, at: f64, tries: &Tries) -> Ask {
+    let mut point = what.unit() * s.classes.iter().map(|c| c.share).sum::<f64>();
+    let class = s.classes.iter().position(|c| {
+        point -= c.share;
+        point < 0.0
+    });
+    let class = class.unwrap_or(s.classes.len() - 1);
+    let c = &s.classes[class];
+    let patience = c.deadline_ms * what.within(s.clients.patience);
+    let usual = tries.crowd.is_none();
+    let leaves = what.chance(s.clients.leaving).then(|| (patience * what.unit() * 1e3) as u64);
+    Ask {
+        at_us: (at * 1e6) as u64,
+        id: what.whole() | 1,
+        class,
+        key: what.whole(),
+        work_us: (what.lognormal(c.work_ms, c.work_cv) * 1e3) as u64,
+        wait_us: (what.exponential(c.wait_ms) * 1e3) as u64,
+        hall: what.below(s.halls),
+        patience_us: patience as u64 * 1000,
+        retries: tries.retries,
+        backoff_us: (what.within(tries.backoff_ms) * 1e3) as u64,
+        honours: what.chance(tries.honour),
+        leaves_us: leaves.filter(|_| usual),
+        slow_writing: what.chance(s.clients.slow_writing) && usual,
+        slow_reading: what.chance(s.clients.slow_reading) && usual,
+        once: what.chance(s.clients.asking_once) && usual,
+        crowd: tries.crowd,
+    }
+}
+
+/// The clients of all crowds, drawn apart from the usual ones.
+fn crowds(s: &Scenario) -> Vec<Ask> {
+    let mut what = Dice::new(s.seed, "crowds");
+    let (mut asks, mut number) = (Vec::new(), 0);
+    for event in &s.events {
+        let What::Crowd { clients, over_s, tries, wait_ms, honour } = event.what else { continue };
+        for _ in 0..clients {
+            let how =
+                Tries { retries: tries.saturating_sub(1), backoff_ms: wait_ms, honour, crowd: Some(number) };
+            let at = event.at_s + over_s * what.unit();
+            asks.push(ask(s, &mut what, at, &how));
+            number += 1;
+        }
+    }
+    asks
+}
+
 fn rates(s: &Scenario) -> impl Iterator<Item = f64> + '_ {
     s.events.iter().map(|e| if let What::Burst { factor, .. } = e.what { factor } else { 1.0 })
 }
@@ -217,7 +254,7 @@
                 add(at + for_s, Step::ProxyStop(proxy, false));
             }
             What::RestartProxy { proxy } => add(at, Step::ProxyRestart(proxy)),
-            What::Burst { .. } => {}
+            What::Burst { .. } | What::Crowd { .. } => {}
         }
     }
     steps.sort_by_key(|s| s.0);
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -319,6 +319,20 @@
         /// Which.
         proxy: usize,
     },
+    /// Clients that all reconnect at once, each from an address and on connections of its own, and ask until they are
+    /// served or have tried so often.
+    Crowd {
+        /// How many.
+        clients: usize,
+        /// Within this time.
+        over_s: f64,
+        /// Tries of each.
+        tries: u32,
+        /// The wait between two without advice, or for those that don't follow it.
+        wait_ms: [f64; 2],
+        /// The part that follows `Retry-After`.
+        honour: f64,
+    },
     /// More requests come.
     Burst {
         /// So many times as many.
@@ -516,6 +530,9 @@
                 proxy < self.proxies
             }
             What::Burst { factor, .. } => above(factor),
+            What::Crowd { clients, tries, wait_ms, honour, .. } => {
+                clients <= 20_000 && tries <= 1000 && range(wait_ms) && part(honour)
+            }
             What::DiscoveryDown { .. } | What::DiscoveryMove {} => true,
         };
         let tests = [
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -119,7 +119,15 @@
         let (update, index) = (beechworks::ListUpdate::Cached, Some(known.index));
         let _ = sender.send(Input::List { update, index, targets: known.targets });
     }
+    let storm = operator.storm.enabled.then(|| {
+        let told = config.max_retry_after.map(|max| (max.0 / 1_000_000).max(1));
+        let longest_s = operator.storm.longest_retry_after_s.min(told.unwrap_or(u64::MAX));
+        let settings = gaugesaddle_storm::Settings { longest_s, sources: operator.storm.sources };
+        gaugesaddle_storm::Storm::new(settings, config.seed)
+    });
+    let storm = storm.transpose().map_err(Error::Storm)?;
     let driver = Driver::new(Parts {
+        storm,
         clock,
         config: config.module,
         seed: config.seed,
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -28,6 +28,8 @@
     pub conn_idle: Micros,
     /// A connection that is not up after this time counts as failed.
     pub dial_timeout: Micros,
+    /// The longest `Retry-After` that clients follow, where the settings tell it.
+    pub max_retry_after: Option<Micros>,
     /// The longest time that a client waits.
     pub longest: Micros,
     /// The document as it was read.
@@ -106,6 +108,7 @@
         open_cap: limits.get("open_cap").count()? as usize,
         conn_idle: limits.get("conn_idle_us").micros()?,
         dial_timeout: limits.get("dial_timeout_us").micros()?,
+        max_retry_after: limits.get("max_retry_after_us").value().and_then(Value::as_u64).map(Micros),
         longest,
         document,
     })
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -2,9 +2,10 @@
 //! and carries out actions; which backend, whether again, whether at all is the module's to say.
 
 use crate::clock::Clock;
-use crate::exchange::{Answer, Arrived, Call, Ended, Input, Target, Upstream, Upstreams};
-use crate::registry::{BackendRow, End, Registry};
+use crate::exchange::{Answer, Arrived, Call, Ended, Input, Refusal, Target, Upstream, Upstreams};
+use crate::registry::{BackendRow, End, Registry, StormState};
 use beechworks::*;
+use gaugesaddle_storm::{State, Storm};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -36,6 +37,8 @@
     /// Until when it is served as wanted.
     aim: Time,
     deadline: Time,
+    /// Whose it is, and whether that comes out of turn.
+    source: (u64, bool),
     call: Rc<Call>,
     /// `None`: it has had its final answer, or its client is gone.
     reply: Option<oneshot::Sender<Answer>>,
@@ -63,6 +66,8 @@
     /// Told when the module wants to follow discovery.
     pub follow: Rc<Notify>,
     pub registry: Rc<Registry>,
+    /// Watches for storms, where the operator wants that.
+    pub storm: Option<Storm>,
 }
 
 pub struct Driver {
@@ -86,6 +91,9 @@
     inputs: mpsc::UnboundedSender<Input>,
     follow: Rc<Notify>,
     registry: Rc<Registry>,
+    storm: Option<Storm>,
+    /// Connections that the storm's watch knows of.
+    connects: u64,
 }
 
 /// Tells the end of an attempt however its task ends, a panic included: it may have run then.
@@ -118,7 +126,7 @@
 
 impl Driver {
     pub fn new(parts: Parts) -> Result<Driver, ConfigError> {
-        let Parts { clock, config, seed, open_cap, upstreams, inputs, follow, registry } = parts;
+        let Parts { clock, config, seed, open_cap, upstreams, inputs, follow, registry, storm } = parts;
         Ok(Driver {
             clock,
             balancer: Balancer::new(config.clone(), seed)?,
@@ -138,6 +146,8 @@
             inputs,
             follow,
             registry,
+            storm,
+            connects: 0,
         })
     }
 
@@ -165,6 +175,7 @@
                 self.take(input);
             }
             let now = self.clock.now();
+            self.watch_storm(now);
             self.expire(now);
             if now >= self.turn {
                 self.act(now);
@@ -181,6 +192,46 @@
         }
     }
 
+    /// Looks for a storm and tells the module. Without requests there is none to see: no wake-up is spent on it.
+    fn watch_storm(&mut self, now: Time) {
+        let Some(storm) = &mut self.storm else { return };
+        let connects = self.registry.connects.get();
+        (self.connects..connects).for_each(|_| storm.connected());
+        self.connects = connects;
+        let Some(look) = storm.look(now) else { return };
+        let (state, figures) = (storm.state(), storm.figures());
+        if let Some(left) = look.left {
+            tracing::info!("{} after {}: {figures}", state.name(), left.name());
+            self.registry.storm.set(state);
+        }
+        if let Some(pressure) = look.pressure {
+            self.events.push(Event::Pressure(pressure));
+        }
+        let mut seen = self.registry.storm_seen.borrow_mut();
+        let old = seen.take();
+        let began = look.left == Some(State::Rising) && state == State::Storm;
+        *seen = Some(StormState {
+            state: state.name().into(),
+            since_us: old.as_ref().filter(|_| look.left.is_none()).map_or(now.0, |o| o.since_us),
+            storms: old.map_or(0, |o| o.storms) + u64::from(began),
+            per_s: figures.per_s,
+            usual_per_s: figures.usual_per_s,
+            repeats: figures.repeats,
+            let_in_per_s: storm.let_in_per_s(),
+        });
+    }
+
+    /// What a refused client is told.
+    fn refusal(&mut self, now: Time, source: u64, out_of_turn: bool, crowded: bool) -> Answer {
+        let usual = self.balancer.retry_after().0.div_ceil(1_000_000); // not every client reads decimals
+        let after_s = self.storm.as_mut().map_or(usual, |storm| storm.refused(now, source, usual));
+        Answer::Refused(Refusal { after_s, crowded, by_client: out_of_turn && self.damps() })
+    }
+
+    fn damps(&self) -> bool {
+        self.storm.as_ref().is_some_and(|s| s.state().damps())
+    }
+
     /// When time alone next brings something about.
     fn wake(&self) -> Time {
         let timer = self.timers.peek().map_or(Time(u64::MAX), |t| t.0 .0);
@@ -209,19 +260,26 @@
 
     fn arrived(&mut self, new: Arrived) {
         self.registry.taken(new.class);
+        let now = self.clock.now();
+        let (repeat, out_of_turn) = match &mut self.storm {
+            Some(storm) => storm.arrived(now, new.repeat, new.key, new.source),
+            None => (new.repeat, false),
+        };
         if self.requests.len() >= self.open_cap {
             self.registry.ended(new.class, End::RefusedOpenCap);
-            let _ = new.reply.send(Answer::Crowded(self.balancer.retry_after()));
+            let refusal = self.refusal(now, new.source, out_of_turn, true);
+            let _ = new.reply.send(refusal);
             return;
         }
-        let time_left = new.deadline - self.clock.now();
+        let time_left = new.deadline - now;
         self.events.push(Event::Request(Arrival {
             request: new.id,
             class: new.class,
             tenant: new.tenant,
             time_left,
             work_hint: new.work_hint,
-            repeat: new.repeat,
+            repeat,
+            out_of_turn,
         }));
         self.deadlines.insert((new.deadline, new.id));
         let (attempts, reply) = (HashMap::new(), Some(new.reply));
@@ -229,7 +287,8 @@
             Micros(c.aim.0 + new.work_hint.unwrap_or_default().times(c.aim_stretch).0)
         });
         let (class, aim, deadline) = (new.class, new.came + stretch, new.deadline);
-        let open = Open { class, aim, deadline, call: new.call, reply, attempts, count: 0 };
+        let source = (new.source, out_of_turn);
+        let open = Open { class, aim, deadline, source, call: new.call, reply, attempts, count: 0 };
         self.requests.insert(new.id, open);
     }
 
@@ -242,6 +301,9 @@
         if let Some(answer) = ended.answer {
             if let Some(reply) = r.reply.take() {
                 self.registry.ended(r.class, if now <= r.aim { End::InAim } else { End::Late });
+                if let Some(storm) = &mut self.storm {
+                    storm.served(now <= r.aim);
+                }
                 let _ = reply.send(Answer::Served(answer));
             }
         }
@@ -274,6 +336,9 @@
         if let Some(r) = self.requests.get_mut(&request) {
             if let Some(reply) = r.reply.take() {
                 self.registry.ended(r.class, end);
+                if let (Some(storm), Answer::Failed) = (&mut self.storm, &answer) {
+                    storm.failed();
+                }
                 let _ = reply.send(answer);
             }
         }
@@ -418,8 +483,11 @@
         match action {
             Action::Dispatch { request, backend } => self.dispatch(now, request, backend),
             Action::Refuse { request } => {
-                let after = self.balancer.retry_after();
-                self.answer(request, Answer::Refused(after), End::RefusedByModule);
+                let source = self.requests.get(&request).filter(|r| r.reply.is_some()).map(|r| r.source);
+                if let Some((source, out_of_turn)) = source {
+                    let refusal = self.refusal(now, source, out_of_turn, false);
+                    self.answer(request, refusal, End::RefusedByModule);
+                }
             }
             Action::Fail { request } => self.answer(request, Answer::Failed, End::FailedByModule),
             Action::Cancel { request, attempt } => {
@@ -462,6 +530,9 @@
             report.tell(upstream.attempt(call, deadline).await);
         });
         self.registry.upstream_sockets.set(self.upstreams.sockets());
+        if let Some(storm) = &mut self.storm {
+            storm.sent(attempt.0 == 0);
+        }
         let row = self.registry.backend(backend);
         if let Some(row) = &row {
             row.sent();
@@ -494,6 +565,7 @@
             inputs,
             follow: Rc::default(),
             registry: Rc::new(Registry::new("n1", &["read".into()], &bounds, clock.now())),
+            storm: None,
         };
         let mut driver = Driver::new(parts).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
@@ -501,7 +573,9 @@
         let deadline = clock.now() + Micros(1_000_000);
         let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
         let came = clock.now();
-        let arrived = Arrived { id, class, tenant, came, deadline, work_hint, repeat, call, reply };
+        let (key, source) = (None, 0);
+        let arrived =
+            Arrived { id, class, tenant, came, deadline, work_hint, repeat, key, source, call, reply };
         driver.take(Input::Arrived(arrived));
         let sent = clock.now();
         let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -36,6 +36,9 @@
     /// A setting that the module does not accept.
     #[error("settings: {0}")]
     Module(#[from] beechworks::ConfigError),
+    /// A setting of the storm's watch; the operator's file is checked against the same ranges.
+    #[error("storm.{}: expected {}", .0.field, .0.expected)]
+    Storm(gaugesaddle_storm::Unsound),
     /// The operator's file.
     #[error(transparent)]
     Operator(#[from] crate::operator::OperatorError),
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -46,13 +46,21 @@
     }
 }
 
+/// A request that is turned away: a repeat is harmless.
+#[derive(Clone, Copy)]
+pub struct Refusal {
+    /// The client may come back after so many seconds.
+    pub after_s: u64,
+    /// So many requests are open that it reached neither the module nor a backend.
+    pub crowded: bool,
+    /// The client itself is the cause: it came before it was told to.
+    pub by_client: bool,
+}
+
 /// A final answer.
 pub enum Answer {
     Served(Response<Bytes>),
-    /// The client may come back after so long.
-    Refused(Micros),
-    /// The same, because so many requests are open that it reaches neither the module nor a backend.
-    Crowded(Micros),
+    Refused(Refusal),
     Failed,
 }
 
@@ -67,6 +75,10 @@
     pub deadline: Time,
     pub work_hint: Option<Micros>,
     pub repeat: bool,
+    /// The hash of its idempotency key, where it has one.
+    pub key: Option<u64>,
+    /// The hash of its account, or of its client's address where there are no accounts.
+    pub source: u64,
     pub call: Rc<Call>,
     pub reply: oneshot::Sender<Answer>,
 }
--- a/crates/gaugesaddle/src/form.rs
+++ b/crates/gaugesaddle/src/form.rs
@@ -2,7 +2,7 @@
 
 use crate::exchange::{BODY_BYTES, TIME_LEFT};
 use crate::tally::Reason;
-use beechworks::settings::Names;
+use beechworks::settings::{number as number_of, Names};
 use beechworks::{Class, ClassId, Effect, Micros, TenantId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -34,6 +34,10 @@
     pub time_left: Micros,
     pub work_hint: Option<Micros>,
     pub repeat: bool,
+    /// The hash of its idempotency key.
+    pub key: Option<u64>,
+    /// The hash of its account.
+    pub source: Option<u64>,
 }
 
 /// What a sound request may be.
@@ -93,6 +97,8 @@
             time_left: Micros(left.saturating_mul(1000)).min(self.longest),
             work_hint: number(headers, &HINT)?.map(Micros),
             repeat: text(headers, &REPEAT)? == Some("1"),
+            key: key.map(number_of),
+            source: text(headers, &TENANT)?.map(number_of),
         })
     }
 }
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -21,6 +21,29 @@
     pub log: Log,
     /// Where the state of the running proxy can be read.
     pub state: State,
+    /// Storms of retries and reconnects.
+    pub storm: Storm,
+}
+
+/// `[storm]`. Wants a restart.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Storm {
+    /// Whether storms are watched and damped.
+    pub enabled: bool,
+    /// No client is told to stay away for longer, in whole seconds.
+    #[serde(deserialize_with = "longest")]
+    pub longest_retry_after_s: u64,
+    /// Sources (accounts or addresses) that are known at once.
+    #[serde(deserialize_with = "sources")]
+    pub sources: usize,
+}
+
+impl Default for Storm {
+    fn default() -> Storm {
+        // Half a minute spreads some thousand clients of one proxy; 4096 sources take about half a megabyte.
+        Storm { enabled: false, longest_retry_after_s: 30, sources: 4096 }
+    }
 }
 
 /// `[log]`. Wants a restart.
@@ -95,12 +118,22 @@
     Ok(Some(path))
 }
 
-fn connections<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+fn whole<'de, D: Deserializer<'de>>(from: D, most: u64) -> Result<u64, D::Error> {
     let count = i64::deserialize(from)?;
-    match usize::try_from(count) {
-        Ok(n @ 1..=64) => Ok(n),
-        _ => Err(D::Error::custom(format!("expected a whole number from 1 to 64, got {count}"))),
-    }
+    let got = u64::try_from(count).ok().filter(|n| (1..=most).contains(n));
+    got.ok_or_else(|| D::Error::custom(format!("expected a whole number from 1 to {most}, got {count}")))
+}
+
+fn connections<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    whole(from, 64).map(|n| n as usize)
+}
+
+fn longest<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    whole(from, 600)
+}
+
+fn sources<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    whole(from, 1_000_000).map(|n| n as usize)
 }
 
 /// Why the operator's file can't be used.
@@ -198,6 +231,9 @@
     if running.log.level != newer.log.level {
         keys.push("log.level");
     }
+    if running.storm != newer.storm {
+        keys.push("storm");
+    }
     keys
 }
 
@@ -242,7 +278,7 @@
         let all: Vec<String> = text.lines().map(on).collect();
         let all = parse(&all.join("\n")).expect("every key is known");
         assert!(all.state.socket.is_some());
-        for key in ["level", "socket", "connections"] {
+        for key in ["level", "socket", "connections", "enabled", "longest_retry_after_s", "sources"] {
             assert!(
                 text.lines().any(|l| l.trim_start_matches('#').starts_with(&format!("{key} ="))),
                 "{key}"
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -130,6 +130,11 @@
     /// Some backend can be sent requests.
     pub(crate) serving: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
+    /// Connections accepted so far.
+    pub(crate) connects: Cell<u64>,
+    /// What the proxy stands in, and since when; calm where storms are not watched.
+    pub(crate) storm: Cell<gaugesaddle_storm::State>,
+    pub(crate) storm_seen: RefCell<Option<StormState>>,
     pub(crate) connections: Cell<usize>,
     pub(crate) connections_most: usize,
     pub(crate) upstream_sockets: Cell<usize>,
@@ -157,6 +162,9 @@
             open: Cell::default(),
             serving: Cell::default(),
             stopping: Cell::default(),
+            connects: Cell::default(),
+            storm: Cell::new(gaugesaddle_storm::State::Calm),
+            storm_seen: RefCell::default(),
             connections: Cell::default(),
             connections_most: bounds.connections,
             upstream_sockets: Cell::default(),
@@ -250,6 +258,8 @@
             body_bytes: Gauge { now: self.body_bytes.get(), most: self.body_bytes_most },
             list: ListState { index, age_us: told.map(|t| (now - t).0) },
             reasons: self.tally.all(),
+            connects: self.connects.get(),
+            storm: self.storm_seen.borrow().clone(),
         }
     }
 }
@@ -328,6 +338,31 @@
     pub list: ListState,
     /// Connections closed and requests not served, by reason.
     pub reasons: Vec<(String, u64)>,
+    /// Connections accepted.
+    #[serde(default)]
+    pub connects: u64,
+    /// Storms, where they are watched.
+    #[serde(default)]
+    pub storm: Option<StormState>,
+}
+
+/// What is seen of storms, a few times a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StormState {
+    /// `calm`, `rising`, `storm` or `recovering`.
+    pub state: String,
+    /// Since when.
+    pub since_us: u64,
+    /// Storms so far.
+    pub storms: u64,
+    /// Requests a second.
+    pub per_s: f64,
+    /// What is usual, once that is known.
+    pub usual_per_s: Option<f64>,
+    /// The part of the requests that were asked before.
+    pub repeats: f64,
+    /// Requests a second that are let in, where a storm bounds them.
+    pub let_in_per_s: Option<f64>,
 }
 
 /// A value with its bound.
--- a/crates/gaugesaddle/src/server.rs
+++ b/crates/gaugesaddle/src/server.rs
@@ -1,7 +1,7 @@
 //! The client side: connections, and a request from its first byte to its answer.
 
 use crate::clock::{duration, Clock};
-use crate::exchange::{strip, Answer, Arrived, Call, Input, BODY_BYTES};
+use crate::exchange::{strip, Answer, Arrived, Call, Input, Refusal, BODY_BYTES};
 use crate::form::{self, Rules, Wrong};
 use crate::registry::Registry;
 use crate::tally::Reason;
@@ -17,6 +17,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -104,6 +105,8 @@
 /// A client connection.
 pub struct Link {
     opened: Time,
+    /// The hash of its client's address.
+    source: u64,
     phase: Cell<Phase>,
     /// Requests that it has brought and had answered.
     asked: Cell<u32>,
@@ -113,9 +116,16 @@
 }
 
 impl Link {
-    fn new(now: Time) -> Link {
+    fn new(now: Time, source: u64) -> Link {
         let phase = Cell::new(Phase::Waiting(now));
-        Link { opened: now, phase, asked: Cell::default(), told: Cell::default(), close: Notify::new() }
+        Link {
+            opened: now,
+            source,
+            phase,
+            asked: Cell::default(),
+            told: Cell::default(),
+            close: Notify::new(),
+        }
     }
 
     /// Tells it to close unless it was told a moment ago.
@@ -311,7 +321,9 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
+        self.registry.connects.set(self.registry.connects.get() + 1);
+        let source = stream.peer_addr().map_or(0, |a| hash_of(&a.ip()));
+        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now(), source)));
         self.links.borrow_mut().insert(number, link.clone());
         self.registry.connections.set(self.links.borrow().len());
         tokio::task::spawn_local(async move {
@@ -433,6 +445,8 @@
             deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
             work_hint: form.work_hint,
             repeat: form.repeat,
+            key: form.key,
+            source: form.source.unwrap_or(link.source),
             call: Rc::new(Call { head: sent, body }),
             reply,
         });
@@ -441,8 +455,7 @@
         ticket.answered = true;
         Ok(match answer {
             Ok(Answer::Served(answer)) => answer.map(Full::new),
-            Ok(Answer::Refused(after)) => self.refusal(after, Reason::RefusedModule),
-            Ok(Answer::Crowded(after)) => self.refusal(after, Reason::RefusedOpenCap),
+            Ok(Answer::Refused(refusal)) => self.refusal(refusal, link),
             Ok(Answer::Failed) | Err(_) => {
                 self.registry.tally.count(Reason::Failed);
                 plain(StatusCode::BAD_GATEWAY, "failed")
@@ -450,11 +463,20 @@
         })
     }
 
-    fn refusal(&self, after: Micros, why: Reason) -> Response<Full<Bytes>> {
-        self.registry.tally.count(why);
-        let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-        let whole = after.0.div_ceil(1_000_000); // whole seconds: not every client reads decimals
-        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(whole));
+    fn refusal(&self, refusal: Refusal, link: &Link) -> Response<Full<Bytes>> {
+        self.registry.tally.count(if refusal.crowded {
+            Reason::RefusedOpenCap
+        } else {
+            Reason::RefusedModule
+        });
+        let status =
+            if refusal.by_client { StatusCode::TOO_MANY_REQUESTS } else { StatusCode::SERVICE_UNAVAILABLE };
+        let mut answer = plain(status, "refused");
+        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(refusal.after_s));
+        // In a storm places are worth more than a connect: half of them stay for those that are served.
+        if self.registry.storm.get().damps() && self.links.borrow().len() > self.most / 2 {
+            link.tell_to_close(self.clock.now(), Reason::ClosedStorm);
+        }
         answer
     }
 
@@ -469,6 +491,13 @@
     }
 }
 
+/// A number for a source or a key: the same within this process only.
+fn hash_of(what: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    what.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -169,6 +169,19 @@
         state.body_bytes.now,
         state.body_bytes.most,
     );
+    if let Some(storm) = &state.storm {
+        let rate = |per_s: Option<f64>| per_s.map_or("-".into(), |r| format!("{r:.0}/s"));
+        let since = seconds(state.time_us.saturating_sub(storm.since_us));
+        text += &format!(
+            "{} for {since}, {} storms so far; {:.0}/s asked, usual {}, {:.0}% again, let in {}\n\n",
+            storm.state,
+            storm.storms,
+            storm.per_s,
+            rate(storm.usual_per_s),
+            storm.repeats * 100.0,
+            rate(storm.let_in_per_s)
+        );
+    }
     let head =
         ["class", "taken", "in aim", "late", "refused", "crowded", "failed", "unanswered", "restart", "left"];
     let rows = state.classes.iter().map(|c| {
--- a/crates/gaugesaddle/src/tally.rs
+++ b/crates/gaugesaddle/src/tally.rs
@@ -35,6 +35,8 @@
     ClosedForRoomUnasked = "closed: for room, no request yet";
     /// All places were taken: its request was not there whole.
     ClosedForRoomReading = "closed: for room, half a request";
+    /// A storm: its request was refused and places are short.
+    ClosedStorm = "closed: refused in a storm";
     /// A request on it could not be used.
     ClosedWrong = "closed: after a wrong request";
     /// The proxy is ending.
