--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -48,7 +48,7 @@
 const FALL_SPREADS: f64 = 3.0;
 /// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
 pub(crate) const RETRY_RATIO: f64 = 0.2;
-/// In a storm what finds no room is held so long, s, then refused: it comes again, and a line of them grows.
+/// In a storm a repeat that finds no room is held so long, s, then refused: it comes again, and a line grows.
 const STORM_HOLD: f64 = 0.03;
 /// Worth of a request whose source comes before it was told to, beside one in its turn.
 const OUT_OF_TURN: f64 = 0.05;
@@ -325,8 +325,8 @@
             let lost = matches!(&r.sent[..], [only] if lost(only));
             let held = if r.out() { r.deadline } else { now + self.cfg.tick.times(HELD_TICKS) };
             self.due = self.due.min(held).min(Time(r.deadline.0.saturating_sub(self.cfg.tick.0)));
-            let storm = self.pressure.let_in_per_s.is_some() && r.sent.is_empty();
-            let too_long = storm && (now - r.came).secs() >= STORM_HOLD;
+            let repeat = !self.pressure.copies && r.value < LOW && r.sent.is_empty();
+            let too_long = repeat && (now - r.came).secs() >= STORM_HOLD;
             if now + self.cfg.tick >= r.deadline || (!r.out() && (now + usual >= last_start || too_long)) {
                 // The deadline's own tick would be too late to answer; a request that was held so long
                 // that it cannot make it is refused while that is still harmless.
--- a/crates/gaugesaddle-storm/src/storm.rs
+++ b/crates/gaugesaddle-storm/src/storm.rs
@@ -5,7 +5,7 @@
 use beechworks::{Micros, Pressure, Time};
 use std::collections::HashMap;
 
-/// Part of the rate that is let in which refused clients may fill when they return; the rest is for new ones.
+/// Part of what ends well which refused clients may fill when they return; the rest is for new ones.
 const RETURNING: f64 = 0.8;
 /// Keys of requests that are remembered, to know one that comes again unmarked.
 const KEYS: usize = 16_384;
@@ -79,7 +79,7 @@
         settings.check()?;
         Ok(Storm {
             watch: Watch::default(),
-            pace: Pace::new(0.0),
+            pace: Pace::default(),
             calendar: Calendar::new(settings.longest_s, seed),
             ledger: Ledger::new(settings.sources),
             counted: Second::default(),
@@ -103,7 +103,7 @@
 
     /// Requests a second that may be let in; no bound where nothing is damped.
     pub fn let_in_per_s(&self) -> Option<f64> {
-        self.state().damps().then(|| self.pace.per_s())
+        self.pace.per_s().filter(|_| self.state().damps())
     }
 
     /// A connection has come.
@@ -157,7 +157,8 @@
         if self.state() == State::Calm {
             return usual;
         }
-        let after = self.calendar.deal(now, self.pace.per_s() * RETURNING);
+        let bears = self.well_per_s.min(self.pace.per_s().unwrap_or(f64::MAX));
+        let after = self.calendar.deal(now, bears * RETURNING);
         self.ledger.told(source, now + Micros(after * 1_000_000));
         after
     }
@@ -179,8 +180,7 @@
         self.well_per_s += (f64::from(counted.in_aim) / secs - self.well_per_s) * secs.min(1.0);
         let left = self.watch.look(now, &counted).map(|_| was);
         if !self.state().damps() || !was.damps() {
-            // What the module has found room for by itself; from there it is cut or raised.
-            self.pace = Pace::new(self.well_per_s.max(f64::from(let_in) / secs));
+            self.pace = Pace::default();
         } else {
             // A refusal is no bad end: it is what the pace itself brings about.
             self.pace.look(secs, let_in, counted.in_aim, counted.late + counted.failed);
@@ -190,9 +190,8 @@
     }
 
     fn pressure(&self) -> Pressure {
-        match self.let_in_per_s() {
-            Some(per_s) => Pressure { let_in_per_s: Some(per_s), copies: false, retry_ratio: RETRY_RATIO.1 },
-            None => Pressure { let_in_per_s: None, copies: true, retry_ratio: RETRY_RATIO.0 },
-        }
+        let damped = self.state().damps();
+        let retry_ratio = if damped { RETRY_RATIO.1 } else { RETRY_RATIO.0 };
+        Pressure { let_in_per_s: self.let_in_per_s(), copies: !damped, retry_ratio }
     }
 }
