Let both load loops of the measurements count an answer in one place

Need: the steady and the flat-out clients each had the same match on an answer, a place where one could come to count otherwise than the other. One function now; no figure changes. The crate's tests pass.

--- a/crates/gaugesaddle-measure/src/load.rs
+++ b/crates/gaugesaddle-measure/src/load.rs
@@ -132,6 +132,7 @@
 
 /// One connection that asks again and again.
 struct Asker {
+    to: SocketAddr,
     stream: TcpStream,
     buffer: Vec<u8>,
 }
@@ -141,7 +142,20 @@
         let stream = TcpStream::connect(to)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(PATIENCE))?;
-        Ok(Asker { stream, buffer: Vec::with_capacity(4096) })
+        Ok(Asker { to, stream, buffer: Vec::with_capacity(4096) })
+    }
+
+    /// Asks and writes down what came of it, its latency counted from `since`; after an error on a new connection.
+    fn ask_into(&mut self, seen: &mut Seen, text: &str, since: Instant) -> io::Result<()> {
+        match self.ask(text) {
+            Ok(200) => seen.latencies.push(since.elapsed().as_micros() as u64),
+            Ok(_) => seen.other += 1,
+            Err(_) => {
+                seen.other += 1;
+                *self = Asker::open(self.to)?;
+            }
+        }
+        Ok(())
     }
 
     /// The status of the answer.
@@ -183,14 +197,7 @@
                     if let Some(wait) = due.checked_duration_since(Instant::now()) {
                         std::thread::sleep(wait);
                     }
-                    match asker.ask(&request(n % 2 == 0)) {
-                        Ok(200) => seen.latencies.push(due.elapsed().as_micros() as u64),
-                        Ok(_) => seen.other += 1,
-                        Err(_) => {
-                            seen.other += 1;
-                            asker = Asker::open(to)?;
-                        }
-                    }
+                    asker.ask_into(&mut seen, &request(n % 2 == 0), due)?;
                 }
                 Ok(seen)
             })
@@ -212,14 +219,7 @@
                 while Instant::now() < end {
                     let sent = Instant::now();
                     n += 1;
-                    match asker.ask(&request(n % 2 == 0)) {
-                        Ok(200) => seen.latencies.push(sent.elapsed().as_micros() as u64),
-                        Ok(_) => seen.other += 1,
-                        Err(_) => {
-                            seen.other += 1;
-                            asker = Asker::open(to)?;
-                        }
-                    }
+                    asker.ask_into(&mut seen, &request(n % 2 == 0), sent)?;
                 }
                 Ok(seen)
             })
