--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -110,6 +110,66 @@
     pub fall_multiple: f64,
     /// ... over this time falls over.
     pub fall_window: Micros,
+    /// What the operator allows of the learned limits.
+    pub limits: LimitBounds,
+}
+
+/// Bounds of what all proxies together may hold on one backend; alike, they are that constant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitBounds {
+    /// No limit is learned below this.
+    pub least: f64,
+    /// Nor above it.
+    pub most: f64,
+}
+
+impl Default for LimitBounds {
+    /// One request at least, or nothing would be learned; a thousand cores at most.
+    fn default() -> LimitBounds {
+        LimitBounds { least: 1.0, most: 1000.0 }
+    }
+}
+
+/// Why a backend's limit moved last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitReason {
+    /// Too few answers yet.
+    Start,
+    /// Its latency stays flat: a step up.
+    Flat,
+    /// It follows what is served.
+    Served,
+    /// The operator's least or most.
+    Bound,
+}
+
+impl LimitReason {
+    /// For people.
+    pub fn name(self) -> &'static str {
+        match self {
+            LimitReason::Start => "start",
+            LimitReason::Flat => "flat",
+            LimitReason::Served => "served",
+            LimitReason::Bound => "bound",
+        }
+    }
+}
+
+/// What is known of a backend's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitView {
+    /// Which backend.
+    pub backend: BackendId,
+    /// What all proxies together may hold, by this one's part of the traffic.
+    pub limit: f64,
+    /// What this proxy may hold.
+    pub room: u32,
+    /// What it holds.
+    pub held: u32,
+    /// Latency of its recent answers, and what the same would have taken unloaded, s.
+    pub latency: Option<(f64, f64)>,
+    /// Why the limit moved last.
+    pub why: LimitReason,
 }
 
 impl Config {
@@ -142,6 +202,7 @@
             ramp: Micros(10_000_000),
             fall_multiple: 3.0,
             fall_window: Micros(2_000_000),
+            limits: LimitBounds::default(),
         }
     }
 
@@ -168,6 +229,8 @@
             (self.tick.0 > 0, "tick", "a time above 0"),
             (part(self.cold_from), "cold_from", "a part from 0 to 1"),
             (above_zero(self.fall_multiple), "fall_multiple", "a finite number above 0"),
+            (above_zero(self.limits.least), "limits.least", "a finite number above 0"),
+            (self.limits.most >= self.limits.least, "limits.most", "no less than limits.least"),
         ];
         let failed = tests.into_iter().find(|t| !t.0);
         failed.map_or(Ok(()), |(_, field, expected)| Err(ConfigError { field, expected }))
--- a/crates/beechworks/src/lib.rs
+++ b/crates/beechworks/src/lib.rs
@@ -4,6 +4,7 @@
 //! with the time at which they happened and carries out the [`Action`]s it returns.
 
 mod interface;
+mod limits;
 mod logic;
 pub mod settings;
 mod state;
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -5,6 +5,7 @@
 //! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
 
 use crate::interface::*;
+use crate::limits::{quiet, Quiet, IDLE, QUEUE, QUIET_FLEET};
 use crate::state::*;
 use std::collections::BTreeMap;
 
@@ -20,9 +21,9 @@
 const DRAWS: usize = 8;
 /// Held requests are looked at every so many ticks.
 const HELD_TICKS: f64 = 4.0;
-/// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
-/// capacity holds four on average; more only makes every one of them later.
-pub(crate) const HOLD: f64 = 4.0;
+/// Requests a core from half of which a live weight counts as crowded, and as many proxies whose rooms alone
+/// bound a backend: a shared processor at four fifths of its capacity holds four.
+const HOLD: f64 = 4.0;
 /// Error share from which a backend is ejected: two errors close together reach it.
 const ERROR_LIMIT: f64 = 0.3;
 /// The same where the newest was turned away unseen: one that takes some of them is used for those.
@@ -55,11 +56,9 @@
 /// Least worth of a client's repeat beside a first try: some still come in time.
 const LATE_FLOOR: f64 = 0.1;
 /// A brisk answer comes in this part of the time from an unloaded one to the aim: at twice that tails miss.
-pub(crate) const BRISK: f64 = 0.25;
+const BRISK: f64 = 0.25;
 /// Answers before a kind's mean latency counts.
 pub(crate) const LATE_SAMPLES: f64 = 10.0;
-/// Rise of a kind's unloaded latency, a second; a mean taken at once may be that of an overloaded start.
-pub(crate) const UNLOADED_RISE: f64 = 0.03;
 /// Least part of the traffic that is let in, so that recovery is seen.
 const ADMIT_LEAST: f64 = 0.05;
 /// Change of the admitted part for each answer, twice that for one that is not brisk: it settles at a third.
@@ -227,7 +226,9 @@
     fn brisk(&self, backend: BackendId, class: usize) -> Micros {
         let aim = self.cfg.classes[class].aim.secs();
         let kind = self.peers.get(&backend).and_then(|p| self.kinds.get(&p.entry.kind));
-        let unloaded = kind.and_then(|k| k.unloaded).map_or(0.0, |t| t * self.work(class));
+        // Not known yet: no more than what a request usually takes, nor than the part of an aim for the rest.
+        let usual = || self.usual(class).secs().min(aim * BRISK);
+        let unloaded = kind.and_then(|k| k.unloaded.get(class)).unwrap_or_else(usual);
         Micros::from_secs(unloaded + (aim - unloaded).max(0.0) * BRISK)
     }
 
@@ -244,7 +245,8 @@
 
     fn ended(&mut self, now: Time, mut end: AttemptEnd) {
         let id = end.request;
-        let Some((backend, class, sent, late)) = self.attempts.remove(&(id, end.attempt)) else { return };
+        let Some(flight) = self.attempts.remove(&(id, end.attempt)) else { return };
+        let Flight { backend, class, late, .. } = flight;
         self.out -= 1;
         if end.outcome == Outcome::Cancelled && end.latency > self.cfg.classes[class].aim {
             // Called off when its client left after all that time: as much against the backend as a time-out.
@@ -254,7 +256,7 @@
         if judged && !late {
             self.gauge(end.outcome == Outcome::Ok && end.latency < self.brisk(backend, class));
         }
-        self.learn(now, backend, class, sent, &end);
+        self.learn(now, &flight, &end);
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
             (s.out, s.never_ran) = (false, end.outcome.never_ran());
@@ -268,15 +270,24 @@
     }
 
     /// What an outcome says of the backend, its kind and its class.
-    fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
+    fn learn(&mut self, now: Time, flight: &Flight, end: &AttemptEnd) {
+        let Flight { backend: id, class, sent, .. } = *flight;
         let Some(p) = self.peers.get_mut(&id) else { return };
+        p.limiter.pass(now);
         p.out = p.out.saturating_sub(1);
         let kind = p.entry.kind;
+        if flight.first {
+            self.kinds.entry(kind).or_default().unloaded.first_ended(class);
+        }
         match end.outcome {
             Outcome::Ok => {
                 p.answered = now;
                 p.errors *= 1.0 - ERROR_STEP;
                 p.strikes = 0;
+                // Errors teach no limit: fast is not good.
+                let (took, k) = (end.latency.secs().max(1e-6), self.kinds.entry(kind).or_default());
+                k.unloaded.served(class, took, flight.alone);
+                p.limiter.served(k.unloaded.get(class).unwrap_or(took), took);
                 self.served(kind, class, end.latency);
             }
             Outcome::Cancelled | Outcome::NeverSent => {}
@@ -352,7 +363,7 @@
             self.peers.get_mut(&id).into_iter().for_each(|p| p.silent = false);
         }
         let mut attempts = std::mem::take(&mut self.attempts);
-        for (backend, class, sent, late) in attempts.values_mut() {
+        for Flight { backend, class, sent, late, .. } in attempts.values_mut() {
             // Late is known once the time is up: an overloaded backend answers only much later.
             let limit = *sent + self.brisk(*backend, *class);
             if !*late && now >= limit {
@@ -379,6 +390,7 @@
         self.blocked = 0.0;
         let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
         let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
+        self.ready = all - out;
         self.kinds.values_mut().for_each(|k| k.ready = 0.0);
         for p in self.peers.values_mut() {
             if p.ejected.is_some_and(|until| now >= until) {
@@ -397,6 +409,8 @@
                 * uncrowded(&self.cfg, &p.entry, k.idle_weight);
             k.ready += p.ready;
         }
+        let part = 1.0 / f64::from(self.cfg.proxies);
+        self.kinds.values_mut().for_each(|k| k.unloaded.look(now, k.ready, part));
         self.rate.add(now, 0.0);
         let rate = self.rate.per_s().map(|r| r * f64::from(self.cfg.proxies));
         self.estimate_speeds(passed, rate);
@@ -422,8 +436,7 @@
         let biased = self.cfg.cross_zone_cost > 0.0 && self.cfg.proxies % self.cfg.zones == 0;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
-        let mine = HOLD / proxies * self.kinds.values().map(|k| k.ready).sum::<f64>();
-        self.pool = mine + POOL_SPREAD * mine.sqrt() + 1.0;
+        let (mut mine, mut warm) = (0.0, BTreeMap::<KindId, (f64, f64)>::new());
         self.kinds.values_mut().for_each(|k| (k.pull, k.line) = (0.0, Vec::with_capacity(k.line.len())));
         let cold: Vec<f64> = self.peers.values().map(|p| self.fall_part(now, p)).collect();
         for ((&id, p), most) in self.peers.iter_mut().zip(cold) {
@@ -435,8 +448,24 @@
             // turns, by position and the backend's mark, keep the sum at the hold; one each would crowd all.
             let turn = id.0.wrapping_add(u64::from(self.cfg.position)).wrapping_add(epoch);
             let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
-            let fair = HOLD / proxies * p.ready;
-            p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
+            p.limiter.pass(now);
+            let step = self.kinds.get(&p.entry.kind).and_then(|k| k.unloaded.step());
+            // What it works on is this proxy's own doing; the queue is shared out.
+            let own = p.limiter.limit(QUEUE / proxies * (0.5 + 0.5 * bias), step);
+            let bounds = (self.cfg.limits.least / proxies, self.cfg.limits.most / proxies);
+            let held = own.clamp(bounds.0, bounds.1);
+            if held != own {
+                p.limiter.why = LimitReason::Bound;
+            }
+            p.limit =
+                (p.limiter.works_on() * proxies + QUEUE).clamp(self.cfg.limits.least, self.cfg.limits.most);
+            let fair = held * p.ready;
+            mine += fair;
+            p.room = (fair + coin).floor().max(1.0);
+            if p.ready > 0.5 {
+                let all = warm.entry(p.entry.kind).or_default();
+                *all = (all.0 + 1.0, all.1 + p.limit);
+            }
             // The trace takes the overflow where all that have a part are full.
             p.pull = (part(&self.kinds, p) * bias + p.ready * 1e-6).min(most);
             if p.ready > 0.0 {
@@ -445,6 +474,10 @@
                 k.line.push((id, k.pull));
             }
         }
+        self.pool = mine + POOL_SPREAD * mine.sqrt() + 1.0;
+        warm.into_iter().for_each(|(kind, (count, sum))| {
+            self.kinds.entry(kind).or_default().limit = sum / count;
+        });
     }
 
     /// The greatest part of the traffic whose random count stays some spreads under the fall limit.
@@ -498,9 +531,21 @@
         let Some(p) = self.peers.get(&id).filter(|p| p.ready > 0.0 && !p.silent) else { return false };
         // Never overfill: a crowded backend slows for long, so a full one is drawn again.
         let room = if r.value < LOW { (p.room / 2.0).ceil() } else { p.room };
+        let room = match self.quiet_turn(now, id) {
+            Quiet::No => room,
+            Quiet::Mine(_) => room.min(1.0),
+            Quiet::Others => 0.0,
+        };
         f64::from(p.out) < room && self.fits(now, p, r)
     }
 
+    fn quiet_turn(&self, now: Time, id: BackendId) -> Quiet {
+        match self.ready >= QUIET_FLEET {
+            true => quiet(now, id, self.cfg.position, self.cfg.proxies),
+            false => Quiet::No,
+        }
+    }
+
     /// Whether the rules let the backend have this request.
     fn fits(&self, now: Time, p: &Peer, r: &Request) -> bool {
         // A repeat outside the scope that knows the key would run twice.
@@ -552,15 +597,21 @@
             let extra = r.sent.iter().any(|s| !s.never_ran);
             let sendable = self.may_send(now, &r) && (!extra || self.classes[r.class].extra >= 1.0);
             let backend = if sendable { self.draw(now, &r) } else { None };
+            let turn = backend.map_or(Quiet::No, |b| self.quiet_turn(now, b));
             if let Some(p) = backend.and_then(|b| self.peers.get_mut(&b)) {
                 self.classes[r.class].extra -= f64::from(extra);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
                 r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
+                let others = f64::from(self.cfg.proxies - 1) * self.out as f64 / self.ready.max(1.0);
+                let idle = turn == Quiet::Mine(true) || others < IDLE;
+                let (class, sent, late) = (r.class, now, false);
+                let first = self.kinds.entry(p.entry.kind).or_default().unloaded.sent(now, class);
+                let alone = first || (p.out == 0 && idle);
                 p.out += 1;
                 self.out += 1;
                 p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
                 p.spent.push((now, work));
-                self.attempts.insert((id, no), (backend, r.class, now, false));
+                self.attempts.insert((id, no), Flight { backend, class, sent, late, alone, first });
                 self.wake_by(now + self.brisk(backend, r.class));
                 self.actions.push(Action::Dispatch { request: id, backend });
             } else if sendable {
--- a/crates/beechworks/src/settings.rs
+++ b/crates/beechworks/src/settings.rs
@@ -205,6 +205,7 @@
         ramp: rules.get("ramp_time_us").micros()?,
         fall_multiple: rules.get("fall_multiple").real()?,
         fall_window: rules.get("tip_after_us").micros()?,
+        limits: LimitBounds::default(), // not told: the operator's file has them
     };
     Ok((config, names))
 }
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -1,9 +1,8 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
 use crate::interface::*;
-use crate::logic::{
-    BRISK, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, RETRY_RATIO, SPEED_MEMORY, UNLOADED_RISE,
-};
+use crate::limits::{Limiter, Unloaded, QUEUE};
+use crate::logic::{KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, RETRY_RATIO, SPEED_MEMORY};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
@@ -112,8 +111,10 @@
     pub speed: f64,
     /// Part of all proxies' traffic.
     pub share: f64,
-    /// Lowest mean latency of late, s: that of an unloaded backend.
-    pub unloaded: Option<f64>,
+    /// What a request of each class takes on an unloaded backend.
+    pub unloaded: Unloaded,
+    /// What one of its warm backends may hold, by all proxies together.
+    pub limit: f64,
     /// Highest weight that the list gave one of its backends: that of an idle one.
     pub idle_weight: f64,
     /// Part of this proxy's traffic.
@@ -154,6 +155,10 @@
     pub strikes: i32,
     /// Work sent inside the fall window.
     pub spent: Vec<(Time, f64)>,
+    /// What it may hold.
+    pub limiter: Limiter,
+    /// That of all proxies together, by this one's part.
+    pub limit: f64,
 }
 
 /// What is learned of a class.
@@ -178,6 +183,20 @@
     pub never_ran: bool,
 }
 
+/// An attempt that is out.
+#[derive(Clone, Copy)]
+pub(crate) struct Flight {
+    pub backend: BackendId,
+    pub class: usize,
+    pub sent: Time,
+    /// It counts as late already.
+    pub late: bool,
+    /// Its backend held nothing else when it was sent.
+    pub alone: bool,
+    /// It is among its kind's first of the class.
+    pub first: bool,
+}
+
 /// A request that is owed an answer.
 pub(crate) struct Request {
     pub class: usize,
@@ -220,10 +239,12 @@
     /// Part of the traffic that is let in, and the part of the arrivals that is worth little.
     pub(crate) admit: f64,
     pub(crate) low: f64,
-    pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), (BackendId, usize, Time, bool)>,
+    pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Flight>,
     /// Attempts of this proxy that are out, and how many may be.
     pub(crate) out: usize,
     pub(crate) pool: f64,
+    /// Backends that are in use.
+    pub(crate) ready: f64,
     pub(crate) silent: Vec<BackendId>,
     pub(crate) rate: Rate,
     /// Requests that came, let in or not, and what is left of what a storm lets in.
@@ -260,6 +281,7 @@
             attempts: BTreeMap::new(),
             out: 0,
             pool: 0.0,
+            ready: 0.0,
             silent: Vec::new(),
             rate: Rate::default(),
             arrivals: Rate::default(),
@@ -298,6 +320,19 @@
         self.classes[class].latency.get().map_or(1.0, |own| own / self.overall.value)
     }
 
+    /// What is known of each backend's limit.
+    pub fn limits(&self) -> Vec<LimitView> {
+        let view = |(id, p): (&BackendId, &Peer)| LimitView {
+            backend: *id,
+            limit: p.limit,
+            room: p.room as u32,
+            held: p.out,
+            latency: p.limiter.latencies(),
+            why: p.limiter.why,
+        };
+        self.peers.iter().map(view).collect()
+    }
+
     /// A line for the operators, two a second at most.
     pub(crate) fn log(&mut self, now: Time, text: String) {
         if now >= self.log_at {
@@ -313,8 +348,8 @@
             return f64::INFINITY;
         }
         let fair = self.rate.per_s().unwrap_or(1.0) * f64::from(self.cfg.proxies) / self.peers.len() as f64;
-        // Beside few ready backends the flow overshoots; one that holds no more than the hold is no faster than this.
-        let known = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + HOLD) / t));
+        // Beside few ready backends the flow overshoots; one that holds no more than its limit is no faster than this.
+        let known = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + k.limit.max(1.0 + QUEUE)) / t));
         let speed = self.kinds.get(&p.entry.kind).and_then(known).unwrap_or(fair);
         self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs()
     }
@@ -344,8 +379,6 @@
     /// Speed of every kind from its latency and its part of the rate; kinds without data: as fast as the others.
     pub(crate) fn estimate_speeds(&mut self, passed: f64, rate: Option<f64>) {
         for k in self.kinds.values_mut() {
-            let risen = k.unloaded.map_or(self.period.secs() * BRISK, |t| t * (1.0 + UNLOADED_RISE * passed));
-            k.unloaded = Some(k.latency.get().map_or(risen, |mean| mean.min(risen)));
             let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
             // Smoothed: the flow that this proxy computes is its own view; unsmoothed a kind with a large share
             // looks ever faster, and proxies swing together.
--- /dev/null
+++ b/crates/gaugesaddle-measure/src/limits.rs
@@ -0,0 +1,223 @@
+//! Learned limits against the plain relay, the constant of 4 and the best constant of each cell, over a grid of
+//! fleets in virtual time.
+
+use beechworks::LimitBounds;
+use gaugesaddle_model::{simulate, Policy, Report};
+use gaugesaddle_testbed::scenario::{Class, Clients, Effect, Kind};
+use gaugesaddle_testbed::Scenario;
+use serde_json::{json, Value};
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+/// Constants that are tried by hand in each cell.
+const BY_HAND: [f64; 8] = [2.0, 4.0, 6.0, 12.0, 24.0, 64.0, 128.0, 300.0];
+/// Loads up to which the learned limits may not lose to the plain relay.
+const RELAY_LOAD: f64 = 0.8;
+/// What may be lost to it.
+const RELAY_LOSS: f64 = 0.01;
+/// Part of the best constant's worth that most cells reach, and that all do.
+const MOST_CELLS: f64 = 0.97;
+const ALL_CELLS: f64 = 0.93;
+/// The part of the cells that are most.
+const CELLS: f64 = 0.9;
+
+/// A cell of the grid.
+#[derive(Clone, Debug)]
+struct Cell {
+    name: String,
+    scenario: Scenario,
+    load: f64,
+}
+
+/// A fleet of nodes of so many cores (0: 1, 2, 8 and 64 in one) whose requests wait so long beside their work.
+fn cell(cores: usize, wait_ms: f64, cv: f64, proxies: usize, load: f64, seconds: f64) -> Cell {
+    let kind =
+        |cores: usize, count: usize| Kind { name: format!("c{cores}"), count, cores, ..Kind::default() };
+    let kinds = match cores {
+        0 => vec![kind(1, 4), kind(2, 4), kind(8, 2), kind(64, 1)],
+        1 => vec![kind(1, 12)],
+        2 => vec![kind(2, 8)],
+        8 => vec![kind(8, 4)],
+        _ => vec![kind(cores, 2)],
+    };
+    // Many cores with little work would be tens of thousands a second: more work, and aims to match.
+    let wide = cores == 0 || cores > 8;
+    let work_ms = if wide {
+        100.0
+    } else if wait_ms > 200.0 {
+        5.0
+    } else {
+        20.0
+    };
+    let more = 4.0 * wait_ms + if wide { 5.0 * work_ms } else { 0.0 };
+    let read = Class {
+        share: 0.6,
+        work_ms,
+        work_cv: cv,
+        wait_ms,
+        aim_ms: 750.0 + more,
+        deadline_ms: 2000.0 + more,
+        ..Class::default()
+    };
+    let vote = Class {
+        name: "vote".into(),
+        effect: Effect::Keyed,
+        share: 0.4,
+        work_ms: 0.75 * work_ms,
+        aim_ms: 250.0 + more,
+        deadline_ms: 1200.0 + more,
+        worth: 8.0,
+        ..read.clone()
+    };
+    let capacity: f64 = kinds.iter().map(|k| (k.count * k.cores) as f64 * k.speed).sum();
+    let mean_s = (0.6 * read.work_ms + 0.4 * vote.work_ms) / 1e3;
+    let clients = Clients { per_s: load * capacity / mean_s, leaving: 0.0, ..Clients::default() };
+    let name = format!("cores {cores} wait {wait_ms} cv {cv} proxies {proxies} load {load}");
+    let classes = vec![read, vote];
+    let scenario =
+        Scenario { name: name.clone(), proxies, kinds, classes, clients, seconds, ..Scenario::default() };
+    Cell { name, scenario, load }
+}
+
+/// The grid: every fleet at every load with three proxies, and the corners in proxies and spread of work.
+fn grid(seconds: f64) -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for cores in [1, 2, 8, 64, 0] {
+        for wait in [0.0, 150.0, 500.0] {
+            for load in [0.3, 0.5, 0.8, 1.0, 1.5] {
+                cells.push(cell(cores, wait, 1.0, 3, load, seconds));
+            }
+        }
+    }
+    for (cores, wait) in [(1, 0.0), (1, 150.0), (8, 0.0), (0, 0.0)] {
+        for load in [0.3, 0.8, 1.5] {
+            cells.push(cell(cores, wait, 3.0, 3, load, seconds));
+            cells.push(cell(cores, wait, 1.0, 1, load, seconds));
+            cells.push(cell(cores, wait, 1.0, 30, load, seconds));
+        }
+    }
+    cells
+}
+
+/// Runs a policy over a cell's seeds; the mean worth in time and the chokes.
+fn play(cell: &Cell, policy: Policy, seeds: u64) -> io::Result<(f64, f64)> {
+    let mut sum = (0.0, 0.0);
+    for seed in 1..=seeds {
+        let report: Report =
+            simulate(&cell.scenario.clone().seed(seed), policy, &[]).map_err(io::Error::other)?;
+        sum = (sum.0 + report.g, sum.1 + report.chokes as f64);
+    }
+    Ok((sum.0 / seeds as f64, sum.1 / seeds as f64))
+}
+
+/// What a cell came to.
+struct Figures {
+    name: String,
+    load: f64,
+    learned: (f64, f64),
+    four: (f64, f64),
+    relay: (f64, f64),
+    best: (f64, f64, f64),
+}
+
+fn figures(cell: &Cell, seeds: u64) -> io::Result<Figures> {
+    let constant = |limit: f64| Policy::Module(LimitBounds { least: limit, most: limit });
+    let learned = play(cell, Policy::Module(LimitBounds::default()), seeds)?;
+    let (mut best, mut four) = ((0.0, 0.0, 0.0), (0.0, 0.0));
+    for limit in BY_HAND {
+        let got = play(cell, constant(limit), seeds)?;
+        if limit == 4.0 {
+            four = got;
+        }
+        // The best worth; among equals the one with fewer chokes.
+        if got.0 > best.1 + 1e-4 || (got.0 > best.1 - 1e-4 && got.1 < best.2) {
+            best = (limit, got.0, got.1);
+        }
+    }
+    let relay = play(cell, Policy::Relay, seeds)?;
+    Ok(Figures { name: cell.name.clone(), load: cell.load, learned, four, relay, best })
+}
+
+/// Shows a cell second by second, and what the proxies knew at its end.
+fn detail(cell: &Cell) -> io::Result<()> {
+    let learned = Policy::Module(LimitBounds::default());
+    let report = simulate(&cell.scenario.clone().seed(1), learned, &[]).map_err(io::Error::other)?;
+    let seconds: Vec<String> = report.seconds.iter().map(|g| format!("{g:.2}")).collect();
+    println!("{}: by second {}; most held {:?}", cell.name, seconds.join(" "), report.most_held);
+    println!("  answers {:?}", report.statuses);
+    for view in report.limits.iter().flatten().take(8) {
+        let ms =
+            view.latency.map(|(took, alone)| format!("{:.1} ms, {:.1} unloaded", took * 1e3, alone * 1e3));
+        println!(
+            "  limit {:.1} room {} {}: {}",
+            view.limit,
+            view.room,
+            view.why.name(),
+            ms.unwrap_or_default()
+        );
+    }
+    Ok(())
+}
+
+/// The measurement; `only`: cells whose names contain it.
+pub fn measure(seeds: u64, seconds: f64, only: Option<&str>, shown: bool) -> io::Result<Value> {
+    let cells: Vec<Cell> =
+        grid(seconds).into_iter().filter(|c| only.is_none_or(|o| c.name.contains(o))).collect();
+    for cell in cells.iter().filter(|_| shown) {
+        detail(cell)?;
+    }
+    println!("{} cells, {seeds} seeds, {seconds} s each, in virtual time", cells.len());
+    println!("{:<48} learned chokes |  four chokes | relay chokes |  best (limit) chokes", "cell");
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let Some(cell) = cells.get(next.fetch_add(1, Ordering::Relaxed)) else { return };
+                let got = figures(cell, seeds);
+                if let Ok(f) = &got {
+                    println!(
+                        "{:<48} {:.3} {:6.1} | {:.3} {:6.1} | {:.3} {:6.1} | {:.3} ({}) {:.1}{}",
+                        f.name,
+                        f.learned.0,
+                        f.learned.1,
+                        f.four.0,
+                        f.four.1,
+                        f.relay.0,
+                        f.relay.1,
+                        f.best.1,
+                        f.best.0,
+                        f.best.2,
+                        if f.learned.0 < f.best.1 * MOST_CELLS { "  <" } else { "" }
+                    );
+                }
+                done.lock().unwrap_or_else(|e| e.into_inner()).push(got);
+            });
+        }
+    });
+    let done = done.into_inner().unwrap_or_else(|e| e.into_inner());
+    let all: Vec<Figures> = done.into_iter().collect::<io::Result<_>>()?;
+    let part = |f: &Figures| if f.best.1 > 0.0 { f.learned.0 / f.best.1 } else { 1.0 };
+    let good = all.iter().filter(|f| part(f) >= MOST_CELLS).count();
+    let worst = all.iter().map(part).fold(f64::MAX, f64::min);
+    let behind = |f: &&Figures| f.load <= RELAY_LOAD && f.learned.0 < f.relay.0 - RELAY_LOSS;
+    let relay: Vec<&str> = all.iter().filter(behind).map(|f| f.name.as_str()).collect();
+    let choked = |f: &&Figures| f.best.2 == 0.0 && f.learned.1 > 0.0;
+    let choked: Vec<&str> = all.iter().filter(choked).map(|f| f.name.as_str()).collect();
+    let round = |x: f64| (x * 1000.0).round() / 1000.0;
+    let held = !all.is_empty()
+        && good as f64 >= CELLS * all.len() as f64
+        && worst >= ALL_CELLS
+        && relay.is_empty()
+        && choked.is_empty();
+    Ok(json!({
+        "measure": "limits", "cells": all.len(), "seeds": seeds, "seconds": seconds,
+        "cells_at_0.97_of_best": good, "cells_bound": CELLS, "worst_part_of_best": round(worst),
+        "worst_bound": ALL_CELLS, "behind_the_relay": relay, "choked_where_the_best_is_not": choked,
+        "mean_learned": round(all.iter().map(|f| f.learned.0).sum::<f64>() / all.len().max(1) as f64),
+        "mean_four": round(all.iter().map(|f| f.four.0).sum::<f64>() / all.len().max(1) as f64),
+        "mean_best": round(all.iter().map(|f| f.best.1).sum::<f64>() / all.len().max(1) as f64),
+        "held": held,
+    }))
+}
--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -3,6 +3,7 @@
 //! measure. Figures in time are ratios within one call, from runs that alternate: a machine's speed drops out.
 
 mod bare;
+mod limits;
 mod load;
 mod proc;
 mod relay;
@@ -32,6 +33,22 @@
         #[arg(long, default_value_t = 6.0)]
         seconds: f64,
     },
+    /// Learned limits against the plain relay, the constant of 4 and the best constant of each cell, over a grid of
+    /// fleets (cores, waits, spread of work, proxies, load) in virtual time.
+    Limits {
+        /// Seeds of each cell.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Seconds of each run.
+        #[arg(long, default_value_t = 12.0)]
+        seconds: f64,
+        /// Only the cells whose names contain this.
+        #[arg(long)]
+        only: Option<String>,
+        /// Show each cell second by second, too.
+        #[arg(long)]
+        detail: bool,
+    },
     /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
     Testbed,
     /// The bare relay itself, as a process of its own; `relay` starts it.
@@ -47,6 +64,9 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Relay { pairs, seconds } => relay::measure(pairs.max(1), seconds.max(1.0)),
+        Command::Limits { seeds, seconds, only, detail } => {
+            limits::measure(seeds.max(1), seconds.max(2.0), only.as_deref(), detail)
+        }
         Command::Testbed => rig::measure(),
         Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
     };
--- a/crates/gaugesaddle-testbed/src/lib.rs
+++ b/crates/gaugesaddle-testbed/src/lib.rs
@@ -14,14 +14,14 @@
 mod agent;
 mod audit;
 mod clients;
-mod dice;
+pub mod dice;
 mod faulty;
 mod http;
 mod lease;
 mod node;
-mod plan;
+pub mod plan;
 mod process;
-mod processor;
+pub mod processor;
 pub mod program;
 mod record;
 pub mod relay;
--- a/crates/gaugesaddle-testbed/src/plan.rs
+++ b/crates/gaugesaddle-testbed/src/plan.rs
@@ -9,8 +9,11 @@
 pub struct Ask {
     /// When, in microseconds from the start of the clients.
     pub at_us: u64,
+    /// Its id.
     pub id: u64,
+    /// Its class, by number.
     pub class: usize,
+    /// What it is about.
     pub key: u64,
     /// Work on a standard core.
     pub work_us: u64,
@@ -18,6 +21,7 @@
     pub wait_us: u64,
     /// Its hall.
     pub hall: usize,
+    /// How long the client waits.
     pub patience_us: u64,
     /// Tries after the first.
     pub retries: u32,
@@ -40,6 +44,7 @@
 /// One thing done to the fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
+    /// A process starts at that place, cold.
     NodeStart(usize),
     /// Its process dies; the list learns of it late.
     NodeCrash(usize),
@@ -49,23 +54,36 @@
     NodeStop(usize),
     /// It stops answering at all, connections stay open.
     NodeVanish(usize),
+    /// It is so many times slower.
     NodeSlow(usize, f64),
+    /// It takes requests and answers none while true.
     NodeHang(usize, bool),
+    /// It spoils this part of its answers.
     NodeSpoil(usize, f64),
+    /// It resets this part of its connections.
     NodeResets(usize, f64),
+    /// Nothing passes between a proxy and a node while true.
     LinkCut(usize, usize, bool),
+    /// What passes between a proxy and a node comes so many microseconds later.
     LinkDelay(usize, usize, u64),
+    /// Discovery is silent while true.
     DiscoveryDown(bool),
+    /// Discovery moves.
     DiscoveryMove,
+    /// A proxy is killed.
     ProxyKill(usize),
+    /// A proxy starts.
     ProxyStart(usize),
+    /// A proxy is stopped while true.
     ProxyStop(usize, bool),
+    /// A proxy ends as planned and starts again.
     ProxyRestart(usize),
 }
 
 /// A whole run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
+    /// In the order of their times.
     pub asks: Vec<Ask>,
     /// In the order of their times.
     pub steps: Vec<(u64, Step)>,
--- a/crates/gaugesaddle-testbed/src/processor.rs
+++ b/crates/gaugesaddle-testbed/src/processor.rs
@@ -41,6 +41,7 @@
     choke: Choke,
     /// So many times slower by an event.
     pub slow: f64,
+    /// It takes requests and ends none.
     pub hung: bool,
     running: Vec<Job>,
     waiting: VecDeque<Job>,
@@ -51,6 +52,7 @@
 }
 
 impl Processor {
+    /// A machine of that kind that started then, cold or warm.
     pub fn new(kind: &Kind, choke: Choke, started: u64, cold: bool) -> Processor {
         Processor {
             cores: kind.cores as f64,
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -129,7 +129,7 @@
     let driver = Driver::new(Parts {
         storm,
         clock,
-        config: config.module,
+        config: beechworks::Config { limits: operator.limits.bounds(), ..config.module },
         seed: config.seed,
         open_cap: config.open_cap,
         upstreams: Rc::new(upstream::Http1(pool)),
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -185,6 +185,9 @@
             }
             if now >= sweep {
                 sweep = now + SWEEP;
+                for view in self.balancer.limits() {
+                    self.registry.backend(view.backend).iter().for_each(|row| row.limited(view));
+                }
                 for upstream in self.backends.values() {
                     tokio::task::spawn_local(upstream.clone().sweep());
                 }
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -23,6 +23,37 @@
     pub state: State,
     /// Storms of retries and reconnects.
     pub storm: Storm,
+    /// What backends may hold.
+    pub limits: Limits,
+}
+
+/// `[limits]`. Wants a restart. What all proxies together may hold on one backend is learned between these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// At least so many requests.
+    #[serde(deserialize_with = "held")]
+    pub least_per_backend: u32,
+    /// At most so many.
+    #[serde(deserialize_with = "held")]
+    pub most_per_backend: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        // One, or nothing would be learned; a thousand are more than a machine of any size that was tried bears.
+        Limits { least_per_backend: 1, most_per_backend: 1000 }
+    }
+}
+
+impl Limits {
+    /// For the module.
+    pub fn bounds(self) -> beechworks::LimitBounds {
+        beechworks::LimitBounds {
+            least: f64::from(self.least_per_backend),
+            most: f64::from(self.most_per_backend),
+        }
+    }
 }
 
 /// `[storm]`. Wants a restart.
@@ -132,6 +163,10 @@
     whole(from, 600)
 }
 
+fn held<'de, D: Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
+    whole(from, 10_000).map(|n| n as u32)
+}
+
 fn sources<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
     whole(from, 1_000_000).map(|n| n as usize)
 }
@@ -199,6 +234,16 @@
 type Flaw = (Option<usize>, String, String);
 
 fn parse(text: &str) -> Result<Operator, Flaw> {
+    let read = read(text)?;
+    let Limits { least_per_backend: least, most_per_backend: most } = read.limits;
+    if least > most {
+        let what = format!("expected no less than limits.least_per_backend ({least}), got {most}");
+        return Err((None, "limits.most_per_backend".into(), what));
+    }
+    Ok(read)
+}
+
+fn read(text: &str) -> Result<Operator, Flaw> {
     toml::from_str(text).map_err(|e: toml::de::Error| {
         let at = e.span().map(|s| s.start.min(text.len()));
         let line = at.map(|at| 1 + text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count());
@@ -234,6 +279,9 @@
     if running.storm != newer.storm {
         keys.push("storm");
     }
+    if running.limits != newer.limits {
+        keys.push("limits");
+    }
     keys
 }
 
@@ -261,6 +309,11 @@
         assert!(told.starts_with("line 2: log.level: unknown variant `loud`"), "{told}");
         let told = flaw("[log]\nlevel = = 3\n");
         assert!(told.starts_with("line 2: "), "{told}");
+        let told = flaw("[limits]\nleast_per_backend = 9\nmost_per_backend = 4\n");
+        let expected = "limits.most_per_backend: expected no less than limits.least_per_backend (9), got 4";
+        assert_eq!(told, expected);
+        let told = flaw("[limits]\nleast_per_backend = 0\n");
+        assert!(told.ends_with("expected a whole number from 1 to 10000, got 0"), "{told}");
         let told = flaw("[state]\nconnections = -1\n");
         assert!(told.ends_with("got -1"), "{told}");
     }
@@ -278,7 +331,16 @@
         let all: Vec<String> = text.lines().map(on).collect();
         let all = parse(&all.join("\n")).expect("every key is known");
         assert!(all.state.socket.is_some());
-        for key in ["level", "socket", "connections", "enabled", "longest_retry_after_s", "sources"] {
+        for key in [
+            "level",
+            "socket",
+            "connections",
+            "enabled",
+            "longest_retry_after_s",
+            "sources",
+            "least_per_backend",
+            "most_per_backend",
+        ] {
             assert!(
                 text.lines().any(|l| l.trim_start_matches('#').starts_with(&format!("{key} ="))),
                 "{key}"
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -50,6 +50,7 @@
     outcomes: [Cell<u64>; OUTCOMES.len()],
     latency: [Cell<u32>; BUCKETS],
     latency_us: Cell<u64>,
+    limit: Cell<Option<beechworks::LimitView>>,
 }
 
 /// All outcomes of an attempt, by the names that every exit uses.
@@ -91,9 +92,15 @@
             outcomes: Default::default(),
             latency: Default::default(),
             latency_us: Cell::default(),
+            limit: Cell::default(),
         }
     }
 
+    /// What the module last knew of its limit.
+    pub fn limited(&self, view: beechworks::LimitView) {
+        self.limit.set(Some(view));
+    }
+
     pub fn sent(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
         add(&self.attempts, 1);
@@ -298,10 +305,35 @@
             latency_mean_us: self.latency_us.get().checked_div(served),
             latency_p50_us: quantile(0.5),
             latency_p99_us: quantile(0.99),
+            limit: self.limit.get().map(|v| LimitState {
+                limit: v.limit,
+                room: v.room,
+                held: v.held,
+                recent_us: v.latency.map(|l| (l.0 * 1e6) as u64),
+                unloaded_us: v.latency.map(|l| (l.1 * 1e6) as u64),
+                why: v.why.name().into(),
+            }),
         }
     }
 }
 
+/// What a backend may hold, as the module last knew it: a second ago at most.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitState {
+    /// By all proxies together, if this one's part of the traffic is that of each.
+    pub limit: f64,
+    /// By this proxy, in this turn.
+    pub room: u32,
+    /// What this proxy held.
+    pub held: u32,
+    /// Mean latency of the last answers.
+    pub recent_us: Option<u64>,
+    /// What the same answers would have taken on an idle backend of the kind.
+    pub unloaded_us: Option<u64>,
+    /// Why the limit moved last: `start`, `served`, `flat` or `bound`.
+    pub why: String,
+}
+
 /// Of the form of [`Snapshot`]: it grows by one when a field changes its meaning or leaves.
 pub const SNAPSHOT_VERSION: u32 = 1;
 
@@ -449,6 +481,9 @@
     pub latency_p50_us: Option<u64>,
     /// 99 in 100 of those served took no longer; up to 42% too high.
     pub latency_p99_us: Option<u64>,
+    /// What it may hold; absent until the module has looked at it.
+    #[serde(default)]
+    pub limit: Option<LimitState>,
 }
 
 #[cfg(test)]
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -214,6 +214,17 @@
         row
     });
     text += &table::render(&head, rows);
+    let limited: Vec<_> = state.backends.iter().filter_map(|b| b.limit.as_ref().map(|l| (b, l))).collect();
+    if !limited.is_empty() {
+        let rows = limited.iter().map(|(b, l)| {
+            let (limit, why) = (format!("{:.1}", l.limit), l.why.clone());
+            let (room, held) = (l.room.to_string(), l.held.to_string());
+            vec![b.name.clone(), limit, room, held, ms(l.unloaded_us), ms(l.recent_us), why]
+        });
+        text.push('\n');
+        text +=
+            &table::render(&["backend", "limit", "room", "held", "unloaded ms", "recent ms", "why"], rows);
+    }
     let counted: Vec<&(String, u64)> = state.reasons.iter().filter(|r| r.1 > 0).collect();
     if !counted.is_empty() {
         text.push('\n');
