--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -117,6 +117,8 @@
 /// Bounds of what all proxies together may hold on one backend; alike, they are that constant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitBounds {
+    /// Limits are learned; else each is the constant of four, no less than `least` and no more than `most`.
+    pub learned: bool,
     /// No limit is learned below this.
     pub least: f64,
     /// Nor above it.
@@ -126,7 +128,7 @@
 impl Default for LimitBounds {
     /// One request at least, or nothing would be learned; a thousand cores at most.
     fn default() -> LimitBounds {
-        LimitBounds { least: 1.0, most: 1000.0 }
+        LimitBounds { learned: false, least: 1.0, most: 1000.0 }
     }
 }
 
@@ -141,6 +143,8 @@
     Served,
     /// The operator's least or most.
     Bound,
+    /// It is not learned.
+    Constant,
 }
 
 impl LimitReason {
@@ -151,6 +155,7 @@
             LimitReason::Flat => "flat",
             LimitReason::Served => "served",
             LimitReason::Bound => "bound",
+            LimitReason::Constant => "constant",
         }
     }
 }
--- a/crates/beechworks/src/limits.rs
+++ b/crates/beechworks/src/limits.rs
@@ -35,7 +35,7 @@
 const FLAT: f64 = 0.95;
 /// What each of its backends holds in the mean from which flat latency tells that it works on several at
 /// once: one core that only computes is crowded then.
-const SEVERAL: f64 = 1.5;
+const SEVERAL: f64 = 2.5;
 /// So many times more its backends may hold then. Flat latency alone is no reason: that of a calm second is
 /// flat too, and the burst after it chokes for half a minute what was let hold more (a score of 0.70 for
 /// 0.92 in simulated days).
@@ -173,8 +173,7 @@
     pub fn look(&mut self, now: Time, ready: f64, part: f64) {
         let (since, count, took, alone) = self.look;
         let secs = (now - since).secs();
-        let enough = if self.looked { LOOK } else { LOOK / 4.0 };
-        if secs < LOOK_S || count < enough {
+        if secs < LOOK_S || count < LOOK {
             return;
         }
         (self.look, self.looked) = ((now, 0.0, 0.0, 0.0), true);
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -451,16 +451,17 @@
             p.limiter.pass(now);
             let step = self.kinds.get(&p.entry.kind).and_then(|k| k.unloaded.step());
             // What it works on is this proxy's own doing; the queue is shared out.
-            let own = p.limiter.limit(QUEUE / proxies * (0.5 + 0.5 * bias), step);
+            let (evenly, learned) = ((0.5 + 0.5 * bias) / proxies, self.cfg.limits.learned);
+            let own = if learned { p.limiter.limit(QUEUE * evenly, step) } else { HOLD * evenly };
             let bounds = (self.cfg.limits.least / proxies, self.cfg.limits.most / proxies);
             let held = own.clamp(bounds.0, bounds.1);
-            if held != own {
-                p.limiter.why = LimitReason::Bound;
+            if !learned || held != own {
+                p.limiter.why = if learned { LimitReason::Bound } else { LimitReason::Constant };
             }
-            p.limit =
-                (p.limiter.works_on() * proxies + QUEUE).clamp(self.cfg.limits.least, self.cfg.limits.most);
+            let all = if learned { p.limiter.works_on() * proxies + QUEUE } else { HOLD };
+            p.limit = all.clamp(self.cfg.limits.least, self.cfg.limits.most);
             let fair = held * p.ready;
-            mine += fair;
+            mine += if learned { fair } else { p.limit / proxies * p.ready };
             p.room = (fair + coin).floor().max(1.0);
             if p.ready > 0.5 {
                 let all = warm.entry(p.entry.kind).or_default();
@@ -540,7 +541,7 @@
     }
 
     fn quiet_turn(&self, now: Time, id: BackendId) -> Quiet {
-        match self.ready >= QUIET_FLEET {
+        match self.cfg.limits.learned && self.ready >= QUIET_FLEET {
             true => quiet(now, id, self.cfg.position, self.cfg.proxies),
             false => Quiet::No,
         }
--- a/crates/beechworks/tests/failures.rs
+++ b/crates/beechworks/tests/failures.rs
@@ -365,10 +365,16 @@
     most
 }
 
+/// One proxy that learns its limits.
+fn learning() -> Config {
+    let limits = LimitBounds { learned: true, ..LimitBounds::default() };
+    Config { proxies: 1, limits, ..Config::example() }
+}
+
 /// A constant of 4 turned away what eight cores could serve: latency that stays flat raises the limit.
 #[test]
 fn a_backend_that_works_on_many_at_once_is_given_more() {
-    let mut host = host(Config { proxies: 1, ..Config::example() }, fleet(1));
+    let mut host = host(learning(), fleet(1));
     let most = held_by_one(&mut host, 2_000, 5_000, |_| 60_000);
     assert!(most >= 11, "{most} held where 12 come within an answer's time and 60 ms is all that each takes");
     let served = host.requests.values().filter(|r| r.answer == Some("served")).count();
@@ -378,7 +384,7 @@
 /// One core in overload: each that it holds makes all others slower, and the limit must not follow its own crowd up.
 #[test]
 fn one_core_is_held_to_a_few_however_long_it_is_asked_for_more() {
-    let mut host = host(Config { proxies: 1, ..Config::example() }, fleet(1));
+    let mut host = host(learning(), fleet(1));
     let most = held_by_one(&mut host, 3_000, 15_000, |held| 20_000 * held as u64);
     assert!(most <= 6, "{most} held by one core");
     let served = host.requests.values().filter(|r| r.answer == Some("served")).count();
@@ -517,8 +523,7 @@
     let time = |b: u32| if b == 1 { 380_000 } else { 30_000 };
     let chosen = serve(&mut host, 600, 0, time);
     let odd = chosen.iter().skip(200).filter(|b| **b % 2 == 1).count();
-    // Which of two kinds as fast takes more is chance here, for the flow that a kind gets makes it look faster.
-    assert!(odd >= 130, "{odd} of 400 went to that kind");
+    assert!(odd >= 270, "{odd} of 400 went to that kind");
 }
 
 #[test]
--- a/crates/gaugesaddle-measure/src/limits.rs
+++ b/crates/gaugesaddle-measure/src/limits.rs
@@ -12,6 +12,8 @@
 
 /// Constants that are tried by hand in each cell.
 const BY_HAND: [f64; 8] = [2.0, 4.0, 6.0, 12.0, 24.0, 64.0, 128.0, 300.0];
+/// What is measured.
+const LEARNED: Policy = Policy::Module(LimitBounds { learned: true, least: 1.0, most: 1000.0 });
 /// Loads up to which the learned limits may not lose to the plain relay.
 const RELAY_LOAD: f64 = 0.8;
 /// What may be lost to it.
@@ -122,8 +124,8 @@
 }
 
 fn figures(cell: &Cell, seeds: u64) -> io::Result<Figures> {
-    let constant = |limit: f64| Policy::Module(LimitBounds { least: limit, most: limit });
-    let learned = play(cell, Policy::Module(LimitBounds::default()), seeds)?;
+    let constant = |limit: f64| Policy::Module(LimitBounds { learned: false, least: limit, most: limit });
+    let learned = play(cell, LEARNED, seeds)?;
     let (mut best, mut four) = ((0.0, 0.0, 0.0), (0.0, 0.0));
     for limit in BY_HAND {
         let got = play(cell, constant(limit), seeds)?;
@@ -141,8 +143,7 @@
 
 /// Shows a cell second by second, and what the proxies knew at its end.
 fn detail(cell: &Cell) -> io::Result<()> {
-    let learned = Policy::Module(LimitBounds::default());
-    let report = simulate(&cell.scenario.clone().seed(1), learned, &[]).map_err(io::Error::other)?;
+    let report = simulate(&cell.scenario.clone().seed(1), LEARNED, &[]).map_err(io::Error::other)?;
     let seconds: Vec<String> = report.seconds.iter().map(|g| format!("{g:.2}")).collect();
     println!("{}: by second {}; most held {:?}", cell.name, seconds.join(" "), report.most_held);
     println!("  answers {:?}", report.statuses);
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -27,10 +27,12 @@
     pub limits: Limits,
 }
 
-/// `[limits]`. Wants a restart. What all proxies together may hold on one backend is learned between these.
+/// `[limits]`. Wants a restart. What all proxies together may hold on one backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
+    /// They are learned; else each is a constant of four.
+    pub learned: bool,
     /// At least so many requests.
     #[serde(deserialize_with = "held")]
     pub least_per_backend: u32,
@@ -42,7 +44,7 @@
 impl Default for Limits {
     fn default() -> Limits {
         // One, or nothing would be learned; a thousand are more than a machine of any size that was tried bears.
-        Limits { least_per_backend: 1, most_per_backend: 1000 }
+        Limits { learned: false, least_per_backend: 1, most_per_backend: 1000 }
     }
 }
 
@@ -50,6 +52,7 @@
     /// For the module.
     pub fn bounds(self) -> beechworks::LimitBounds {
         beechworks::LimitBounds {
+            learned: self.learned,
             least: f64::from(self.least_per_backend),
             most: f64::from(self.most_per_backend),
         }
@@ -235,7 +238,7 @@
 
 fn parse(text: &str) -> Result<Operator, Flaw> {
     let read = read(text)?;
-    let Limits { least_per_backend: least, most_per_backend: most } = read.limits;
+    let Limits { least_per_backend: least, most_per_backend: most, .. } = read.limits;
     if least > most {
         let what = format!("expected no less than limits.least_per_backend ({least}), got {most}");
         return Err((None, "limits.most_per_backend".into(), what));
