Let the limiter count by the module's own rate in place of a second copy of it

Need: Limiter kept sum, time seen and fade by hand, which Rate in state.rs does already with another memory.

Change: a Rate may be given its memory; the limiter holds one. Letting time pass before attempts that end unserved goes: the next count does it. No bound and no test changed.

--- a/crates/beechworks/src/limits.rs
+++ b/crates/beechworks/src/limits.rs
@@ -6,7 +6,7 @@
 //! no list: `logic.rs` feeds it.
 
 use crate::interface::*;
-use crate::state::Mean;
+use crate::state::{Mean, Rate};
 
 /// Requests beyond those that a backend works on, all proxies together: with the one that runs they are
 /// three, the mean of a shared processor at three quarters of its capacity. More only makes every one of
@@ -192,9 +192,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Limiter {
     /// Unloaded seconds served a second: what it works on at once for this proxy.
-    flow: f64,
-    seen: f64,
-    at: Option<Time>,
+    flow: Rate,
     /// Recent answers: their unloaded time and what they took, s.
     alone: Mean,
     took: Mean,
@@ -204,36 +202,27 @@
 
 impl Default for Limiter {
     fn default() -> Limiter {
-        let (alone, took) = (Mean::default(), Mean::default());
-        Limiter { flow: 0.0, seen: 0.0, at: None, alone, took, why: LimitReason::Start }
+        let (flow, why) = (Rate::over(FLOW_MEMORY), LimitReason::Start);
+        Limiter { flow, alone: Mean::default(), took: Mean::default(), why }
     }
 }
 
 impl Limiter {
     /// Lets time pass.
     pub fn pass(&mut self, now: Time) {
-        let gap = self.at.map_or(0.0, |at| (now - at).secs());
-        self.at = Some(now);
-        let fade = (-gap / FLOW_MEMORY).exp();
-        self.flow *= fade;
-        self.seen = self.seen * fade + (1.0 - fade) * FLOW_MEMORY;
+        self.flow.add(now, 0.0);
     }
 
-    /// A served request; `alone`: what it would have taken there alone, s. Call [`Limiter::pass`] before.
-    pub fn served(&mut self, alone: f64, took: f64) {
-        self.flow += alone;
+    /// A served request; `alone`: what it would have taken there alone, s.
+    pub fn served(&mut self, now: Time, alone: f64, took: f64) {
+        self.flow.add(now, alone);
         self.alone.add(alone, RECENT);
         self.took.add(took.min(alone * CLIP / ILL), RECENT);
     }
 
-    /// What it works on at once for this proxy.
+    /// What it works on at once for this proxy; nothing before chance alone would speak.
     pub fn works_on(&self) -> f64 {
-        // A twentieth of the memory, as for any rate: before that chance alone would speak.
-        if self.seen > FLOW_MEMORY / 20.0 {
-            self.flow / self.seen
-        } else {
-            0.0
-        }
+        self.flow.per_s().unwrap_or(0.0)
     }
 
     /// Recent latency and what it would be unloaded, s.
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -273,7 +273,6 @@
     fn learn(&mut self, now: Time, flight: &Flight, end: &AttemptEnd) {
         let Flight { backend: id, class, sent, .. } = *flight;
         let Some(p) = self.peers.get_mut(&id) else { return };
-        p.limiter.pass(now);
         p.out = p.out.saturating_sub(1);
         let kind = p.entry.kind;
         if flight.first {
@@ -287,7 +286,7 @@
                 // Errors teach no limit: fast is not good.
                 let (took, k) = (end.latency.secs().max(1e-6), self.kinds.entry(kind).or_default());
                 k.unloaded.served(class, took, flight.alone);
-                p.limiter.served(k.unloaded.get(class).unwrap_or(took), took);
+                p.limiter.served(now, k.unloaded.get(class).unwrap_or(took), took);
                 self.served(kind, class, end.latency);
             }
             Outcome::Cancelled | Outcome::NeverSent => {}
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -49,9 +49,11 @@
     }
 }
 
-/// Events a second over about the last [`RATE_MEMORY`] seconds, unbiased from the start on.
-#[derive(Clone, Copy, Debug, Default)]
+/// Events a second over about the last seconds, [`RATE_MEMORY`] where no other number is given; unbiased from the
+/// start on.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Rate {
+    memory: f64,
     events: f64,
     seen: f64,
     at: Option<Time>,
@@ -60,19 +62,30 @@
 /// Memory of a rate, s: some hundred arrivals, yet short beside a ramp or a failure.
 pub(crate) const RATE_MEMORY: f64 = 2.0;
 
+impl Default for Rate {
+    fn default() -> Rate {
+        Rate::over(RATE_MEMORY)
+    }
+}
+
 impl Rate {
+    /// One with another memory, s.
+    pub fn over(memory: f64) -> Rate {
+        Rate { memory, events: 0.0, seen: 0.0, at: None }
+    }
+
     /// Counts `events` at `now`; none just lets time pass.
     pub fn add(&mut self, now: Time, events: f64) {
         let gap = self.at.map_or(0.0, |at| (now - at).secs());
-        let fade = (-gap / RATE_MEMORY).exp();
+        let fade = (-gap / self.memory).exp();
         self.events = self.events * fade + events;
-        self.seen = self.seen * fade + (1.0 - fade) * RATE_MEMORY;
+        self.seen = self.seen * fade + (1.0 - fade) * self.memory;
         self.at = Some(now);
     }
 
     /// `None` until a twentieth of the memory has passed.
     pub fn per_s(&self) -> Option<f64> {
-        (self.seen > RATE_MEMORY / 20.0).then(|| self.events / self.seen)
+        (self.seen > self.memory / 20.0).then(|| self.events / self.seen)
     }
 }
 
