Serve operators on a second address: maintenance, drains and upgrades without loss

Design: a crate without I/O (gaugesaddle-service) holds the lifecycle, the backends that are out and the words of two processes; the module sees an excluded backend as draining, so rule 3 and the draw stay its own. The listen address is held with SO_REUSEPORT and opened for clients only when the process can serve; the two processes speak on a Unix socket in TMPDIR, whose end tells the other's end, and share the descriptors by halves meanwhile. Rejected: passing the listener over (needs ancillary data, and the one queue would then hold clients for a process that is not ready), and a file for what is out (half-written states, no sign of the other's death).

The proxy had not noticed that a client had left; its backend was then taken for silent and an unsafe request refused unsent (503 for 502).

--- a/crates/gaugesaddle-testbed/src/scripted.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -2,6 +2,7 @@
 //! write bytes. For tests of single exchanges; a fleet that behaves like one is in `crate::world`.
 
 use serde_json::{json, Value};
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -298,6 +299,17 @@
 
     /// With the system's own limit on descriptors, which the configuration does not tell, and with arguments.
     pub fn spawn_with(config: &Value, descriptors: &str, arguments: &[&str]) -> Proxy {
+        Proxy::spawn_as(config, descriptors, arguments, &[])
+    }
+
+    /// With variables of its own.
+    pub fn spawn_in(config: &Value, variables: &[(&str, &OsStr)]) -> Proxy {
+        Proxy::spawn_as(config, "unlimited", &[], variables)
+    }
+
+    fn spawn_as(
+        config: &Value, descriptors: &str, arguments: &[&str], variables: &[(&str, &OsStr)],
+    ) -> Proxy {
         let address = config["listen"].as_str().unwrap().parse().unwrap_or_else(|_| free_address());
         let file = Proxy::file(address);
         std::fs::write(&file, config.to_string()).unwrap();
@@ -311,6 +323,7 @@
             ])
             .args(arguments)
             .env("BALANCER_CONFIG", &file)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -5,17 +5,29 @@
 use crate::exchange::Input;
 use crate::operator::{self, Operator};
 use crate::registry::{Bounds, Registry};
-use crate::{clock, config, discovery, form, server, state, upstream};
+use crate::succession::Succession;
+use crate::{admin, clock, config, discovery, form, server, state, upstream};
+use gaugesaddle_service::Order;
+use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
 const RESERVE: usize = 32;
+/// What the operators' calls and the line to another process take: descriptors that clients do not get.
+const OPERATORS: usize = admin::CALLERS + 3;
+/// While two processes share what one may use, each goes by this part of it.
+const SHARED: usize = 2;
+/// How often a process that replaces another looks whether it can serve.
+const LOOK: Duration = Duration::from_millis(10);
+/// Connections that the system may hold ready for the proxy to accept.
+const BACKLOG: i32 = 1024;
 /// The bodies of open requests may take this part of the memory.
 const BODY_PART: usize = 4;
 
@@ -75,21 +87,33 @@
     let mut terminate = catch(SignalKind::terminate(), "SIGTERM")?;
     let mut interrupt = catch(SignalKind::interrupt(), "SIGINT")?;
     let config = config::load()?;
-    let (key, expected, at) = ("listen", "a free address", config.listen.to_string());
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|source| Error::Listen { key, expected, at, source })?;
-    let bound = operator.state.socket.as_deref().map(state::bind).transpose()?;
+    // Only where the platform's operators can ask a process whether it is ready do they start one beside another.
+    let upgrades = config.admin.is_some();
+    let socket = bind("listen", config.listen, upgrades)?;
+    let admin = config.admin.map(|at| listen("admin", at, bind("admin", at, false)?)).transpose()?;
     let clock = clock::Clock::new();
-    // Clients and backends share what the rest leaves; the state's callers take from the clients' part.
-    let callers = operator.state.socket.as_ref().map_or(0, |_| operator.state.connections + 1);
-    let clients = ((config.sockets - RESERVE) / 2).saturating_sub(callers).max(1);
-    let backends = config.sockets - RESERVE - (config.sockets - RESERVE) / 2;
+    // Clients and backends share what the rest leaves; other callers take from the clients' part.
+    let callers = operator.state.socket.as_ref().map_or(0, |_| operator.state.connections + 1)
+        + if upgrades { OPERATORS } else { 0 };
     let body_bytes = config.memory / BODY_PART;
-    let bounds = Bounds { connections: clients, upstream_sockets: backends, body_bytes };
-    let registry = Rc::new(Registry::new(&config.name, config.names.classes(), &bounds, clock.now()));
+    let bounds = |sockets: usize| {
+        let (kept, left) = (sockets / server::KEPT_PART, sockets.saturating_sub(RESERVE));
+        let connections = (left / 2).saturating_sub(callers).max(1);
+        Bounds { connections, kept, upstream_sockets: (left - left / 2).max(1), body_bytes }
+    };
+    let bounds = [bounds(config.sockets), bounds(config.sockets / SHARED)];
+    let registry = Rc::new(Registry::new(&config.name, config.names.classes(), bounds, clock.now()));
+    let succession = Rc::new(Succession::new(line(&config), registry.clone()));
+    let before = succession.call().await;
+    let bound = operator.state.socket.as_deref().map(|path| match before {
+        // The process before this one answers there; its successor takes the place over.
+        Some(_) => state::replace(path),
+        None => state::bind(path),
+    });
+    let bound = bound.transpose()?;
     let (sender, inputs) = mpsc::unbounded_channel();
     let follow = Rc::new(Notify::new());
-    let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, backends));
+    let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, registry.clone()));
     let server = Rc::new(server::Server {
         clock,
         rules: form::Rules {
@@ -98,8 +122,6 @@
             longest: config.longest,
         },
         tick: config.module.tick,
-        most: clients,
-        kept: config.sockets / server::KEPT_PART,
         body_room: Cell::new(body_bytes),
         inputs: sender.clone(),
         registry: registry.clone(),
@@ -115,6 +137,14 @@
         follow: follow.clone(),
         inputs: sender.clone(),
     };
+    let (heard, orders) = mpsc::unbounded_channel();
+    let listening = Rc::new(Notify::new());
+    let replaces = before.is_some();
+    if let Some((excluded, other)) = before {
+        // Ahead of any list: what is out must not be used by the first of them.
+        let _ = sender.send(Input::TakeOver(excluded));
+        tokio::task::spawn_local(succession.clone().keep(other, listening.clone(), heard.clone()));
+    }
     if let Some(known) = config.known {
         let (update, index) = (beechworks::ListUpdate::Cached, Some(known.index));
         let _ = sender.send(Input::List { update, index, targets: known.targets });
@@ -133,7 +163,7 @@
         seed: config.seed,
         open_cap: config.open_cap,
         upstreams: Rc::new(upstream::Http1(pool)),
-        inputs: sender,
+        inputs: sender.clone(),
         follow,
         registry: registry.clone(),
     })?;
@@ -149,15 +179,76 @@
     let (discovery, addresses) = watch::channel(config.discovery);
     tokio::task::spawn_local(watch.run(addresses));
     let (state, settings) = watch::channel(operator.state.clone());
-    tokio::task::spawn_local(state::serve(registry, clock, settings, bound));
+    tokio::task::spawn_local(state::serve(registry.clone(), clock, settings, bound));
     let reload = Reload { document: config.document, file, operator, discovery, state };
     tokio::task::spawn_local(reload.run(hangup));
+    tokio::task::spawn_local(obey(orders, sender.clone()));
+    if let Some(listener) = admin {
+        let (registry, succession) = (registry.clone(), succession.clone());
+        let admin = admin::Admin { clock, registry, inputs: sender, succession };
+        tokio::task::spawn_local(Rc::new(admin).run(listener));
+    }
+    let asked = succession.clone();
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
+        asked.is_succeeded()
     };
+    tokio::pin!(stop);
+    // Clients of the process before this one would wait here for backends that it does not know yet.
+    while replaces && !registry.serving.get() {
+        tokio::select! {
+            _ = &mut stop => return Ok(()),
+            () = tokio::time::sleep(LOOK) => {}
+        }
+    }
+    let listener = listen("listen", config.listen, socket)?;
+    registry.listening.set(true);
+    listening.notify_one();
+    if upgrades {
+        tokio::task::spawn_local(succession.wait(heard));
+    }
     server.run(listener, stop).await;
     Ok(())
 }
+
+/// What the operators ordered at the other process holds here as well.
+async fn obey(mut orders: mpsc::UnboundedReceiver<(String, Order)>, inputs: mpsc::UnboundedSender<Input>) {
+    while let Some((name, order)) = orders.recv().await {
+        let (reply, _) = tokio::sync::oneshot::channel();
+        let _ = inputs.send(Input::Maintain(name.into(), order, reply));
+    }
+}
+
+/// Where a process and its successor meet: in the folder that the platform keeps for both.
+fn line(config: &config::Config) -> Option<PathBuf> {
+    config.admin?;
+    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
+    let name: String =
+        config.name.chars().filter(|c| c.is_ascii_alphanumeric() || "-_".contains(*c)).collect();
+    Some(PathBuf::from(folder).join(format!("gaugesaddle-{name}.upgrade")))
+}
+
+fn cannot_listen(key: &'static str, at: SocketAddr) -> impl Fn(std::io::Error) -> Error {
+    move |source| Error::Listen { key, expected: "a free address", at: at.to_string(), source }
+}
+
+/// A socket that holds its address; nobody can connect before [`listen`]. `shared`: a further process of this proxy
+/// may hold it too, and the system deals out new connections among those that listen.
+fn bind(key: &'static str, at: SocketAddr, shared: bool) -> Result<Socket, Error> {
+    let fail = cannot_listen(key, at);
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None).map_err(&fail)?;
+    socket.set_nonblocking(true).map_err(&fail)?;
+    socket.set_reuse_address(true).map_err(&fail)?;
+    socket.set_reuse_port(shared).map_err(&fail)?;
+    socket.bind(&at.into()).map_err(&fail)?;
+    Ok(socket)
+}
+
+fn listen(key: &'static str, at: SocketAddr, socket: Socket) -> Result<TcpListener, Error> {
+    let fail = cannot_listen(key, at);
+    socket.listen(BACKLOG).map_err(&fail)?;
+    TcpListener::from_std(socket.into()).map_err(&fail)
+}
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -13,6 +13,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where the platform's operators ask; on older deployments nowhere.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -82,6 +84,16 @@
     key.want(parsed, "an IP address and a port")
 }
 
+/// The key, or `$BALANCER_ADMIN` where there is none.
+fn admin(key: &Key) -> Result<Option<SocketAddr>, KeyError> {
+    if key.value().is_some_and(|v| !v.is_null()) {
+        return address(key).map(Some);
+    }
+    let Some(told) = std::env::var("BALANCER_ADMIN").ok().filter(|a| !a.is_empty()) else { return Ok(None) };
+    let told = serde_json::json!({ "BALANCER_ADMIN": told });
+    address(&Key::root(&told).get("BALANCER_ADMIN")).map(Some)
+}
+
 fn parse(document: Value) -> Result<Config, Error> {
     let root = Key::root(&document);
     let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
@@ -99,6 +111,7 @@
         name: root.get("name").value().and_then(Value::as_str).unwrap_or_default().into(),
         listen: address(&root.get("listen"))?,
         discovery: address(&root.get("discovery"))?,
+        admin: admin(&root.get("admin"))?,
         seed: seed.want(hex, "up to 16 hex digits")?,
         sockets: sockets.want(enough, "at least 64")? as usize,
         memory: (root.get("limits").get("memory_mb").count()? as usize).saturating_mul(1 << 20),
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -5,6 +5,7 @@
 use crate::exchange::{Answer, Arrived, Call, Ended, Input, Refusal, Target, Upstream, Upstreams};
 use crate::registry::{BackendRow, End, Registry, StormState};
 use beechworks::*;
+use gaugesaddle_service::{Maintenance, Order, Verdict};
 use gaugesaddle_storm::{State, Storm};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -91,6 +92,9 @@
     inputs: mpsc::UnboundedSender<Input>,
     follow: Rc<Notify>,
     registry: Rc<Registry>,
+    /// What the operators took out, and the list's lines as they came.
+    maintenance: Maintenance,
+    listed: HashMap<BackendId, Backend>,
     storm: Option<Storm>,
     /// Connections that the storm's watch knows of.
     connects: u64,
@@ -146,6 +150,8 @@
             inputs,
             follow,
             registry,
+            maintenance: Maintenance::default(),
+            listed: HashMap::new(),
             storm,
             connects: 0,
         })
@@ -258,6 +264,15 @@
             }
             Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
             Input::List { update, index, targets } => self.list(update, index, targets),
+            Input::Maintain(name, order, reply) => {
+                let _ = reply.send(self.maintain(&name, order));
+            }
+            Input::TakeOver(names) => {
+                let now = self.clock.now();
+                for name in names {
+                    self.maintenance.take_over(now, BackendId(settings::number(&name)));
+                }
+            }
         }
     }
 
@@ -354,16 +369,26 @@
             self.registry.list(self.clock.now(), index, whole, &targets);
         }
         let mut old = if whole { std::mem::take(&mut self.backends) } else { HashMap::new() };
+        if whole {
+            self.listed.clear();
+        }
         let mut entries = Vec::with_capacity(targets.len());
         for target in targets {
             let id = target.backend.id;
-            entries.push(target.backend.clone());
+            self.maintenance.told(&target.backend);
+            if target.backend.state == BackendState::Gone {
+                self.listed.remove(&id);
+            } else {
+                self.listed.insert(id, target.backend.clone());
+            }
+            let seen = self.maintenance.view(&target.backend);
+            let ready = seen.state == BackendState::Ready;
+            entries.push(seen);
             let known = old.remove(&id).or_else(|| self.backends.remove(&id));
             let same = |u: &Rc<dyn Upstream>| {
                 let held = u.target();
                 held.address == target.address && held.backend.booted == target.backend.booted
             };
-            let ready = target.backend.state == BackendState::Ready;
             let upstream = match known {
                 Some(upstream) if same(&upstream) => upstream,
                 // A restarted process shares no connection with the one before it.
@@ -387,6 +412,25 @@
         self.events.push(Event::Members { update, backends: entries });
     }
 
+    /// Takes a backend out or puts it back: from here on nothing new goes to one that is out.
+    fn maintain(&mut self, name: &str, order: Order) -> Verdict {
+        let id = BackendId(settings::number(name));
+        let verdict = self.maintenance.order(self.clock.now(), id, order);
+        if let (Verdict::Done, Some(entry)) = (verdict, self.listed.get(&id)) {
+            let seen = self.maintenance.view(entry);
+            if let Some(upstream) = self.backends.get(&id) {
+                if seen.state == BackendState::Ready {
+                    upstream.open();
+                } else {
+                    upstream.shut();
+                }
+            }
+            self.registry.serving.set(self.backends.values().any(|u| u.is_open()));
+            self.events.push(Event::Members { update: ListUpdate::Changes, backends: vec![seen] });
+        }
+        verdict
+    }
+
     /// Ends as timed out what is out at its deadline; the module still owes its answer.
     fn expire(&mut self, now: Time) {
         while let Some((at, request)) = self.deadlines.first().filter(|d| d.0 <= now).copied() {
@@ -477,7 +521,8 @@
             true => BackendState::Ready,
             false => BackendState::Draining,
         };
-        let entry = |u: &Rc<dyn Upstream>| Backend { state: state(u), ..u.target().backend.clone() };
+        let seen = |u: &Rc<dyn Upstream>| self.maintenance.view(&u.target().backend);
+        let entry = |u: &Rc<dyn Upstream>| Backend { state: state(u), ..seen(u) };
         let backends = self.backends.values().map(entry).collect();
         self.events.push(Event::Members { update: ListUpdate::Cached, backends });
     }
@@ -557,8 +602,9 @@
     async fn an_attempt_after_the_answer_ends_under_its_own_number() {
         let clock = Clock::new();
         let (inputs, _taken) = mpsc::unbounded_channel();
-        let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
-        let bounds = Bounds { connections: 8, upstream_sockets: 8, body_bytes: 8 };
+        let bounds = [Bounds { connections: 8, kept: 1, upstream_sockets: 8, body_bytes: 8 }; 2];
+        let registry = Rc::new(Registry::new("n1", &["read".into()], bounds, clock.now()));
+        let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), registry.clone()));
         let parts = Parts {
             clock,
             config: Config::example(),
@@ -567,7 +613,7 @@
             upstreams: Rc::new(Http1(pool)),
             inputs,
             follow: Rc::default(),
-            registry: Rc::new(Registry::new("n1", &["read".into()], &bounds, clock.now())),
+            registry,
             storm: None,
         };
         let mut driver = Driver::new(parts).expect("sound");
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use beechworks::{AttemptNo, Backend, ClassId, ListUpdate, Micros, Outcome, RequestId, TenantId, Time};
 use bytes::Bytes;
+use gaugesaddle_service::{Order, Verdict};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Request, Response};
 use std::future::Future;
@@ -94,6 +95,10 @@
         index: Option<u64>,
         targets: Vec<Target>,
     },
+    /// What the process before this one holds out, by name.
+    TakeOver(Vec<String>),
+    /// The operators take a backend, by its name, out or put it back.
+    Maintain(Box<str>, Order, oneshot::Sender<Verdict>),
 }
 
 /// A future of the one thread that all of this runs on.
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -8,6 +8,7 @@
 //! Bounds: connections and sockets by the told number of descriptors, bodies by a quarter of the told memory and
 //! 64 KiB each, open requests by `open_cap`, rows of the registry by the list.
 
+mod admin;
 mod app;
 pub mod cli;
 mod clock;
@@ -21,6 +22,7 @@
 pub mod registry;
 mod server;
 pub mod state;
+mod succession;
 pub mod table;
 mod tally;
 mod upstream;
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -7,6 +7,7 @@
 use crate::exchange::Target;
 use crate::tally::Tally;
 use beechworks::{BackendId, BackendState, ClassId, Micros, Outcome, Time};
+use gaugesaddle_service::{Lifecycle, Phase};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -136,54 +137,85 @@
     open: Cell<usize>,
     /// Some backend can be sent requests.
     pub(crate) serving: Cell<bool>,
-    pub(crate) stopping: Cell<bool>,
+    /// Clients can connect.
+    pub(crate) listening: Cell<bool>,
+    lifecycle: Cell<Lifecycle>,
     /// Connections accepted so far.
     pub(crate) connects: Cell<u64>,
     /// What the proxy stands in, and since when; calm where storms are not watched.
     pub(crate) storm: Cell<gaugesaddle_storm::State>,
     pub(crate) storm_seen: RefCell<Option<StormState>>,
     pub(crate) connections: Cell<usize>,
-    pub(crate) connections_most: usize,
     pub(crate) upstream_sockets: Cell<usize>,
-    pub(crate) upstream_sockets_most: usize,
+    /// What one process may hold alone, and while two share it.
+    bounds: [Bounds; 2],
+    shared: Cell<bool>,
     pub(crate) body_bytes: Cell<usize>,
-    pub(crate) body_bytes_most: usize,
     list: Cell<(Option<u64>, Option<Time>)>,
     name: String,
     start: Time,
 }
 
 /// What bounds the registry's gauges.
+#[derive(Clone, Copy)]
 pub(crate) struct Bounds {
     pub connections: usize,
+    /// Of these so many are kept between requests.
+    pub kept: usize,
     pub upstream_sockets: usize,
     pub body_bytes: usize,
 }
 
 impl Registry {
-    pub(crate) fn new(name: &str, classes: &[String], bounds: &Bounds, start: Time) -> Registry {
+    pub(crate) fn new(name: &str, classes: &[String], bounds: [Bounds; 2], start: Time) -> Registry {
         Registry {
             tally: Tally::new(),
             classes: classes.iter().map(|c| (c.clone(), ClassRow::default())).collect(),
             backends: RefCell::default(),
             open: Cell::default(),
             serving: Cell::default(),
-            stopping: Cell::default(),
+            listening: Cell::default(),
+            lifecycle: Cell::default(),
             connects: Cell::default(),
             storm: Cell::new(gaugesaddle_storm::State::Calm),
             storm_seen: RefCell::default(),
             connections: Cell::default(),
-            connections_most: bounds.connections,
             upstream_sockets: Cell::default(),
-            upstream_sockets_most: bounds.upstream_sockets,
+            bounds,
+            shared: Cell::default(),
             body_bytes: Cell::default(),
-            body_bytes_most: bounds.body_bytes,
             list: Cell::default(),
             name: name.into(),
             start,
         }
     }
 
+    /// What this process may hold now.
+    pub(crate) fn bounds(&self) -> Bounds {
+        self.bounds[usize::from(self.shared.get())]
+    }
+
+    /// Another process of the same proxy runs beside this one, or does no more.
+    pub(crate) fn share(&self, shared: bool) {
+        self.shared.set(shared);
+    }
+
+    pub(crate) fn lifecycle(&self) -> Lifecycle {
+        self.lifecycle.get()
+    }
+
+    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut Lifecycle) -> T) -> T {
+        let mut lifecycle = self.lifecycle.get();
+        let told = change(&mut lifecycle);
+        self.lifecycle.set(lifecycle);
+        told
+    }
+
+    /// Clients may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.serving.get() && self.listening.get() && self.lifecycle.get().welcomes()
+    }
+
     pub(crate) fn taken(&self, class: ClassId) {
         self.open.set(self.open.get() + 1);
         if let Some((_, row)) = self.classes.get(class.0) {
@@ -256,13 +288,17 @@
             time_us: now.0,
             start_us: self.start.0,
             serving: self.serving.get(),
-            stopping: self.stopping.get(),
+            stopping: self.lifecycle.get().is_stopping(),
+            draining: matches!(self.lifecycle.get().phase(), Phase::Draining { .. }),
             open: self.open.get(),
             classes: classes.collect(),
             backends,
-            connections: Gauge { now: self.connections.get(), most: self.connections_most },
-            upstream_sockets: Gauge { now: self.upstream_sockets.get(), most: self.upstream_sockets_most },
-            body_bytes: Gauge { now: self.body_bytes.get(), most: self.body_bytes_most },
+            connections: Gauge { now: self.connections.get(), most: self.bounds().connections },
+            upstream_sockets: Gauge {
+                now: self.upstream_sockets.get(),
+                most: self.bounds().upstream_sockets,
+            },
+            body_bytes: Gauge { now: self.body_bytes.get(), most: self.bounds().body_bytes },
             list: ListState { index, age_us: told.map(|t| (now - t).0) },
             reasons: self.tally.all(),
             connects: self.connects.get(),
@@ -354,6 +390,9 @@
     pub serving: bool,
     /// The proxy was told to end.
     pub stopping: bool,
+    /// Its clients are being sent elsewhere.
+    #[serde(default)]
+    pub draining: bool,
     /// Requests that are owed an answer.
     pub open: usize,
     /// By class, in the order of the settings.
@@ -502,8 +541,8 @@
     }
 
     fn registry() -> Registry {
-        let bounds = Bounds { connections: 4, upstream_sockets: 4, body_bytes: 4 };
-        Registry::new("n1", &["read".into()], &bounds, Time(0))
+        let bounds = [Bounds { connections: 4, kept: 1, upstream_sockets: 4, body_bytes: 4 }; 2];
+        Registry::new("n1", &["read".into()], bounds, Time(0))
     }
 
     #[test]
--- a/crates/gaugesaddle/src/server.rs
+++ b/crates/gaugesaddle/src/server.rs
@@ -7,6 +7,7 @@
 use crate::tally::Reason;
 use beechworks::{Micros, RequestId, Time};
 use bytes::Bytes;
+use gaugesaddle_service::{IDLE_CLOSE, LISTEN_ON};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
@@ -25,8 +26,6 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::{Instant, MissedTickBehavior};
 
-/// After SIGTERM new connections still come for a while; so long they are accepted.
-const STOP_ACCEPTING: Duration = Duration::from_millis(500);
 /// From its connect a client has this long for the head of its first request: those who never ask, or never
 /// end it, hold a place that others need.
 const FIRST_HEAD: Micros = Micros(2_200_000);
@@ -63,10 +62,6 @@
     pub clock: Clock,
     pub rules: Rules,
     pub tick: Micros,
-    /// Client connections that may be open.
-    pub most: usize,
-    /// Of these so many are kept between requests.
-    pub kept: usize,
     /// Bytes that the bodies of open requests may hold together.
     pub body_room: Cell<usize>,
     pub inputs: mpsc::UnboundedSender<Input>,
@@ -218,25 +213,28 @@
 }
 
 impl Server {
-    /// Serves until `stop`; returns when all that was taken is answered.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Serves until `stop`, which tells whether another process succeeds this one; returns when all that was taken
+    /// is answered.
+    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = bool>) {
         tokio::pin!(stop);
         let end = tokio::time::sleep(Duration::MAX);
         tokio::pin!(end);
         let mut look = tokio::time::interval(LOOK);
         look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let full = self.links.borrow().len() >= self.most;
+            let full = self.links.borrow().len() >= self.registry.bounds().connections;
             if full {
                 self.make_room();
             }
             tokio::select! {
                 biased;
-                () = &mut stop, if !self.registry.stopping.get() => {
-                    self.registry.stopping.set(true);
-                    end.as_mut().reset(Instant::now() + STOP_ACCEPTING);
+                succeeded = &mut stop, if !self.registry.lifecycle().is_stopping() => {
+                    let now = self.clock.now();
+                    self.registry.change(|l| l.stop(now, succeeded));
+                    let more = if succeeded { Duration::ZERO } else { duration(LISTEN_ON) };
+                    end.as_mut().reset(Instant::now() + more);
                 }
-                () = &mut end, if self.registry.stopping.get() => break,
+                () = &mut end, if self.registry.lifecycle().is_stopping() => break,
                 _ = look.tick() => self.close_overdue(),
                 () = self.freed.notified() => {}
                 accepted = listener.accept(), if !full => match accepted {
@@ -255,12 +253,9 @@
             self.clone().serve(stream);
         }
         drop(listener);
-        let last = Instant::now() + duration(self.rules.longest);
+        let last = Instant::now() + duration(IDLE_CLOSE) + duration(self.rules.longest);
         while !self.links.borrow().is_empty() && Instant::now() < last {
-            let now = self.clock.now();
-            let between = |l: &&Rc<Link>| l.is_used() && matches!(l.phase.get(), Phase::Waiting(_));
-            let why = Reason::ClosedStopping;
-            self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now, why));
+            self.let_go(self.clock.now());
             tokio::select! {
                 _ = look.tick() => self.close_overdue(),
                 () = self.freed.notified() => {}
@@ -268,8 +263,20 @@
         }
     }
 
+    /// Closes connections between requests where the proxy does not want their clients any more.
+    fn let_go(&self, now: Time) {
+        let lifecycle = self.registry.lifecycle();
+        if !lifecycle.closes_idle(now) {
+            return;
+        }
+        let why = if lifecycle.is_stopping() { Reason::ClosedStopping } else { Reason::ClosedDraining };
+        let between = |l: &&Rc<Link>| l.is_used() && matches!(l.phase.get(), Phase::Waiting(_));
+        self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now, why));
+    }
+
     fn close_overdue(&self) {
         let now = self.clock.now();
+        self.let_go(now);
         for link in self.links.borrow().values() {
             if let Some(why) = link.overdue(now) {
                 link.tell_to_close(now, why);
@@ -282,7 +289,8 @@
                 (n.0 + usize::from(l.is_used() || taken), n.1 + usize::from(taken))
             });
             let open = links.len();
-            tracing::info!("{text}; open {open} of {}, asked on {asked}, in service {taken}", self.most);
+            let most = self.registry.bounds().connections;
+            tracing::info!("{text}; open {open} of {most}, asked on {asked}, in service {taken}");
         }
     }
 
@@ -306,12 +314,13 @@
     /// with all of theirs waiting here they can bring no request, and nobody would come to ask for room.
     fn keep_few(&self) {
         let links = self.links.borrow();
-        if links.len() <= self.kept {
+        let most = self.registry.bounds().kept;
+        if links.len() <= most {
             return;
         }
         let now = self.clock.now();
         let kept = links.values().filter(|l| l.is_kept());
-        let surplus = kept.clone().count().saturating_sub(self.kept);
+        let surplus = kept.clone().count().saturating_sub(most);
         for _ in 0..surplus {
             if let Some(link) = kept.clone().min_by_key(|l| l.yields(now)) {
                 link.tell_to_close(now, Reason::ClosedAhead);
@@ -356,7 +365,8 @@
                 _ if link.told.get().is_some() => link.why(),
                 _ if wrong.get() => Reason::ClosedWrong,
                 (Err(e), _) if e.is_parse() => Reason::ClosedUnreadable,
-                _ if self.registry.stopping.get() => Reason::ClosedStopping,
+                _ if self.registry.lifecycle().is_stopping() => Reason::ClosedStopping,
+                _ if !self.registry.lifecycle().welcomes() => Reason::ClosedDraining,
                 _ => Reason::ClosedByClient,
             };
             if wrong.get() || ended.is_err() {
@@ -391,7 +401,7 @@
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
         self.keep_few();
-        if self.registry.stopping.get() || wrong.get() {
+        if !self.registry.lifecycle().welcomes() || wrong.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
@@ -403,8 +413,7 @@
         let length = body.size_hint().exact();
         form::framing(&head, length)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
-            let ready = self.registry.serving.get() && !self.registry.stopping.get();
-            return Ok(if ready {
+            return Ok(if self.registry.is_ready() {
                 plain(StatusCode::OK, "ready")
             } else {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
@@ -474,7 +483,9 @@
         let mut answer = plain(status, "refused");
         answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(refusal.after_s));
         // In a storm places are worth more than a connect: half of them stay for those that are served.
-        if self.registry.storm.get().damps() && self.links.borrow().len() > self.most / 2 {
+        if self.registry.storm.get().damps()
+            && self.links.borrow().len() > self.registry.bounds().connections / 2
+        {
             link.tell_to_close(self.clock.now(), Reason::ClosedStorm);
         }
         answer
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -9,7 +9,7 @@
 use crate::registry::{Registry, Snapshot};
 use crate::{clock::Clock, table};
 use std::io::{self, Read, Write};
-use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -27,15 +27,28 @@
 /// A document is read up to this size: some 10,000 backends fit many times over.
 const DOCUMENT_BYTES: u64 = 64 << 20;
 
-/// A bound socket; its file goes with it.
+/// A bound socket; its file goes with it, unless another process has put its own there.
 pub(crate) struct Bound {
     listener: UnixListener,
     path: PathBuf,
+    inode: Option<u64>,
+}
+
+fn inode(path: &Path) -> Option<u64> {
+    std::fs::symlink_metadata(path).ok().map(|m| m.ino())
+}
+
+impl Bound {
+    fn new(listener: UnixListener, path: &Path) -> Bound {
+        Bound { listener, path: path.into(), inode: inode(path) }
+    }
 }
 
 impl Drop for Bound {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
+        if inode(&self.path) == self.inode {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
@@ -58,19 +71,32 @@
             return Err(fail(io::Error::new(io::ErrorKind::AddrInUse, "another process answers there")));
         }
     }
+    Ok(Bound::new(bind_over(path).map_err(fail)?, path))
+}
+
+/// Takes the place over from the process that this one replaces.
+pub(crate) fn replace(path: &Path) -> Result<Bound, Error> {
+    let (key, expected, at) =
+        ("state.socket", "a path where a socket can be made", path.display().to_string());
+    let listener = bind_over(path).map_err(|source| Error::Listen { key, expected, at, source })?;
+    Ok(Bound::new(listener, path))
+}
+
+/// Binds a socket that only its owner may open, in the place of whatever socket is there.
+pub(crate) fn bind_over(path: &Path) -> io::Result<UnixListener> {
     // Made under another name and moved when its mode is right: at no moment can others open it.
     let mut draft = path.as_os_str().to_owned();
     draft.push(format!(".{}", std::process::id()));
     let draft = PathBuf::from(draft);
     let _ = std::fs::remove_file(&draft);
-    let listener = UnixListener::bind(&draft).map_err(fail)?;
+    let listener = UnixListener::bind(&draft)?;
     let ready = std::fs::set_permissions(&draft, std::fs::Permissions::from_mode(0o600))
         .and_then(|()| std::fs::rename(&draft, path));
     if let Err(source) = ready {
         let _ = std::fs::remove_file(&draft);
-        return Err(fail(source));
+        return Err(source);
     }
-    Ok(Bound { listener, path: path.into() })
+    Ok(listener)
 }
 
 /// Serves the state for ever, on the socket that was told last.
@@ -159,7 +185,13 @@
         state.program,
         seconds(state.time_us.saturating_sub(state.start_us)),
         if state.serving { ", serving" } else { ", NOT SERVING" },
-        if state.stopping { ", stopping" } else { "" },
+        if state.stopping {
+            ", stopping"
+        } else if state.draining {
+            ", draining"
+        } else {
+            ""
+        },
         state.backends.len(),
         state.open,
         state.connections.now,
--- a/crates/gaugesaddle/src/tally.rs
+++ b/crates/gaugesaddle/src/tally.rs
@@ -41,6 +41,8 @@
     ClosedWrong = "closed: after a wrong request";
     /// The proxy is ending.
     ClosedStopping = "closed: the proxy ends";
+    /// The operators send the proxy's clients elsewhere.
+    ClosedDraining = "closed: the proxy drains";
     /// An answer was owed on it and its client had left.
     ClosedLeft = "closed: left before its answer";
     /// The accept itself failed: no connection came of it.
--- a/crates/gaugesaddle/src/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{duration, Clock};
 use crate::exchange::{strip, Call, Ended, Local, Target, Upstream, Upstreams, BODY_BYTES, TIME_LEFT};
+use crate::registry::Registry;
 use crate::wire::{Progress, Wire};
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::Bytes;
@@ -134,13 +135,13 @@
     dial_timeout: Micros,
     idle_limit: Micros,
     sockets: Rc<Cell<usize>>,
-    most: usize,
+    registry: Rc<Registry>,
 }
 
 impl Pool {
-    /// `most`: sockets that it may hold, idle ones included.
-    pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, most: usize) -> Pool {
-        Pool { clock, dial_timeout, idle_limit: conn_idle.times(IDLE_PART), sockets: Rc::default(), most }
+    /// The registry's bounds say how many sockets it may hold, idle ones included.
+    pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, registry: Rc<Registry>) -> Pool {
+        Pool { clock, dial_timeout, idle_limit: conn_idle.times(IDLE_PART), sockets: Rc::default(), registry }
     }
 
     /// Closes the connections that have stood idle for too long, or that the other side has closed.
@@ -148,6 +149,8 @@
         let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
         let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
         kept.retain(|(since, _)| *since > oldest);
+        // What two processes share may have become less.
+        while self.sockets.get() > self.registry.bounds().upstream_sockets && kept.pop().is_some() {}
         for (since, mut link) in kept {
             if link.alive().await && upstream.open.get() {
                 upstream.idle.borrow_mut().push((since, link));
@@ -157,7 +160,7 @@
 
     /// All sockets are taken: an idle one has to go before another is opened.
     fn is_full(&self) -> bool {
-        self.sockets.get() >= self.most
+        self.sockets.get() >= self.registry.bounds().upstream_sockets
     }
 
     /// The pooled connection that was used last, if the backend has not closed it.
@@ -316,7 +319,10 @@
         });
         let clock = Clock::new();
         let second = Micros(1_000_000);
-        let pool = Pool::new(clock, second, second.times(30.0), 8);
+        let bounds =
+            [crate::registry::Bounds { connections: 8, kept: 1, upstream_sockets: 8, body_bytes: 8 }; 2];
+        let registry = Rc::new(Registry::new("n1", &["read".into()], bounds, clock.now()));
+        let pool = Pool::new(clock, second, second.times(30.0), registry);
         let entry = Backend { state: BackendState::Ready, ..Backend::default() };
         let (name, zone, kind) = ("n".into(), "z".into(), "k".into());
         let pool = Rc::new(pool);
--- a/crates/gaugesaddle/tests/operator.rs
+++ b/crates/gaugesaddle/tests/operator.rs
@@ -109,13 +109,21 @@
     gone.send(&request("read", 7000).replace("/a?", "/slow?"));
     until("its attempt", || s.backend.requests().len() == 21);
     drop(gone);
+    // A backend that owes an answer is soon taken for silent, and a request that may not be repeated is refused unsent
+    // then: first the leaving must be known, and the backend in use again.
+    until("it has left", || state(&s.socket)["classes"][0]["left"] == 1);
+    let mut again = 0;
+    until("the backend is asked again", || {
+        again += 1;
+        ask(&s.proxy, &request("read", 7000)).status() == 200
+    });
     let late = ask(&s.proxy, &request("pay", 300).replace("/a?", "/slow?")).status();
     assert_eq!(late, 502);
     until("all ended", || state(&s.socket)["open"] == 0);
     let told = state(&s.socket);
     let read = &told["classes"][0];
-    assert_eq!((read["name"].as_str(), read["taken"].as_u64()), (Some("read"), Some(21)));
-    assert_eq!((read["in_aim"].as_u64(), read["left"].as_u64()), (Some(20), Some(1)));
+    assert_eq!((read["name"].as_str(), read["taken"].as_u64()), (Some("read"), Some(21 + again)));
+    assert_eq!((read["in_aim"].as_u64(), read["left"].as_u64()), (Some(21), Some(1)));
     let pay = &told["classes"][2];
     assert_eq!((pay["taken"].as_u64(), pay["failed"]["module"].as_u64()), (Some(1), Some(1)));
     let backend = &told["backends"][0];
@@ -124,8 +132,8 @@
     let outcomes = backend["outcomes"].as_array().unwrap();
     let of = |name: &str| outcomes.iter().find(|o| o[0] == name).unwrap()[1].as_u64().unwrap();
     // Whether the module calls the late one off or its time runs out first is the module's to say.
-    assert_eq!((of("ok"), of("cancelled") + of("timed_out")), (20, 2));
-    assert_eq!(outcomes.iter().map(|o| o[1].as_u64().unwrap()).sum::<u64>(), 22);
+    assert_eq!((of("ok"), of("cancelled") + of("timed_out")), (21, 2));
+    assert_eq!(outcomes.iter().map(|o| o[1].as_u64().unwrap()).sum::<u64>(), 23);
     let reason = |text: &str| {
         let all = told["reasons"].as_array().unwrap();
         all.iter().find(|r| r[0] == text).unwrap_or_else(|| panic!("{text}"))[1].as_u64()
--- /dev/null
+++ b/crates/gaugesaddle/tests/service.rs
@@ -0,0 +1,191 @@
+//! A proxy handled by its operators under load: bad callers on the second address, backends taken out against the
+//! list, a drain, and a second process that replaces the first.
+
+use gaugesaddle_testbed::scripted::*;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// A proxy's configuration with a second address.
+fn with_admin(discovery: &Discovery, backends: &[(&str, &Backend)]) -> (Value, SocketAddr) {
+    let lines: Vec<Value> = backends.iter().map(|(n, b)| line(n, b.address, "ready", 0)).collect();
+    let mut config = config(discovery.address, &lines);
+    let admin = free_address();
+    config["admin"] = json!(admin.to_string());
+    (config, admin)
+}
+
+/// The status of a call, 0 where there was no answer.
+fn call(admin: SocketAddr, text: &str) -> u16 {
+    let Ok(mut client) = Client::try_open(admin) else { return 0 };
+    client.send(&format!("{text} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"));
+    client.answer().map_or(0, |a| a.status())
+}
+
+/// A folder that goes with its test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("gs-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn a_backend_that_is_out_gets_nothing_whatever_the_list_says() {
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let discovery = Discovery::start();
+    let (config, admin) = with_admin(&discovery, &[("a", &a), ("b", &b)]);
+    let proxy = Proxy::start(&config);
+    let serve = |n| (0..n).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200));
+    until("both are used", || {
+        serve(4);
+        !a.requests().is_empty() && !b.requests().is_empty()
+    });
+    assert_eq!(call(admin, "PUT /api/exclude?target=a"), 200);
+    let before = a.requests().len();
+    serve(20);
+    // Told anew as ready, and as restarted: the ban holds.
+    discovery.tell(true, &[line("a", a.address, "ready", 0), line("b", b.address, "ready", 0)]);
+    let seen = discovery.calls();
+    until("the list was taken", || discovery.calls() > seen);
+    serve(20);
+    assert_eq!(call(admin, "PUT /api/exclude?target=a"), 200, "twice is as good as once");
+    discovery.tell(false, &[line("a", a.address, "ready", 1_000)]);
+    until("the change was taken", || discovery.calls() > seen + 1);
+    serve(20);
+    assert_eq!(a.requests().len(), before);
+    assert_eq!(call(admin, "PUT /api/include?target=a"), 200, "once ends both");
+    until("it is used again", || {
+        serve(4);
+        a.requests().len() > before
+    });
+    for (text, status) in [
+        ("PUT /api/exclude?target=never", 404),
+        ("PUT /api/include?target=never", 404),
+        ("PUT /api/exclude", 400),
+        ("PUT /api/exclude?target=a&target=b", 400),
+        ("GET /api/exclude?target=a", 405),
+        ("GET /api/none", 404),
+        ("GET /api/ready", 200),
+    ] {
+        assert_eq!(call(admin, text), status, "{text}");
+    }
+    // With all of them out there is nothing to serve with, and the front is told so.
+    assert_eq!(call(admin, "PUT /api/exclude?target=a"), 200);
+    assert_eq!(call(admin, "PUT /api/exclude?target=b"), 200);
+    assert_eq!((proxy.ready(), call(admin, "GET /api/ready")), (503, 503));
+    assert_eq!(ask(&proxy, &request("read", 300)).status(), 503);
+}
+
+/// Callers that say nothing, or half a call, hold up nobody and cost a bounded number of places.
+#[test]
+fn bad_callers_on_the_second_address_delay_no_good_one() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let (config, admin) = with_admin(&discovery, &[("a", &backend)]);
+    let proxy = Proxy::start(&config);
+    let mut bad: Vec<Client> = (0..60)
+        .map(|i| {
+            let mut client = Client::open(admin);
+            client.send(["", "GET /api/re", "PUT /api/exclude?target=a HTTP/1.1\r\nHo"][i % 3]);
+            client
+        })
+        .collect();
+    let start = Instant::now();
+    assert_eq!(call(admin, "GET /api/ready"), 200);
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert!(bad.iter_mut().all(Client::ends), "each loses its place");
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
+
+/// Told to drain the proxy says no, answers what comes on kept connections and lets go of them; it comes back.
+#[test]
+fn a_drain_sends_clients_away_and_ends() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let (config, admin) = with_admin(&discovery, &[("a", &backend)]);
+    let proxy = Proxy::start(&config);
+    let mut clients: Vec<Client> = (0..2)
+        .map(|_| {
+            let mut client = Client::open(proxy.address);
+            client.send(&request("read", 7000));
+            assert_eq!(client.answer().map(|a| a.status()), Some(200));
+            client
+        })
+        .collect();
+    let start = Instant::now();
+    assert_eq!(call(admin, "PUT /api/evacuate"), 200);
+    assert_eq!((proxy.ready(), call(admin, "GET /api/ready")), (503, 503));
+    clients[0].send(&request("read", 7000));
+    assert_eq!(clients[0].answer().map(|a| a.status()), Some(200), "asked on while it drains");
+    assert!(clients[0].ends(), "and closed with its answer");
+    assert!(clients[1].ends(), "nothing is held idle");
+    assert!(start.elapsed() < Duration::from_secs(4));
+    assert_eq!(call(admin, "PUT /api/rejoin"), 200);
+    until("ready", || proxy.ready() == 200);
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
+
+/// Clients ask on through an upgrade, each on a connection that it keeps while it may: none is turned away, none
+/// loses an answer; what the operators took out stays out, whichever process they told.
+#[test]
+fn a_second_process_replaces_the_first_without_loss() {
+    let folder = Folder::new("upgrade");
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let discovery = Discovery::start();
+    let (config, admin) = with_admin(&discovery, &[("a", &a), ("b", &b)]);
+    let temporary = [("TMPDIR", folder.0.as_os_str())];
+    let mut first = Proxy::spawn_in(&config, &temporary);
+    until("ready", || first.ready() == 200);
+    assert_eq!(call(admin, "PUT /api/exclude?target=a"), 200);
+    let address = first.address;
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let clients: Vec<_> = (0..4)
+        .map(|_| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                let (mut client, mut asked) = (Client::open(address), 0);
+                while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    client.send(&request("read", 7000));
+                    let answer = client.answer().expect("a whole answer");
+                    assert_eq!(answer.status(), 200);
+                    asked += 1;
+                    if answer.header("connection") == Some("close") {
+                        client = Client::open(address);
+                    }
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                asked
+            })
+        })
+        .collect();
+    let mut next = config.clone();
+    let admin_next = free_address();
+    next["admin"] = json!(admin_next.to_string());
+    let second = Proxy::spawn_in(&next, &temporary);
+    until("the second is ready", || call(admin_next, "GET /api/ready") == 200);
+    // Told to one of two, it holds in both.
+    assert_eq!(call(admin_next, "PUT /api/exclude?target=b"), 200);
+    assert_eq!(call(admin_next, "PUT /api/include?target=a"), 200);
+    until("the first knows", || first.log().contains("Include") || call(admin, "GET /api/ready") == 200);
+    first.terminate();
+    assert!(first.exit().success());
+    let before = b.requests().len();
+    let served = a.requests().len();
+    until("the second serves alone", || a.requests().len() > served + 50);
+    assert_eq!(b.requests().len(), before, "b stays out");
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    let asked: Vec<usize> = clients.into_iter().map(|c| c.join().expect("no loss")).collect();
+    assert!(asked.iter().all(|n| *n > 10), "{asked:?}");
+    drop(second);
+}
