Pass bodies of up to 40 MiB on, in every framing, within a fixed memory

Requests: chunked ones are taken where the head that came shows no Content-Length beside it (hyper hides that, so the bytes of the head are kept); a body may stand still for 2 s and has a byte's time for each byte, 32 kB a second; up to 4 MiB is held whole, so that it can be sent again and takes no place on a backend while it comes; the rest, or what finds no room, is passed on in one attempt. Answers over 64 KiB are passed on from there; their attempt has ended then, for the first bytes are what is timed; one that breaks off ends the client's connection. Answers that say that they end with their connection are taken. Rejected: passing everything on (a slow upload would hold a place on a backend, and nothing could be sent again) and holding everything (32 MB, many at a time, in 48 MB).

--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -38,6 +38,7 @@
     /// Until when it is served as wanted.
     aim: Time,
     deadline: Time,
+    after_last: Option<Micros>,
     /// Whose it is, and whether that comes out of turn.
     source: (u64, bool),
     call: Rc<Call>,
@@ -263,6 +264,7 @@
                 }
             }
             Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
+            Input::Whole(request) => self.whole(request),
             Input::List { update, index, targets } => self.list(update, index, targets),
             Input::Maintain(name, order, reply) => {
                 let _ = reply.send(self.maintain(&name, order));
@@ -306,7 +308,9 @@
         });
         let (class, aim, deadline) = (new.class, new.came + stretch, new.deadline);
         let source = (new.source, out_of_turn);
-        let open = Open { class, aim, deadline, source, call: new.call, reply, attempts, count: 0 };
+        let after_last = new.after_last;
+        let open =
+            Open { class, aim, deadline, after_last, source, call: new.call, reply, attempts, count: 0 };
         self.requests.insert(new.id, open);
     }
 
@@ -412,6 +416,16 @@
         self.events.push(Event::Members { update, backends: entries });
     }
 
+    /// The last byte of a request has come: from now on its client's patience is known.
+    fn whole(&mut self, request: RequestId) {
+        let now = self.clock.now();
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        let Some(left) = r.after_last.take().filter(|left| now + *left < r.deadline) else { return };
+        self.deadlines.remove(&(r.deadline, request));
+        r.deadline = now + left;
+        self.deadlines.insert((r.deadline, request));
+    }
+
     /// Takes a backend out or puts it back: from here on nothing new goes to one that is out.
     fn maintain(&mut self, name: &str, order: Order) -> Verdict {
         let id = BackendId(settings::number(name));
@@ -592,6 +606,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::body::{CallBody, Payload};
     use crate::registry::Bounds;
     use crate::upstream::{Http1, Pool};
     use bytes::Bytes;
@@ -618,20 +633,32 @@
         };
         let mut driver = Driver::new(parts).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
-        let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
+        let call = Rc::new(Call { head: hyper::Request::new(()), body: CallBody::Whole(Bytes::new()) });
         let deadline = clock.now() + Micros(1_000_000);
         let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
         let came = clock.now();
         let (key, source) = (None, 0);
-        let arrived =
-            Arrived { id, class, tenant, came, deadline, work_hint, repeat, key, source, call, reply };
+        let arrived = Arrived {
+            id,
+            class,
+            tenant,
+            came,
+            deadline,
+            after_last: None,
+            work_hint,
+            repeat,
+            key,
+            source,
+            call,
+            reply,
+        };
         driver.take(Input::Arrived(arrived));
         let sent = clock.now();
         let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
         let open = driver.requests.get_mut(&id).expect("open");
         open.attempts.insert(AttemptNo(0), Attempt { sent, task, row: None });
         open.count = 1;
-        let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Bytes::new())) };
+        let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Payload::Whole(Bytes::new()))) };
         driver.take(Input::Ended(id, AttemptNo(0), ended));
         assert!(matches!(answer.try_recv(), Ok(Answer::Served(_))), "at once");
         driver.dispatch(clock.now(), id, BackendId(7));
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -2,8 +2,8 @@
 //! others: a front brings [`Arrived`] requests and waits for their [`Answer`]; an [`Upstream`] carries attempts
 //! to one node; discovery tells [`Target`]s. Only the driver speaks with the module.
 
+use crate::body::{CallBody, Payload};
 use beechworks::{AttemptNo, Backend, ClassId, ListUpdate, Micros, Outcome, RequestId, TenantId, Time};
-use bytes::Bytes;
 use gaugesaddle_service::{Order, Verdict};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Request, Response};
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
-/// The most that a body holds, either way.
+/// A body up to this size is held whole before it goes on, either way.
 pub const BODY_BYTES: usize = 64 << 10;
 /// The header that tells how long the sender will wait, in whole milliseconds.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
@@ -32,13 +32,13 @@
 /// What goes to a backend, the same in every attempt but for the time left.
 pub struct Call {
     pub head: Request<()>,
-    pub body: Bytes,
+    pub body: CallBody,
 }
 
 /// How an attempt ended, with the answer if it was served.
 pub struct Ended {
     pub outcome: Outcome,
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Payload>>,
 }
 
 impl From<Outcome> for Ended {
@@ -60,7 +60,7 @@
 
 /// A final answer.
 pub enum Answer {
-    Served(Response<Bytes>),
+    Served(Response<Payload>),
     Refused(Refusal),
     Failed,
 }
@@ -74,6 +74,8 @@
     pub came: Time,
     /// When it must have been answered.
     pub deadline: Time,
+    /// How long its client waits from its last byte on, where that is still to come.
+    pub after_last: Option<Micros>,
     pub work_hint: Option<Micros>,
     pub repeat: bool,
     /// The hash of its idempotency key, where it has one.
@@ -95,6 +97,8 @@
         index: Option<u64>,
         targets: Vec<Target>,
     },
+    /// The last byte has come of a request that is passed on while it comes.
+    Whole(RequestId),
     /// What the process before this one holds out, by name.
     TakeOver(Vec<String>),
     /// The operators take a backend, by its name, out or put it back.
--- a/crates/gaugesaddle/src/form.rs
+++ b/crates/gaugesaddle/src/form.rs
@@ -1,6 +1,7 @@
 //! The form of a client's request: what the module needs to know of it, or why it is turned away.
 
-use crate::exchange::{BODY_BYTES, TIME_LEFT};
+use crate::body::{Seen, MOST_BYTES};
+use crate::exchange::TIME_LEFT;
 use crate::tally::Reason;
 use beechworks::settings::{number as number_of, Names};
 use beechworks::{Class, ClassId, Effect, Micros, TenantId};
@@ -48,15 +49,15 @@
     pub longest: Micros,
 }
 
-/// Refuses what frames its body in another way than by a length. hyper takes `Content-Length` out where
-/// `Transfer-Encoding` stands beside it, so a request that carries both can't be told from one that does not.
-pub fn framing(head: &Parts, length: Option<u64>) -> Result<(), Wrong> {
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        let text = "expected Content-Length, not Transfer-Encoding";
+/// Refuses what frames its body in two ways at once, for a reader that goes by the other of the two finds another
+/// request in it, and what is too long.
+pub fn framing(head: &Parts, length: Option<u64>, seen: &Seen) -> Result<(), Wrong> {
+    if head.headers.contains_key(TRANSFER_ENCODING) && !seen.is_only_chunked(head.method.as_str()) {
+        let text = "expected Content-Length or Transfer-Encoding, not both";
         return Err(Wrong(StatusCode::LENGTH_REQUIRED, text, Reason::WrongFraming));
     }
-    if length.is_none_or(|n| n > BODY_BYTES as u64) {
-        return Err(Wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB", Reason::WrongFraming));
+    if length.is_some_and(|n| n > MOST_BYTES) {
+        return Err(Wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 40 MiB", Reason::WrongFraming));
     }
     Ok(())
 }
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod admin;
 mod app;
+mod body;
 pub mod cli;
 mod clock;
 mod config;
--- a/crates/gaugesaddle/src/server.rs
+++ b/crates/gaugesaddle/src/server.rs
@@ -1,21 +1,22 @@
 //! The client side: connections, and a request from its first byte to its answer.
 
+use crate::body::{CallBody, Download, Passing, Seen, Tap, HELD_BYTES, MOST_BYTES};
 use crate::clock::{duration, Clock};
 use crate::exchange::{strip, Answer, Arrived, Call, Input, Refusal, BODY_BYTES};
 use crate::form::{self, Rules, Wrong};
 use crate::registry::Registry;
 use crate::tally::Reason;
 use beechworks::{Micros, RequestId, Time};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use gaugesaddle_service::{IDLE_CLOSE, LISTEN_ON};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -29,8 +30,15 @@
 /// From its connect a client has this long for the head of its first request: those who never ask, or never
 /// end it, hold a place that others need.
 const FIRST_HEAD: Micros = Micros(2_200_000);
-/// A body has this long from its head, or what is left of the time above.
+/// A body may stand still for this long, however fast it came before.
 const BODY: Micros = Micros(2_000_000);
+/// The same for the first request of a connection, from the connect: those who never end it are owed an answer
+/// within 3 s.
+const FIRST_BODY: Micros = Micros(2_700_000);
+/// A byte of a body that has come gives it this much more time, us: 32 kB a second, half of what slow clients send.
+const BYTE_US: f64 = 1e6 / 32e3;
+/// A body that is passed on while it comes has this long at most, where its length tells no less.
+const LONGEST_UPLOAD: Micros = Micros(30_000_000);
 /// A connection that stands between requests is closed after this time: many are kept and never used again.
 const IDLE: Micros = Micros(5_000_000);
 /// Connections between requests are kept up to this part of the descriptors. Usual clients hold a third of them
@@ -169,14 +177,10 @@
         (now - since >= time).then_some(why)
     }
 
-    /// When the body of the request whose head has just come must be there.
-    fn body_due(&self, now: Time) -> Time {
-        let due = now + BODY;
-        if self.is_used() {
-            due
-        } else {
-            due.min(self.opened + FIRST_HEAD)
-        }
+    /// When more of a body must have come, of which so much has, and whose head came then.
+    fn body_due(&self, came: Time, bytes: u64) -> Time {
+        let start = if self.is_used() { came + BODY } else { (came + BODY).min(self.opened + FIRST_BODY) };
+        start + Micros((bytes as f64 * BYTE_US) as u64)
     }
 }
 
@@ -338,10 +342,12 @@
         tokio::task::spawn_local(async move {
             let mut gone = Gone { number, server: &self, why: Reason::ClosedByClient };
             let wrong = Cell::new(false);
-            let service = hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong)));
+            let seen = Rc::new(Seen::default());
+            let service =
+                hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong, &seen)));
             let mut http = http1::Builder::new();
             http.max_buf_size(HEAD_BYTES).header_read_timeout(None);
-            let mut connection = http.serve_connection(TokioIo::new(stream), service);
+            let mut connection = http.serve_connection(TokioIo::new(Tap::new(stream, seen.clone())), service);
             let mut told = false;
             let ended = loop {
                 tokio::select! {
@@ -371,7 +377,7 @@
             };
             if wrong.get() || ended.is_err() {
                 link.told.set(None);
-                let stream = connection.into_parts().io.into_inner();
+                let stream = connection.into_parts().io.into_inner().into_inner();
                 tokio::select! {
                     () = linger(stream) => {}
                     () = link.close.notified() => {}
@@ -386,11 +392,15 @@
     }
 
     async fn handle(
-        &self, request: Request<Incoming>, link: &Link, wrong: &Cell<bool>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        &self, request: Request<Incoming>, link: &Rc<Link>, wrong: &Cell<bool>, seen: &Seen,
+    ) -> Result<Response<Download>, Infallible> {
         link.phase.set(Phase::Reading(self.clock.now()));
-        let answer = self.answer(request, link).await;
-        link.phase.set(Phase::Waiting(self.clock.now()));
+        let answer = self.answer(request, link, seen).await;
+        seen.restart();
+        // What is passed on says itself when it has ended.
+        if !answer.as_ref().is_ok_and(|a| a.body().is_passing()) {
+            link.phase.set(Phase::Waiting(self.clock.now()));
+        }
         link.asked.set(link.asked.get().saturating_add(1));
         wrong.set(answer.is_err());
         let mut answer = answer.unwrap_or_else(|Wrong(status, text, why)| {
@@ -407,11 +417,13 @@
         Ok(answer)
     }
 
-    async fn answer(&self, request: Request<Incoming>, link: &Link) -> Result<Response<Full<Bytes>>, Wrong> {
+    async fn answer(
+        &self, request: Request<Incoming>, link: &Rc<Link>, seen: &Seen,
+    ) -> Result<Response<Download>, Wrong> {
         let came = self.clock.now();
         let (mut head, body) = request.into_parts();
         let length = body.size_hint().exact();
-        form::framing(&head, length)?;
+        form::framing(&head, length, seen)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
             return Ok(if self.registry.is_ready() {
                 plain(StatusCode::OK, "ready")
@@ -420,18 +432,8 @@
             });
         }
         let form = self.rules.read(&head, length)?;
-        let _room = self.room(length.unwrap_or(0) as usize)?;
-        let due = self.clock.instant(link.body_due(came));
-        let body = match tokio::time::timeout_at(due, Limited::new(body, BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
-                return Err(Wrong(StatusCode::BAD_REQUEST, "the body is broken", Reason::WrongBody));
-            }
-            Err(_) => {
-                let text = "the body did not come in time";
-                return Err(Wrong(StatusCode::REQUEST_TIMEOUT, text, Reason::WrongBody));
-            }
-        };
+        let mut room = Room { bytes: 0, server: self };
+        let mut body = self.read(body, link, came, &mut room).await?;
         if !self.ids.borrow_mut().insert(form.id.clone()) {
             let text = "X-Correlation-Id: that of a request that is open";
             return Err(Wrong(StatusCode::CONFLICT, text, Reason::WrongId));
@@ -446,12 +448,28 @@
         *sent.uri_mut() = head.uri.path_and_query().map(|p| p.clone().into()).unwrap_or_default();
         *sent.headers_mut() = head.headers;
         let (reply, answer) = oneshot::channel();
+        // A client's patience counts from its last byte, which may be to come.
+        let patience = Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
+        let (deadline, after_last) = match &mut body {
+            CallBody::Whole(_) => (whole + patience, None),
+            CallBody::Passing(passing) => {
+                let mut upload = LONGEST_UPLOAD;
+                if let Some(passing) = passing.get_mut() {
+                    passing.ended = Some((self.inputs.clone(), request));
+                    if let Some(rest) = passing.rest.size_hint().exact() {
+                        upload = upload.min(Micros(BODY.0 + (rest as f64 * BYTE_US) as u64));
+                    }
+                }
+                (whole + upload + patience, Some(patience))
+            }
+        };
         let arrived = Input::Arrived(Arrived {
             id: request,
             class: form.class,
             tenant: form.tenant,
             came: whole,
-            deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
+            deadline,
+            after_last,
             work_hint: form.work_hint,
             repeat: form.repeat,
             key: form.key,
@@ -463,7 +481,11 @@
         let answer = answer.await;
         ticket.answered = true;
         Ok(match answer {
-            Ok(Answer::Served(answer)) => answer.map(Full::new),
+            Ok(Answer::Served(answer)) => {
+                let (link, clock) = (link.clone(), self.clock);
+                let done = move || link.phase.set(Phase::Waiting(clock.now()));
+                answer.map(|payload| Download::new(payload, done))
+            }
             Ok(Answer::Refused(refusal)) => self.refusal(refusal, link),
             Ok(Answer::Failed) | Err(_) => {
                 self.registry.tally.count(Reason::Failed);
@@ -472,7 +494,60 @@
         })
     }
 
-    fn refusal(&self, refusal: Refusal, link: &Link) -> Response<Full<Bytes>> {
+    /// Reads a body, whole where there is room for it.
+    async fn read(
+        &self, mut body: Incoming, link: &Link, came: Time, room: &mut Room<'_>,
+    ) -> Result<CallBody, Wrong> {
+        let (mut held, mut passed) = (VecDeque::<Bytes>::new(), 0);
+        loop {
+            let due = self.clock.instant(link.body_due(came, passed));
+            let bytes = match tokio::time::timeout_at(due, body.frame()).await {
+                Ok(None) => break,
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    Err(_) => continue, // trailers: nothing in them is for a backend
+                },
+                Ok(Some(Err(_))) => {
+                    return Err(Wrong(StatusCode::BAD_REQUEST, "the body is broken", Reason::WrongBody));
+                }
+                Err(_) => {
+                    let text = "the body did not come in time";
+                    return Err(Wrong(StatusCode::REQUEST_TIMEOUT, text, Reason::WrongBody));
+                }
+            };
+            passed += bytes.len() as u64;
+            if passed > MOST_BYTES {
+                let text = "the body is over 40 MiB";
+                return Err(Wrong(StatusCode::PAYLOAD_TOO_LARGE, text, Reason::WrongFraming));
+            }
+            // Half of the room is kept for bodies that are never passed on.
+            let large = passed > BODY_BYTES as u64;
+            let fits = (!large || self.body_room.get() > self.registry.bounds().body_bytes / 2)
+                && room.grow(bytes.len());
+            held.push_back(bytes);
+            if fits && passed <= HELD_BYTES as u64 {
+                continue;
+            }
+            if !large {
+                let text = "too many large requests at once";
+                return Err(Wrong(StatusCode::SERVICE_UNAVAILABLE, text, Reason::RefusedBodies));
+            }
+            let passing = Passing { first: held, rest: body, passed, ended: None };
+            return Ok(CallBody::Passing(RefCell::new(Some(passing))));
+        }
+        Ok(CallBody::Whole(match held.len() {
+            1 => held.pop_front().unwrap_or_default(),
+            _ => held
+                .iter()
+                .fold(BytesMut::with_capacity(passed as usize), |mut all, bytes| {
+                    all.extend_from_slice(bytes);
+                    all
+                })
+                .freeze(),
+        }))
+    }
+
+    fn refusal(&self, refusal: Refusal, link: &Link) -> Response<Download> {
         self.registry.tally.count(if refusal.crowded {
             Reason::RefusedOpenCap
         } else {
@@ -490,15 +565,17 @@
         }
         answer
     }
+}
 
-    /// Room for a body of that size; without it many large ones together would use up the memory.
-    fn room(&self, bytes: usize) -> Result<Room<'_>, Wrong> {
-        let free = &self.body_room;
-        let left = free.get().checked_sub(bytes);
-        let text = "too many large requests at once";
-        free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, text, Reason::RefusedBodies))?);
-        self.registry.body_bytes.set(self.registry.body_bytes.get() + bytes);
-        Ok(Room { bytes, server: self })
+impl Room<'_> {
+    /// Room for so many bytes more, if there is; without it many large bodies together would use up the memory.
+    fn grow(&mut self, bytes: usize) -> bool {
+        let (free, held) = (&self.server.body_room, &self.server.registry.body_bytes);
+        let Some(left) = free.get().checked_sub(bytes) else { return false };
+        free.set(left);
+        held.set(held.get() + bytes);
+        self.bytes += bytes;
+        true
     }
 }
 
@@ -509,8 +586,8 @@
     hasher.finish()
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Download> {
+    let mut answer = Response::new(Download::whole(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
     answer
 }
--- a/crates/gaugesaddle/src/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -1,15 +1,16 @@
 //! HTTP/1.1 to backends: pooled connections, and one attempt to one outcome.
 
+use crate::body::{ends_with_connection, Payload, Piece, Upload, MOST_BYTES, STALL};
 use crate::clock::{duration, Clock};
 use crate::exchange::{strip, Call, Ended, Local, Target, Upstream, Upstreams, BODY_BYTES, TIME_LEFT};
 use crate::registry::Registry;
 use crate::wire::{Progress, Wire};
 use beechworks::{BackendState, Micros, Outcome, Time};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -20,12 +21,13 @@
 use std::rc::Rc;
 use std::task::Poll;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 
 /// A head is read up to this size.
 const HEAD_BYTES: usize = 16 << 10;
-/// An answer is read up to this size, framing and 1xx answers ahead of it included.
-const ANSWER_BYTES: usize = 2 * BODY_BYTES + HEAD_BYTES;
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+/// Pieces of an answer, of up to a read each, that wait for a slow client; more would be memory for nothing.
+const PIECES: usize = 1;
 /// Part of the backend's own limit after which an idle connection is closed from this side: a request
 /// written while the backend closes it would end as a reset.
 const IDLE_PART: f64 = 0.75;
@@ -87,8 +89,8 @@
 
 /// A connection, driven only by the attempt that uses it: dropping it closes the socket at once.
 struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    driving: Pin<Box<Connection<TokioIo<Wire>, Full<Bytes>>>>,
+    sender: SendRequest<Upload>,
+    driving: Pin<Box<Connection<TokioIo<Wire>, Upload>>>,
     progress: Rc<Progress>,
     /// The connection has run to its end.
     ended: bool,
@@ -96,10 +98,9 @@
 }
 
 impl Link {
-    /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
-    /// the exchange gets.
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
-        self.progress.restart();
+    /// Sends the request and reads the answer, whole or as far as it is held, while running the connection, whose
+    /// own end shows in what the exchange gets.
+    async fn exchange(&mut self, request: Request<Upload>) -> Result<Exchanged, ()> {
         let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
         poll_fn(|cx| {
             if !self.ended {
@@ -110,6 +111,17 @@
         .await
     }
 
+    /// The next piece of an answer that is passed on; `None`: its end.
+    async fn piece(&mut self, body: &mut Incoming) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        poll_fn(|cx| {
+            if !self.ended {
+                self.ended = self.driving.as_mut().poll(cx).is_ready();
+            }
+            Pin::new(&mut *body).poll_frame(cx)
+        })
+        .await
+    }
+
     /// Whether it can take a request: the other side has not closed it and the last answer is done. An ended
     /// connection is never run again; waiting on it would hold a good answer back until the deadline.
     async fn alive(&mut self) -> bool {
@@ -186,7 +198,7 @@
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         let _ = stream.set_nodelay(true);
-        let wire = Wire::new(stream, ANSWER_BYTES);
+        let wire = Wire::new(stream);
         let progress = wire.progress.clone();
         let shake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(wire)).await;
         let (sender, connection) = shake.map_err(|_| Outcome::ConnectFailed)?;
@@ -194,7 +206,7 @@
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
-    async fn attempt(&self, upstream: &Node, call: &Call, deadline: Time) -> Ended {
+    async fn attempt(self: &Rc<Pool>, upstream: &Rc<Node>, call: &Call, deadline: Time) -> Ended {
         loop {
             let pooled = self.pooled(upstream).await;
             let fresh = pooled.is_none();
@@ -211,16 +223,27 @@
                 return Outcome::NeverSent.into();
             }
             let left = (deadline - self.clock.now()).0 / 1000;
-            return match link.exchange(request(call, left)).await {
-                Ok(ended) => {
-                    if link.alive().await && upstream.open.get() {
-                        upstream.idle.borrow_mut().push((self.clock.now(), link));
-                    }
+            // An earlier attempt has had what can be sent once only, and it never ran.
+            let Some(upload) = call.body.upload(&link.progress) else { return Outcome::NeverSent.into() };
+            return match link.exchange(request(call, upload, left)).await {
+                Ok(Exchanged::Whole(ended)) => {
+                    self.keep(upstream, link).await;
                     ended
                 }
+                Ok(Exchanged::Held(head, first, body)) => {
+                    let (to, pieces) = mpsc::channel(PIECES);
+                    let mut answer = pass_on(head, Payload::Passing(first.clone(), pieces));
+                    let held = first.len() as u64;
+                    if let Some(rest) = body.size_hint().exact() {
+                        answer.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(held + rest));
+                    }
+                    tokio::task::spawn_local(self.clone().pass(upstream.clone(), link, body, held, to));
+                    Ended { outcome: Outcome::Ok, answer: Some(answer) }
+                }
                 // A pooled connection that closed, or brought more than its answer, before a byte was written:
                 // the attempt has not begun.
-                Err(()) if !fresh && !link.progress.begun.get() => continue,
+                Err(()) if link.progress.client_broke.get() => Outcome::NeverSent.into(),
+                Err(()) if !fresh && !link.progress.begun.get() && call.body.is_whole() => continue,
                 Err(()) if !link.progress.whole.get() => Outcome::ConnectFailed.into(),
                 Err(()) if link.progress.broken.get() => Outcome::Reset.into(),
                 // It answers, though nothing that can be used: as much against it as an error.
@@ -230,13 +253,53 @@
     }
 }
 
+impl Pool {
+    /// Back among the idle, if it is of use.
+    async fn keep(&self, upstream: &Node, mut link: Link) {
+        if link.alive().await && upstream.open.get() {
+            upstream.idle.borrow_mut().push((self.clock.now(), link));
+        }
+    }
+
+    /// Passes the rest of an answer on. Ends before its end where it breaks, is too long, or one side stands still;
+    /// its client can tell by that.
+    async fn pass(
+        self: Rc<Pool>, upstream: Rc<Node>, mut link: Link, mut body: Incoming, mut passed: u64,
+        to: mpsc::Sender<Piece>,
+    ) {
+        // From here on the body is counted, and no longer what frames it.
+        link.progress.most.set(usize::MAX);
+        loop {
+            let piece = match tokio::time::timeout(STALL, link.piece(&mut body)).await {
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(bytes) => {
+                        passed += bytes.len() as u64;
+                        Piece::Data(bytes)
+                    }
+                    Err(_) => continue, // trailers
+                },
+                Ok(None) => Piece::End,
+                Ok(Some(Err(_))) | Err(_) => return,
+            };
+            let end = matches!(piece, Piece::End);
+            if passed > MOST_BYTES || !matches!(tokio::time::timeout(STALL, to.send(piece)).await, Ok(Ok(())))
+            {
+                return;
+            }
+            if end {
+                return self.keep(&upstream, link).await;
+            }
+        }
+    }
+}
+
 /// EMFILE or ENFILE.
 pub fn out_of_descriptors(e: &io::Error) -> bool {
     matches!(e.raw_os_error(), Some(23 | 24))
 }
 
-fn request(call: &Call, left: u64) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn request(call: &Call, upload: Upload, left: u64) -> Request<Upload> {
+    let mut request = Request::new(upload);
     *request.method_mut() = call.head.method().clone();
     *request.uri_mut() = call.head.uri().clone();
     *request.headers_mut() = call.head.headers().clone();
@@ -244,20 +307,39 @@
     request
 }
 
-/// Sends the request and reads the whole answer.
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
+/// What an exchange brought.
+enum Exchanged {
+    Whole(Ended),
+    /// A good answer, of which more is to come than is held.
+    Held(hyper::http::response::Parts, Bytes, Incoming),
+}
+
+/// Sends the request and reads the answer, whole or as far as it is held.
+async fn exchange(sender: &mut SendRequest<Upload>, request: Request<Upload>) -> Result<Exchanged, ()> {
     let answer = sender.send_request(request).await.map_err(|_| ())?;
-    let (head, body) = answer.into_parts();
+    let (head, mut body) = answer.into_parts();
     // What is said to be too long need not be read to be known as such.
-    if body.size_hint().lower() > BODY_BYTES as u64 {
+    if body.size_hint().lower() > MOST_BYTES {
         return Err(());
     }
-    let framed = is_framed(&head.headers);
-    // Whole before a byte of it goes on: a broken answer must not reach the client as a good one.
-    let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|_| ())?.to_bytes();
+    // Where only the end of the connection ends the body, a short answer looks like a whole one: its backend must
+    // have said that it ends so.
+    let framed = is_framed(&head.headers) || ends_with_connection(&head.headers);
+    // Whole, if it is not too long for that, before a byte of it goes on: a broken answer must not reach the client
+    // as a good one.
+    let mut held = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(bytes) = frame.map_err(|_| ())?.into_data() {
+            held.extend_from_slice(&bytes);
+        }
+        if held.len() > BODY_BYTES {
+            let good = head.status == StatusCode::OK && framed;
+            return if good { Ok(Exchanged::Held(head, held.freeze(), body)) } else { Err(()) };
+        }
+    }
+    let body = Payload::Whole(held.freeze());
     let unseen = || head.headers.get(&UNPROCESSED).is_some_and(|v| v.as_bytes() == b"1");
-    Ok(match head.status {
-        // Where only the end of the connection ends the body, a short answer looks like a whole one.
+    Ok(Exchanged::Whole(match head.status {
         StatusCode::OK if !framed => Outcome::Reset.into(),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen() => Outcome::Full.into(),
         // The request is at fault and would be anywhere: its client is told so, and nothing is held against the
@@ -267,10 +349,10 @@
         }
         StatusCode::OK => Ended { outcome: Outcome::Ok, answer: Some(pass_on(head, body)) },
         _ => Outcome::Error.into(),
-    })
+    }))
 }
 
-fn pass_on(mut head: hyper::http::response::Parts, body: Bytes) -> Response<Bytes> {
+fn pass_on(mut head: hyper::http::response::Parts, body: Payload) -> Response<Payload> {
     strip(&mut head.headers);
     Response::from_parts(head, body)
 }
@@ -283,6 +365,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::body::CallBody;
     use beechworks::Backend;
     use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
@@ -326,9 +409,12 @@
         let entry = Backend { state: BackendState::Ready, ..Backend::default() };
         let (name, zone, kind) = ("n".into(), "z".into(), "k".into());
         let pool = Rc::new(pool);
-        let upstream = Node::new(Target { backend: entry, address, name, zone, kind }, pool.clone());
-        let call = Call { head: Request::new(()), body: Bytes::new() };
-        let body = |ended: Ended| ended.answer.map(Response::into_body);
+        let upstream = Rc::new(Node::new(Target { backend: entry, address, name, zone, kind }, pool.clone()));
+        let call = Call { head: Request::new(()), body: CallBody::Whole(Bytes::new()) };
+        let body = |ended: Ended| match ended.answer.map(Response::into_body) {
+            Some(Payload::Whole(bytes)) => Some(bytes),
+            _ => None,
+        };
         let deadline = clock.now() + second.times(30.0);
         // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
         let attempts = async move {
--- a/crates/gaugesaddle/src/wire.rs
+++ b/crates/gaugesaddle/src/wire.rs
@@ -1,5 +1,6 @@
 //! A socket to a backend that knows how far the present request and its answer have come.
 
+use crate::exchange::BODY_BYTES;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, ErrorKind, IoSlice};
@@ -10,6 +11,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// The part of an answer that is held is read up to so many bytes, whatever they are: framing in the smallest pieces
+/// and 1xx answers ahead of it included.
+const ANSWER_BYTES: usize = 8 * BODY_BYTES;
+
 /// What has been done with a connection since the present request was given to it.
 #[derive(Default)]
 pub struct Progress {
@@ -19,15 +24,24 @@
     pub whole: Cell<bool>,
     /// The other side has ended the connection or broken it.
     pub broken: Cell<bool>,
-    /// Bytes of the answer so far.
+    /// The request's body was handed to hyper whole, by the client.
+    pub handed_over: Cell<bool>,
+    /// The client broke its body off: nothing against the backend.
+    pub client_broke: Cell<bool>,
+    /// Bytes of the answer so far, and how many are read.
     read: Cell<usize>,
+    pub most: Cell<usize>,
 }
 
 impl Progress {
-    pub fn restart(&self) {
+    /// `held`: all of the request is there.
+    pub fn restart(&self, held: bool) {
         self.begun.set(false);
         self.whole.set(false);
+        self.handed_over.set(held);
+        self.client_broke.set(false);
         self.read.set(0);
+        self.most.set(ANSWER_BYTES);
     }
 }
 
@@ -35,13 +49,11 @@
 pub struct Wire {
     stream: TcpStream,
     pub progress: Rc<Progress>,
-    /// An answer is read up to so many bytes, whatever they are.
-    most: usize,
 }
 
 impl Wire {
-    pub fn new(stream: TcpStream, most: usize) -> Wire {
-        Wire { stream, progress: Rc::default(), most }
+    pub fn new(stream: TcpStream) -> Wire {
+        Wire { stream, progress: Rc::default() }
     }
 
     /// Asked right before the first byte of a request: what has come before it belongs to no answer of its own,
@@ -75,7 +87,7 @@
         let n = buf.filled().len() - before;
         self.progress.broken.set(read.is_err() || (n == 0 && room > 0));
         self.progress.read.set(self.progress.read.get() + n);
-        if self.progress.read.get() > self.most {
+        if self.progress.read.get() > self.progress.most.get() {
             return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, "an answer without end")));
         }
         Poll::Ready(read)
@@ -99,7 +111,7 @@
         self.stream.is_write_vectored()
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        self.progress.whole.set(self.progress.begun.get());
+        self.progress.whole.set(self.progress.begun.get() && self.progress.handed_over.get());
         Pin::new(&mut self.stream).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
