--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -343,6 +343,7 @@
 
     /// What is known of each backend's limit.
     pub fn limits(&self) -> Vec<LimitView> {
+        let at_bound = |limit: f64| limit <= self.cfg.limits.least || limit >= self.cfg.limits.most;
         let view = |(id, p): (&BackendId, &Peer)| LimitView {
             backend: *id,
             limit: p.limit,
@@ -350,6 +351,7 @@
             held: p.out,
             latency: p.limiter.latencies(),
             why: match self.kinds.get(&p.entry.kind) {
+                Some(_) if self.cfg.limits.learned && at_bound(p.limit) => LimitReason::Bound,
                 Some(k) if self.cfg.limits.learned => k.search.why,
                 _ => LimitReason::Constant,
             },
