Note what a backend held, and count its room, in one place

Cause: a second reading. What a backend held in a turn was told to the search in two places by the same lines, its room counted by one formula in two, the bounds clamped in three; both ends of the line between two processes set and cleared the same state by hand; and with learned limits off every answer still went into sums that nobody reads.

Change: Peer::note, Peer::room_of, LimitBounds::hold, Succession::share; the sums only where limits are learned. Behaviour stays.

--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -125,6 +125,13 @@
     pub most: f64,
 }
 
+impl LimitBounds {
+    /// A limit within them.
+    pub fn hold(&self, limit: f64) -> f64 {
+        limit.clamp(self.least, self.most)
+    }
+}
+
 impl Default for LimitBounds {
     /// One request at least, or nothing would be learned; a thousand cores at most.
     fn default() -> LimitBounds {
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -288,8 +288,11 @@
                 k.unloaded.served(class, took, flight.alone);
                 let unloaded = k.unloaded.get(class);
                 p.limiter.served(took, usual, unloaded.unwrap_or(took));
-                let (_, turn, settled) = turn(sent, id, self.turn);
-                k.search.answered(settled.then_some(turn), took / (usual * p.limiter.beside()).max(1e-9));
+                if self.cfg.limits.learned {
+                    let (_, turn, settled) = turn(sent, id, self.turn);
+                    let beside = took / (usual * p.limiter.beside()).max(1e-9);
+                    k.search.answered(settled.then_some(turn), beside);
+                }
                 self.served(kind, class, end.latency);
             }
             Outcome::Cancelled | Outcome::NeverSent => {}
@@ -457,11 +460,10 @@
             let (all, mean) = search.map_or((HOLD, HOLD), |s| {
                 (p.limiter.own(s.limit(turn(now, id, length).1)), p.limiter.own(s.found()))
             });
-            p.limit = all.clamp(self.cfg.limits.least, self.cfg.limits.most);
-            let mean = mean.clamp(self.cfg.limits.least, self.cfg.limits.most);
+            (p.limit, mine) =
+                (self.cfg.limits.hold(all), mine + self.cfg.limits.hold(mean) / proxies * p.ready);
             (p.part, p.coin) = ((0.5 + 0.5 * bias) / proxies * p.ready, coin);
-            mine += mean / proxies * p.ready;
-            p.room = (p.limit * p.part + coin).floor().max(1.0);
+            p.room = p.room_of(p.limit);
             if p.ready > 0.5 {
                 let all = warm.entry(p.entry.kind).or_default();
                 *all = (all.0 + 1.0, all.1 + p.limit);
@@ -482,12 +484,9 @@
 
     /// What each kind may hold, from what its backends did in their turns.
     fn learn_limits(&mut self, now: Time) {
-        let (proxies, length) = (f64::from(self.cfg.proxies), self.turn);
         for (&id, p) in &mut self.peers {
             let k = self.kinds.entry(p.entry.kind).or_default();
-            if let Some((turn, area, secs)) = p.limiter.pass(now, turn(now, id, length), p.out) {
-                k.search.held(turn, area * proxies, secs);
-            }
+            p.note(now, turn(now, id, self.turn), self.cfg.proxies, &mut k.search);
         }
         let mut moved = Vec::new();
         for (kind, k) in &mut self.kinds {
@@ -504,11 +503,8 @@
     /// Ahead of a change in what a backend holds.
     fn hold_changes(&mut self, now: Time, id: BackendId) {
         let Some(p) = self.peers.get_mut(&id).filter(|_| self.cfg.limits.learned) else { return };
-        let search = &mut self.kinds.entry(p.entry.kind).or_default().search;
-        let turn = turn(now, id, self.turn);
-        if let Some((turn, area, secs)) = p.limiter.pass(now, turn, p.out) {
-            search.held(turn, area * f64::from(self.cfg.proxies), secs);
-        }
+        let k = self.kinds.entry(p.entry.kind).or_default();
+        p.note(now, turn(now, id, self.turn), self.cfg.proxies, &mut k.search);
     }
 
     /// The greatest part of the traffic whose random count stays some spreads under the fall limit.
@@ -571,8 +567,7 @@
         let kind = self.kinds.get(&p.entry.kind).filter(|_| self.cfg.limits.learned);
         let Some(search) = kind.map(|k| &k.search) else { return p.room };
         let all = p.limiter.own(search.limit(turn(now, id, self.turn).1));
-        let all = all.clamp(self.cfg.limits.least, self.cfg.limits.most);
-        (all * p.part + p.coin).floor().max(1.0)
+        p.room_of(self.cfg.limits.hold(all))
     }
 
     /// Whether the rules let the backend have this request.
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -1,7 +1,7 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
 use crate::interface::*;
-use crate::limits::{turn_length, Limiter, Search, Unloaded, HOLD};
+use crate::limits::{turn_length, Limiter, Search, Turn, Unloaded, HOLD};
 use crate::logic::{KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, RETRY_RATIO, SPEED_MEMORY};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -179,6 +179,20 @@
     pub limit: f64,
 }
 
+impl Peer {
+    /// How many attempts of this proxy it may hold where all proxies together may hold so many.
+    pub fn room_of(&self, limit: f64) -> f64 {
+        (limit * self.part + self.coin).floor().max(1.0)
+    }
+
+    /// Ahead of a change in what it holds, and now and then: tells the search what it held since.
+    pub fn note(&mut self, now: Time, turn: (u64, Turn, bool), proxies: u32, search: &mut Search) {
+        if let Some((turn, area, secs)) = self.limiter.pass(now, turn, self.out) {
+            search.held(turn, area * f64::from(proxies), secs);
+        }
+    }
+}
+
 /// What is learned of a class.
 #[derive(Default)]
 pub(crate) struct ClassState {
--- a/crates/gaugesaddle/src/succession.rs
+++ b/crates/gaugesaddle/src/succession.rs
@@ -82,19 +82,16 @@
     /// clients.
     pub async fn keep(self: Rc<Self>, other: Other, listening: Rc<tokio::sync::Notify>, heard: Heard) {
         let (to, mut words) = mpsc::unbounded_channel();
-        *self.other.borrow_mut() = Some(to.clone());
-        self.registry.share(true);
+        let say = to.clone();
         let tell = async {
             listening.notified().await;
-            let _ = to.send(Word::Listening);
+            let _ = say.send(Word::Listening);
             std::future::pending::<()>().await;
         };
         tokio::select! {
-            () = self.converse(other, &mut words, &heard) => {}
+            () = self.share(other, to, &mut words, &heard) => {}
             () = tell => {}
         }
-        self.registry.share(false);
-        *self.other.borrow_mut() = None;
         tracing::info!("the process before this one has ended");
     }
 
@@ -113,16 +110,24 @@
             tracing::info!("another process is to replace this one");
             let (to, mut words) = mpsc::unbounded_channel();
             let _ = to.send(Word::State { version: VERSION, excluded: self.out.borrow().clone() });
-            *self.other.borrow_mut() = Some(to);
-            self.registry.share(true);
-            self.converse(Other { stream, line: Line::default() }, &mut words, &heard).await;
-            self.registry.share(false);
-            *self.other.borrow_mut() = None;
+            self.share(Other { stream, line: Line::default() }, to, &mut words, &heard).await;
             self.succeeded.set(false);
             tracing::warn!("the process that was to replace this one has ended");
         }
     }
 
+    /// Shares what the proxy may use with the other process for as long as that is there.
+    async fn share(
+        &self, other: Other, to: mpsc::UnboundedSender<Word>, words: &mut mpsc::UnboundedReceiver<Word>,
+        heard: &Heard,
+    ) {
+        *self.other.borrow_mut() = Some(to);
+        self.registry.share(true);
+        self.converse(other, words, heard).await;
+        self.registry.share(false);
+        *self.other.borrow_mut() = None;
+    }
+
     /// Until the other process is gone, or says what is none of its words.
     async fn converse(&self, other: Other, words: &mut mpsc::UnboundedReceiver<Word>, heard: &Heard) {
         let Other { stream, mut line } = other;
