Give subsystems a seam beside the driver; move storm and maintenance out of it

Need: what a subsystem needs of the running proxy stood in the driver, field by field; another region would have added as much again. Change: seam.rs says what a subsystem is told (a turn, a list, an arrival, an attempt's begin and end, a final answer, a refusal) and what it may ask for (events for the module, what the module is told of an arrival, what a refused client is told, a wake-up). watch_storm and refusal's storm part stand in storm.rs, the operators' view of the list in roster.rs.

--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -5,6 +5,8 @@
 use crate::exchange::Input;
 use crate::operator::{self, Operator};
 use crate::registry::{Bounds, Registry};
+use crate::seam::Subsystem;
+use crate::storm::StormWatch;
 use crate::succession::Succession;
 use crate::{admin, clock, config, discovery, form, pacing, server, state, upstream};
 use gaugesaddle_service::Order;
@@ -162,9 +164,12 @@
         let settings = gaugesaddle_storm::Settings { longest_s, sources: operator.storm.sources };
         gaugesaddle_storm::Storm::new(settings, config.seed)
     });
-    let storm = storm.transpose().map_err(Error::Storm)?;
+    let mut subsystems: Vec<Box<dyn Subsystem>> = Vec::new();
+    if let Some(storm) = storm.transpose().map_err(Error::Storm)? {
+        subsystems.push(Box::new(StormWatch::new(storm, registry.clone())));
+    }
     let driver = Driver::new(Parts {
-        storm,
+        subsystems,
         clock,
         config: beechworks::Config { limits: operator.limits.bounds(), ..config.module },
         seed: config.seed,
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -3,10 +3,11 @@
 
 use crate::clock::Clock;
 use crate::exchange::{Answer, Arrived, Call, Ended, Input, Refusal, Target, Upstream, Upstreams};
-use crate::registry::{BackendRow, End, Registry, StormState};
+use crate::registry::{BackendRow, End, Registry};
+use crate::roster::Roster;
+use crate::seam::Subsystem;
 use beechworks::*;
-use gaugesaddle_service::{Maintenance, Order, Verdict};
-use gaugesaddle_storm::{State, Storm};
+use gaugesaddle_service::{Order, Verdict};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -68,8 +69,8 @@
     /// Told when the module wants to follow discovery.
     pub follow: Rc<Notify>,
     pub registry: Rc<Registry>,
-    /// Watches for storms, where the operator wants that.
-    pub storm: Option<Storm>,
+    /// Those that are switched on.
+    pub subsystems: Vec<Box<dyn Subsystem>>,
 }
 
 pub struct Driver {
@@ -93,12 +94,8 @@
     inputs: mpsc::UnboundedSender<Input>,
     follow: Rc<Notify>,
     registry: Rc<Registry>,
-    /// What the operators took out, and the list's lines as they came.
-    maintenance: Maintenance,
-    listed: HashMap<BackendId, Backend>,
-    storm: Option<Storm>,
-    /// Connections that the storm's watch knows of.
-    connects: u64,
+    roster: Roster,
+    subsystems: Vec<Box<dyn Subsystem>>,
 }
 
 /// Tells the end of an attempt however its task ends, a panic included: it may have run then.
@@ -131,7 +128,7 @@
 
 impl Driver {
     pub fn new(parts: Parts) -> Result<Driver, ConfigError> {
-        let Parts { clock, config, seed, open_cap, upstreams, inputs, follow, registry, storm } = parts;
+        let Parts { clock, config, seed, open_cap, upstreams, inputs, follow, registry, subsystems } = parts;
         Ok(Driver {
             clock,
             balancer: Balancer::new(config.clone(), seed)?,
@@ -151,10 +148,8 @@
             inputs,
             follow,
             registry,
-            maintenance: Maintenance::default(),
-            listed: HashMap::new(),
-            storm,
-            connects: 0,
+            roster: Roster::default(),
+            subsystems,
         })
     }
 
@@ -182,7 +177,9 @@
                 self.take(input);
             }
             let now = self.clock.now();
-            self.watch_storm(now);
+            for subsystem in &mut self.subsystems {
+                subsystem.turn(now, &self.balancer, &mut self.events);
+            }
             self.expire(now);
             if now >= self.turn {
                 self.act(now);
@@ -206,44 +203,22 @@
         }
     }
 
-    /// Looks for a storm and tells the module. Without requests there is none to see: no wake-up is spent on it.
-    fn watch_storm(&mut self, now: Time) {
-        let Some(storm) = &mut self.storm else { return };
-        let connects = self.registry.connects.get();
-        (self.connects..connects).for_each(|_| storm.connected());
-        self.connects = connects;
-        let Some(look) = storm.look(now) else { return };
-        let (state, figures) = (storm.state(), storm.figures());
-        if let Some(left) = look.left {
-            tracing::info!("{} after {}: {figures}", state.name(), left.name());
-            self.registry.storm.set(state);
-        }
-        if let Some(pressure) = look.pressure {
-            self.events.push(Event::Pressure(pressure));
-        }
-        let mut seen = self.registry.storm_seen.borrow_mut();
-        let old = seen.take();
-        let began = look.left == Some(State::Rising) && state == State::Storm;
-        *seen = Some(StormState {
-            state: state.name().into(),
-            since_us: old.as_ref().filter(|_| look.left.is_none()).map_or(now.0, |o| o.since_us),
-            storms: old.map_or(0, |o| o.storms) + u64::from(began),
-            per_s: figures.per_s,
-            usual_per_s: figures.usual_per_s,
-            repeats: figures.repeats,
-            let_in_per_s: storm.let_in_per_s(),
-        });
-    }
-
     /// What a refused client is told.
     fn refusal(&mut self, now: Time, source: u64, out_of_turn: bool, crowded: bool) -> Answer {
         let usual = self.balancer.retry_after().0.div_ceil(1_000_000); // not every client reads decimals
-        let after_s = self.storm.as_mut().map_or(usual, |storm| storm.refused(now, source, usual));
-        Answer::Refused(Refusal { after_s, crowded, by_client: out_of_turn && self.damps() })
+        let mut refusal = Refusal { after_s: usual, crowded, by_client: false };
+        for subsystem in &mut self.subsystems {
+            subsystem.refusing(now, source, out_of_turn, &mut refusal);
+        }
+        Answer::Refused(refusal)
     }
 
-    fn damps(&self) -> bool {
-        self.storm.as_ref().is_some_and(|s| s.state().damps())
+    /// Counts how a request ended.
+    fn count(&mut self, class: ClassId, end: End) {
+        self.registry.ended(class, end);
+        for subsystem in &mut self.subsystems {
+            subsystem.answered(class, end);
+        }
     }
 
     /// When time alone next brings something about.
@@ -252,7 +227,8 @@
         let due = if self.events.is_empty() { timer } else { self.turn };
         let overdue = self.overdue.front().map_or(Time(u64::MAX), |d| d.0);
         let deadline = self.deadlines.first().map_or(Time(u64::MAX), |d| d.0);
-        due.min(overdue).max(self.turn).min(deadline)
+        let asked = self.subsystems.iter().map(|s| s.wake()).min().unwrap_or(Time(u64::MAX));
+        due.min(overdue).max(self.turn).min(deadline).min(asked)
     }
 
     /// What cannot wait for the module's turn: a good answer goes to its client at once.
@@ -262,7 +238,8 @@
             Input::Left(request) => {
                 if let Some(r) = self.requests.get_mut(&request).filter(|r| r.reply.is_some()) {
                     r.reply = None;
-                    self.registry.ended(r.class, End::Left);
+                    let class = r.class;
+                    self.count(class, End::Left);
                     self.events.push(Event::ClientGone { request });
                     self.forget(request);
                 }
@@ -274,10 +251,7 @@
                 let _ = reply.send(self.maintain(&name, order));
             }
             Input::TakeOver(names) => {
-                let now = self.clock.now();
-                for name in names {
-                    self.maintenance.take_over(now, BackendId(settings::number(&name)));
-                }
+                self.roster.take_over(self.clock.now(), &names);
             }
         }
     }
@@ -285,26 +259,26 @@
     fn arrived(&mut self, new: Arrived) {
         self.registry.taken(new.class);
         let now = self.clock.now();
-        let (repeat, out_of_turn) = match &mut self.storm {
-            Some(storm) => storm.arrived(now, new.repeat, new.key, new.source),
-            None => (new.repeat, false),
+        let mut told = Arrival {
+            request: new.id,
+            class: new.class,
+            tenant: new.tenant,
+            time_left: new.deadline - now,
+            work_hint: new.work_hint,
+            repeat: new.repeat,
+            out_of_turn: false,
         };
+        for subsystem in &mut self.subsystems {
+            subsystem.arrived(now, &new, &mut told);
+        }
+        let out_of_turn = told.out_of_turn;
         if self.requests.len() >= self.open_cap {
-            self.registry.ended(new.class, End::RefusedOpenCap);
+            self.count(new.class, End::RefusedOpenCap);
             let refusal = self.refusal(now, new.source, out_of_turn, true);
             let _ = new.reply.send(refusal);
             return;
         }
-        let time_left = new.deadline - now;
-        self.events.push(Event::Request(Arrival {
-            request: new.id,
-            class: new.class,
-            tenant: new.tenant,
-            time_left,
-            work_hint: new.work_hint,
-            repeat,
-            out_of_turn,
-        }));
+        self.events.push(Event::Request(told));
         self.deadlines.insert((new.deadline, new.id));
         let (attempts, reply) = (HashMap::new(), Some(new.reply));
         let stretch = self.config.classes.get(new.class.0).map_or(Micros(0), |c| {
@@ -324,17 +298,16 @@
         // One outcome an attempt: what it sends after it was called off does not count.
         let Some(out) = r.attempts.remove(&attempt) else { return };
         let sent = out.end(ended.outcome, now);
+        self.subsystems.iter_mut().for_each(|s| s.ended(ended.outcome));
         if let Some(answer) = ended.answer {
             if let Some(reply) = r.reply.take() {
-                self.registry.ended(r.class, if now <= r.aim { End::InAim } else { End::Late });
-                if let Some(storm) = &mut self.storm {
-                    storm.served(now <= r.aim);
-                }
+                let (class, end) = (r.class, if now <= r.aim { End::InAim } else { End::Late });
                 let _ = reply.send(Answer::Served(answer));
+                self.count(class, end);
             }
         }
-        let (outcome, settled) = (ended.outcome, r.reply.is_none());
-        let latency = now - sent;
+        let settled = self.requests.get(&request).is_none_or(|r| r.reply.is_none());
+        let (outcome, latency) = (ended.outcome, now - sent);
         self.events.push(Event::AttemptEnded(AttemptEnd { request, attempt, outcome, latency, settled }));
         self.forget(request);
     }
@@ -361,11 +334,9 @@
     fn answer(&mut self, request: RequestId, answer: Answer, end: End) {
         if let Some(r) = self.requests.get_mut(&request) {
             if let Some(reply) = r.reply.take() {
-                self.registry.ended(r.class, end);
-                if let (Some(storm), Answer::Failed) = (&mut self.storm, &answer) {
-                    storm.failed();
-                }
+                let class = r.class;
                 let _ = reply.send(answer);
+                self.count(class, end);
             }
         }
         self.forget(request);
@@ -378,18 +349,12 @@
         }
         let mut old = if whole { std::mem::take(&mut self.backends) } else { HashMap::new() };
         if whole {
-            self.listed.clear();
+            self.roster.restart();
         }
         let mut entries = Vec::with_capacity(targets.len());
         for target in targets {
             let id = target.backend.id;
-            self.maintenance.told(&target.backend);
-            if target.backend.state == BackendState::Gone {
-                self.listed.remove(&id);
-            } else {
-                self.listed.insert(id, target.backend.clone());
-            }
-            let seen = self.maintenance.view(&target.backend);
+            let seen = self.roster.told(&target.backend);
             let ready = seen.state == BackendState::Ready;
             entries.push(seen);
             let known = old.remove(&id).or_else(|| self.backends.remove(&id));
@@ -417,6 +382,8 @@
         }
         old.values().for_each(|upstream| upstream.shut());
         self.registry.serving.set(self.backends.values().any(|u| u.is_open()));
+        let now = self.clock.now();
+        self.subsystems.iter_mut().for_each(|s| s.listed(now, update));
         self.events.push(Event::Members { update, backends: entries });
     }
 
@@ -432,11 +399,9 @@
 
     /// Takes a backend out or puts it back: from here on nothing new goes to one that is out.
     fn maintain(&mut self, name: &str, order: Order) -> Verdict {
-        let id = BackendId(settings::number(name));
-        let verdict = self.maintenance.order(self.clock.now(), id, order);
-        if let (Verdict::Done, Some(entry)) = (verdict, self.listed.get(&id)) {
-            let seen = self.maintenance.view(entry);
-            if let Some(upstream) = self.backends.get(&id) {
+        let (verdict, changed) = self.roster.order(self.clock.now(), name, order);
+        if let Some(seen) = changed {
+            if let Some(upstream) = self.backends.get(&seen.id) {
                 if seen.state == BackendState::Ready {
                     upstream.open();
                 } else {
@@ -539,7 +504,7 @@
             true => BackendState::Ready,
             false => BackendState::Draining,
         };
-        let seen = |u: &Rc<dyn Upstream>| self.maintenance.view(&u.target().backend);
+        let seen = |u: &Rc<dyn Upstream>| self.roster.view(&u.target().backend);
         let entry = |u: &Rc<dyn Upstream>| Backend { state: state(u), ..seen(u) };
         let backends = self.backends.values().map(entry).collect();
         self.events.push(Event::Members { update: ListUpdate::Cached, backends });
@@ -596,9 +561,7 @@
             report.tell(upstream.attempt(call, deadline).await);
         });
         self.registry.upstream_sockets.set(self.upstreams.sockets());
-        if let Some(storm) = &mut self.storm {
-            storm.sent(attempt.0 == 0);
-        }
+        self.subsystems.iter_mut().for_each(|s| s.began(attempt.0 == 0));
         let row = self.registry.backend(backend);
         if let Some(row) = &row {
             row.sent();
@@ -633,7 +596,7 @@
             inputs,
             follow: Rc::default(),
             registry,
-            storm: None,
+            subsystems: Vec::new(),
         };
         let mut driver = Driver::new(parts).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
--- /dev/null
+++ b/crates/gaugesaddle/src/storm.rs
@@ -0,0 +1,74 @@
+//! The watch for storms, in the running proxy: what `gaugesaddle_storm` decides, told to the module and to clients.
+
+use crate::exchange::{Arrived, Refusal};
+use crate::registry::{End, Registry, StormState};
+use crate::seam::Subsystem;
+use beechworks::{Arrival, Balancer, ClassId, Event, Time};
+use gaugesaddle_storm::{State, Storm};
+use std::rc::Rc;
+
+pub struct StormWatch {
+    storm: Storm,
+    registry: Rc<Registry>,
+    /// Connections that it knows of.
+    connects: u64,
+}
+
+impl StormWatch {
+    pub fn new(storm: Storm, registry: Rc<Registry>) -> StormWatch {
+        StormWatch { storm, registry, connects: 0 }
+    }
+}
+
+impl Subsystem for StormWatch {
+    /// Looks for a storm and tells the module. Without requests there is none to see: no wake-up is spent on it.
+    fn turn(&mut self, now: Time, _: &Balancer, events: &mut Vec<Event>) {
+        let storm = &mut self.storm;
+        let connects = self.registry.connects.get();
+        (self.connects..connects).for_each(|_| storm.connected());
+        self.connects = connects;
+        let Some(look) = storm.look(now) else { return };
+        let (state, figures) = (storm.state(), storm.figures());
+        if let Some(left) = look.left {
+            tracing::info!("{} after {}: {figures}", state.name(), left.name());
+            self.registry.storm.set(state);
+        }
+        if let Some(pressure) = look.pressure {
+            events.push(Event::Pressure(pressure));
+        }
+        let mut seen = self.registry.storm_seen.borrow_mut();
+        let old = seen.take();
+        let began = look.left == Some(State::Rising) && state == State::Storm;
+        *seen = Some(StormState {
+            state: state.name().into(),
+            since_us: old.as_ref().filter(|_| look.left.is_none()).map_or(now.0, |o| o.since_us),
+            storms: old.map_or(0, |o| o.storms) + u64::from(began),
+            per_s: figures.per_s,
+            usual_per_s: figures.usual_per_s,
+            repeats: figures.repeats,
+            let_in_per_s: storm.let_in_per_s(),
+        });
+    }
+
+    fn arrived(&mut self, now: Time, new: &Arrived, told: &mut Arrival) {
+        (told.repeat, told.out_of_turn) = self.storm.arrived(now, new.repeat, new.key, new.source);
+    }
+
+    fn began(&mut self, first: bool) {
+        self.storm.sent(first);
+    }
+
+    fn answered(&mut self, _: ClassId, end: End) {
+        match end {
+            End::InAim => self.storm.served(true),
+            End::Late => self.storm.served(false),
+            End::FailedByModule | End::FailedUnanswered => self.storm.failed(),
+            _ => {}
+        }
+    }
+
+    fn refusing(&mut self, now: Time, source: u64, out_of_turn: bool, refusal: &mut Refusal) {
+        refusal.after_s = self.storm.refused(now, source, refusal.after_s);
+        refusal.by_client = out_of_turn && self.storm.state().damps();
+    }
+}
