--- /dev/null
+++ b/crates/gaugesaddle-region/src/backoff.rs
@@ -0,0 +1,85 @@
+//! When a region that refused, or could not be reached, is asked again: not by all proxies at one moment.
+
+use beechworks::{Micros, Time};
+
+/// First pause after a link failed; it doubles with each failure in a row, up to the longest.
+const FIRST: Micros = Micros(250_000);
+const LONGEST: Micros = Micros(8_000_000);
+/// A pause that a region asks for is held to this.
+const TOLD_MOST: Micros = Micros(30_000_000);
+
+/// The pause of one region.
+#[derive(Clone, Debug, Default)]
+pub struct Backoff {
+    until: Time,
+    failures: u32,
+}
+
+impl Backoff {
+    /// It may be asked.
+    pub fn open(&self, now: Time) -> bool {
+        now >= self.until
+    }
+
+    /// Until when it is left alone.
+    pub fn until(&self) -> Time {
+        self.until
+    }
+
+    /// It refused and said when to come back; `unit`: an even draw from 0 to 1.
+    pub fn refused(&mut self, now: Time, after: Micros, unit: f64) {
+        let after = Micros(after.0.min(TOLD_MOST.0));
+        self.pause(now, after.times(1.0 + unit.clamp(0.0, 1.0)));
+    }
+
+    /// The link failed: no connection, or it broke or went silent.
+    pub fn failed(&mut self, now: Time, unit: f64) {
+        let pause = Micros(FIRST.0 << self.failures.min(5)).min(LONGEST);
+        self.failures = self.failures.saturating_add(1);
+        self.pause(now, pause.times(0.5 + unit.clamp(0.0, 1.0)));
+    }
+
+    /// It answered.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    fn pause(&mut self, now: Time, span: Micros) {
+        self.until = self.until.max(now + span);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn pauses_double_with_failures_and_are_spread() {
+        let mut backoff = Backoff::default();
+        assert!(backoff.open(Time(0)));
+        let mut now = Time(1_000_000);
+        let mut pauses = Vec::new();
+        for _ in 0..8 {
+            backoff.failed(now, 0.5);
+            pauses.push((backoff.until() - now).0 / 1000);
+            now = backoff.until();
+            assert!(backoff.open(now));
+        }
+        assert_eq!(pauses, [250, 500, 1000, 2000, 4000, 8000, 8000, 8000]);
+        backoff.answered();
+        backoff.failed(now, 0.0);
+        assert_eq!((backoff.until() - now).0, 125_000);
+    }
+
+    #[test]
+    fn a_told_pause_is_never_cut_short_and_never_endless() {
+        let (mut a, mut b) = (Backoff::default(), Backoff::default());
+        let now = Time(5_000_000);
+        a.refused(now, Micros(2_000_000), 0.0);
+        b.refused(now, Micros(u64::MAX), 1.0);
+        assert_eq!((a.until() - now).0, 2_000_000);
+        assert_eq!((b.until() - now).0, 60_000_000);
+        a.failed(now, 0.0);
+        assert_eq!((a.until() - now).0, 2_000_000, "a shorter one does not shorten it");
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-region/src/trip.rs
@@ -0,0 +1,78 @@
+//! The time that a hop takes on the way, and what is left for it.
+
+use beechworks::{Micros, Time};
+use std::collections::VecDeque;
+
+/// Samples that are kept: the greatest of so many recent ones is about their 97th percentile.
+const SAMPLES: usize = 32;
+/// A sample counts for so long: a link that was slow once is tried anew.
+const MEMORY: Micros = Micros(10_000_000);
+
+/// A high quantile of a link's recent round trips. It follows a rise with the first sample.
+#[derive(Clone, Debug)]
+pub struct RoundTrip {
+    samples: VecDeque<(Time, Micros)>,
+    first: Micros,
+}
+
+impl RoundTrip {
+    /// `first`: what it is taken as until something was measured.
+    pub fn new(first: Micros) -> RoundTrip {
+        RoundTrip { samples: VecDeque::with_capacity(SAMPLES), first }
+    }
+
+    /// A round trip was measured, or a hop took at least so long without an answer.
+    pub fn add(&mut self, now: Time, took: Micros) {
+        if self.samples.len() == SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, took));
+    }
+
+    /// The time on the way, there and back.
+    pub fn get(&self, now: Time) -> Micros {
+        let recent = self.samples.iter().filter(|s| now - s.0 < MEMORY).map(|s| s.1);
+        recent.max().unwrap_or(self.first)
+    }
+}
+
+/// What a hop may tell the other side as the time left: strictly less than what is left here, by the round trip and
+/// a margin, in whole milliseconds. `None`: it could not be answered in time and is not sent at all.
+pub fn onward(left: Micros, trip: Micros, margin: Micros) -> Option<Micros> {
+    let rest = left.0.checked_sub(trip.0.saturating_add(margin.0))?;
+    // Told in whole milliseconds, rounded down; at least one goes on the way, whatever was measured.
+    let told = (rest / 1000).min((left.0 / 1000).saturating_sub(1));
+    (told > 0).then_some(Micros(told * 1000))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rise_counts_at_once_and_is_forgotten_after_a_while() {
+        let mut trip = RoundTrip::new(Micros(50_000));
+        let at = |ms: u64| Time(1_000_000 + ms * 1000);
+        assert_eq!(trip.get(at(0)), Micros(50_000));
+        (0..100).for_each(|n| trip.add(at(n), Micros(4_000)));
+        assert_eq!(trip.get(at(100)), Micros(4_000));
+        trip.add(at(110), Micros(40_000));
+        assert_eq!(trip.get(at(111)), Micros(40_000), "tenfold within a second");
+        (0..31).for_each(|n| trip.add(at(200 + n), Micros(4_000)));
+        assert_eq!(trip.get(at(300)), Micros(40_000), "one in thirty-two");
+        trip.add(at(301), Micros(4_000));
+        assert_eq!(trip.get(at(302)), Micros(4_000));
+        assert_eq!(trip.get(at(60_000)), Micros(50_000), "long ago says nothing");
+    }
+
+    #[test]
+    fn a_hop_tells_strictly_less_than_it_has() {
+        let ms = |n: u64| Micros(n * 1000);
+        assert_eq!(onward(ms(250), ms(40), ms(10)), Some(ms(200)));
+        assert_eq!(onward(ms(50), ms(40), ms(10)), None, "nothing is left");
+        assert_eq!(onward(ms(30), ms(40), ms(10)), None, "under the round trip");
+        assert_eq!(onward(Micros(250_999), Micros(0), Micros(0)), Some(ms(249)));
+        assert_eq!(onward(ms(1), Micros(0), Micros(0)), None);
+        assert_eq!(onward(Micros(u64::MAX), Micros(u64::MAX), ms(1)), None);
+    }
+}
