Let the module hand over to another region what it would give up, within an offer

Need: which request leaves is the module's to say, and only those that it would refuse or could no longer serve. Change: Event::Offer tells how many of each class may leave, the way's time and which part need not be tried here; Action::Leave hands one over. Never one that may have run here unless it is free; the most worth first in a look; none whose time is under way and work; requests from another region find half of the room and wait behind the own. Without an offer no draw and no branch changes. Balancer::capacity tells what sound backends can do and what comes of each class.

--- a/crates/beechworks-simhost/src/wire.rs
+++ b/crates/beechworks-simhost/src/wire.rs
@@ -214,6 +214,7 @@
                 work_hint: f.values[2].as_u64().filter(|_| flags & 1 == 1).map(Micros),
                 repeat: flags & 2 == 2,
                 out_of_turn: false,
+                foreign: false,
                 time_left: Micros(f.whole(3, "the time left in microseconds")?),
                 tenant: match &f.values[5] {
                     Value::String(name) => {
@@ -258,6 +259,8 @@
         }
         Action::Refuse { request } => writeln!(reply, "[\"BOUNCE\",\"{who}\",\"{:016x}\",0]", request.0),
         Action::Fail { request } => writeln!(reply, "[\"LOSE\",\"{who}\",\"{:016x}\"]", request.0),
+        // The simulator has no other region: none is ever offered.
+        Action::Leave { .. } => Ok(()),
         Action::Cancel { request, attempt } => {
             writeln!(reply, "[\"RECALL\",\"{who}\",\"{:016x}\",{}]", request.0, attempt.0)
         }
--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -408,6 +408,35 @@
     pub repeat: bool,
     /// Its source comes back before it was told to.
     pub out_of_turn: bool,
+    /// It comes from another region, whose last resort this one is.
+    pub foreign: bool,
+}
+
+/// What may leave for another region, as the host finds it at that moment; the last one told holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Offer {
+    /// How many requests of each class; empty: none at all.
+    pub room: Vec<u32>,
+    /// The time that the way takes, beside serving.
+    pub trip: Micros,
+    /// Of each class the part that need not be tried here first, 0 to 1: so much of it the fleet here can't serve.
+    pub at_once: Vec<f64>,
+}
+
+impl Offer {
+    /// Places for the class.
+    pub fn room(&self, class: usize) -> u32 {
+        self.room.get(class).copied().unwrap_or(0)
+    }
+}
+
+/// What the backends in use can do, by what this proxy knows of them, and what comes: requests a second of this proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Capacity {
+    /// What they can do; infinite before any was served.
+    pub able: f64,
+    /// What comes of each class.
+    pub demand: Vec<f64>,
 }
 
 /// What the host sees of a storm, and what may be done while it lasts.
@@ -459,6 +488,8 @@
     AttemptEnded(AttemptEnd),
     /// A storm began, changed or ended.
     Pressure(Pressure),
+    /// What may leave for another region has changed.
+    Offer(Offer),
     /// The client left; no answer is owed.
     ClientGone {
         /// The request.
@@ -491,6 +522,12 @@
         /// The request.
         request: RequestId,
     },
+    /// Hand it to another region, within the last [`Offer`]: the host owes its final answer from here on. No attempt
+    /// of it is out, and none may have run unless a repeat is free.
+    Leave {
+        /// The request.
+        request: RequestId,
+    },
     /// Stop waiting for an attempt.
     Cancel {
         /// The request.
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -62,6 +62,8 @@
 const STORM_HOLD: f64 = 0.03;
 /// Worth of a request whose source comes before it was told to, beside one in its turn.
 const OUT_OF_TURN: f64 = 0.05;
+/// Worth of another region's request beside an own one: it finds half of the room, and waits behind the own.
+const FOREIGN: f64 = 0.4;
 /// Least worth of a client's repeat beside a first try: some still come in time.
 const LATE_FLOOR: f64 = 0.1;
 /// A brisk answer comes in this part of the time from an unloaded one to the aim: at twice that tails miss.
@@ -125,6 +127,7 @@
             }
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::Pressure(pressure) => self.press(now, pressure),
+            Event::Offer(offer) => self.offer = offer,
             Event::ClientGone { request } => self.close(request, None),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = None,
@@ -186,10 +189,16 @@
         // and serving it before a new request would make both late, all through a storm of repeats.
         let again = if new.repeat { c.late_worth.max(LATE_FLOOR) } else { 1.0 };
         let turn = if new.out_of_turn { OUT_OF_TURN } else { 1.0 };
+        let turn = turn * if new.foreign { FOREIGN } else { 1.0 };
         let value = again * turn * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
         self.requests.insert(new.request, Request { class, came, aim, deadline, value, streaming, sent });
         self.low += (f64::from(value < LOW) - self.low) / KIND_SAMPLES;
+        // No draw without an offer: where there is no other region nothing else is drawn differently either.
+        let part = self.offer.at_once.get(class).copied().unwrap_or(0.0);
+        if part > 0.0 && self.dice.unit() < part && self.leave(now, new.request) {
+            return;
+        }
         // What is shed reaches no backend: the formula's rate is of what is let in.
         let storm = self.pressure.let_in_per_s;
         let admitted = self.admitted(class, value) && storm.is_none_or(|rate| self.let_in.take(now, rate));
@@ -197,10 +206,10 @@
         // Where cold backends are held to less than their parts, the rest of the traffic has no place.
         let pull: f64 = self.kinds.values().map(|k| k.pull).sum();
         if !admitted {
-            return self.give_up(new.request, GivenUp::Shed);
+            return self.give_up(now, new.request, GivenUp::Shed);
         }
         if pull > 0.0 && self.dice.unit() > pull {
-            return self.give_up(new.request, GivenUp::Cold);
+            return self.give_up(now, new.request, GivenUp::Cold);
         }
         self.held.push(new.request);
         self.wake_by(now + self.cfg.tick.times(HELD_TICKS).min(new.time_left));
@@ -351,7 +360,8 @@
         }
         self.wake_by(self.ask.0.unwrap_or(self.due));
         self.suspect(now);
-        let mut over = Vec::new();
+        let (mut over, mut leaving) = (Vec::new(), Vec::new());
+        let by = now + self.offer.trip + self.cfg.tick.times(2.0 * HELD_TICKS);
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
             let usual = self.usual(r.class);
             let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
@@ -367,6 +377,8 @@
                 // The deadline's own tick would be too late to answer; a request that was held so long
                 // that it cannot make it is refused while that is still harmless.
                 over.push(id);
+            } else if self.offer.room(r.class) > 0 && !r.out() && by + usual >= r.aim {
+                leaving.push((r.class, r.value, id)); // later the way would be too long
             } else if lost && now + usual < r.aim && self.classes[r.class].extra >= 1.0 {
                 // Age alone is no reason: copies of merely heavy requests crowd every backend.
                 if self.cfg.second_copies {
@@ -379,7 +391,14 @@
                 }
             }
         }
-        over.into_iter().for_each(|id| self.give_up(id, GivenUp::Held));
+        if !leaving.is_empty() {
+            let density = self.densities();
+            leaving.sort_by(|a, b| (density[b.0] * b.1).total_cmp(&(density[a.0] * a.1)).then(a.2.cmp(&b.2)));
+            for (_, _, id) in leaving {
+                self.leave(now, id);
+            }
+        }
+        over.into_iter().for_each(|id| self.give_up(now, id, GivenUp::Held));
     }
 
     /// Marks the backends that owe an answer for suspiciously long.
@@ -727,12 +746,32 @@
             }
             let over = !sendable && !r.out();
             self.requests.insert(id, r);
-            over.then(|| self.give_up(id, GivenUp::Spent));
+            over.then(|| self.give_up(now, id, GivenUp::Spent));
+        }
+    }
+
+    /// Hands a request to another region, if it could come in time there and has no effect here. Backends there know
+    /// none of its key: what may have run here must not run there.
+    fn leave(&mut self, now: Time, id: RequestId) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let free = self.cfg.classes[r.class].effect == Effect::Free;
+        let unseen = free || r.sent.iter().all(|s| s.never_ran);
+        let in_time = now + self.offer.trip + self.usual(r.class) < r.aim;
+        let Some(room) = self.offer.room.get_mut(r.class).filter(|n| **n > 0) else { return false };
+        if r.streaming || !unseen || !in_time {
+            return false;
         }
+        *room -= 1;
+        self.close(id, None); // whatever is out of a free one is called off first
+        self.actions.push(Action::Leave { request: id });
+        true
     }
 
-    /// Final answer for a request that will not be served.
-    fn give_up(&mut self, id: RequestId, why: GivenUp) {
+    /// Final answer for a request that will not be served here, unless it leaves.
+    fn give_up(&mut self, now: Time, id: RequestId, why: GivenUp) {
+        if self.leave(now, id) {
+            return;
+        }
         let Some(r) = self.requests.get(&id) else { return };
         self.given_up[why as usize] += 1;
         let free = matches!(self.cfg.classes[r.class].effect, Effect::Free | Effect::Keyed(KeyScope::All, _));
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -355,6 +355,7 @@
     pub(crate) arrivals: Rate,
     pub(crate) let_in: Bucket,
     pub(crate) pressure: Pressure,
+    pub(crate) offer: Offer,
     /// Backends' turns last so long.
     pub(crate) turn: Micros,
     /// The shares are solved this often, and when.
@@ -400,6 +401,7 @@
             arrivals: Rate::default(),
             let_in: Bucket::default(),
             pressure: Pressure { let_in_per_s: None, copies: true, retry_ratio: RETRY_RATIO },
+            offer: Offer::default(),
             turn: turn_length(&cfg),
             // No answer is told late by less than an aim: estimates move no faster.
             period: cfg.classes.iter().map(|c| c.aim).min().unwrap_or_default(),
@@ -450,6 +452,26 @@
         }
     }
 
+    /// What the backends can do that this proxy has no reason to doubt, and what comes. One that was ejected counts
+    /// again with its first good answer.
+    pub fn capacity(&self) -> Capacity {
+        let sound = |p: &&Peer| {
+            p.used
+                && p.entry.state == BackendState::Ready
+                && p.ejected.is_none()
+                && p.strikes == 0
+                && !p.silent
+        };
+        let hold: f64 = self.peers.values().filter(sound).map(|p| p.limit * p.part).sum();
+        let able = match self.overall.get() {
+            _ if hold <= 0.0 => 0.0,
+            Some(latency) => hold / latency.max(1e-6),
+            None => f64::INFINITY,
+        };
+        let arrivals = self.arrivals.per_s().unwrap_or(0.0);
+        Capacity { able, demand: self.classes.iter().map(|c| c.asked * arrivals).collect() }
+    }
+
     /// What is known of each backend's limit.
     pub fn limits(&self) -> Vec<LimitView> {
         let at_bound = |limit: f64| limit <= self.cfg.limits.least || limit >= self.cfg.limits.most;
--- a/crates/beechworks/tests/common/mod.rs
+++ b/crates/beechworks/tests/common/mod.rs
@@ -124,6 +124,15 @@
                 assert!(free || !ran, "refused what may have run");
                 assert!(r.answer.replace("refused").is_none(), "answered twice");
             }
+            Action::Leave { request } => {
+                let r = self.requests.get_mut(&request).expect("a known request");
+                let ran = r.tries.iter().any(Try::may_have_run);
+                assert!(
+                    !ran || self.cfg.classes[r.class].effect == Effect::Free,
+                    "left though it may have run"
+                );
+                assert!(r.answer.replace("left").is_none(), "left after its answer");
+            }
             Action::Fail { request } => {
                 let r = self.requests.get_mut(&request).expect("a known request");
                 assert!(r.answer.replace("failed").is_none(), "answered twice");
@@ -171,6 +180,7 @@
             work_hint: None,
             repeat: self.repeat,
             out_of_turn: false,
+            foreign: false,
         }));
         id
     }
--- a/crates/gaugesaddle-model/src/host.rs
+++ b/crates/gaugesaddle-model/src/host.rs
@@ -152,7 +152,8 @@
                 self.over.push(request);
             }
             Action::SetTimer { token, after } => self.timers.push(Reverse((now + after, token))),
-            Action::Follow | Action::Log(_) => {}
+            // No world of this model has another region: none is ever offered.
+            Action::Follow | Action::Log(_) | Action::Leave { .. } => {}
         }
     }
 
--- a/crates/gaugesaddle-model/src/world.rs
+++ b/crates/gaugesaddle-model/src/world.rs
@@ -325,6 +325,7 @@
             work_hint: None,
             repeat: number > 0 && self.s.clients.mark_retries,
             out_of_turn: false,
+            foreign: false,
         };
         self.hosts[proxy].arrived(Time(self.now), arrival);
         self.plan_turn(proxy);
--- a/crates/gaugesaddle-region/tests/failover.rs
+++ b/crates/gaugesaddle-region/tests/failover.rs
@@ -23,6 +23,9 @@
     Answer { request: usize, to: usize, fate: Option<u8> },
 }
 
+/// The path that it came with, and whether it waits for another region's answer.
+type Here = (Option<String>, bool);
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
 struct World {
     /// Whose halls are lost, and which gateways were killed.
@@ -30,7 +33,7 @@
     killed: Vec<bool>,
     messages: Vec<Message>,
     /// By region and request: it is here, came with that path, and waits for another region's answer.
-    here: Vec<Vec<Option<(Option<String>, bool)>>>,
+    here: Vec<Vec<Option<Here>>>,
     /// By request: regions that had it, runs, and final answers of its first region.
     been: Vec<Vec<usize>>,
     runs: Vec<u8>,
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -267,6 +267,7 @@
             work_hint: new.work_hint,
             repeat: new.repeat,
             out_of_turn: false,
+            foreign: false,
         };
         for subsystem in &mut self.subsystems {
             subsystem.arrived(now, &new, &mut told);
@@ -521,6 +522,7 @@
                 }
             }
             Action::Fail { request } => self.answer(request, Answer::Failed, End::FailedByModule),
+            Action::Leave { request } => self.answer(request, Answer::Failed, End::FailedByModule),
             Action::Cancel { request, attempt } => {
                 let Some(r) = self.requests.get_mut(&request) else { return };
                 let Some(out) = r.attempts.remove(&attempt) else { return };
