--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -750,8 +750,8 @@
         }
     }
 
-    /// Hands a request to another region, if it could come in time there and has no effect here. Backends there know
-    /// none of its key: what may have run here must not run there.
+    /// Hands a request to another region, if it could come in time there and has no effect here: backends
+    /// there know nothing of its key, so what may have run here must not run there.
     fn leave(&mut self, now: Time, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
         let free = self.cfg.classes[r.class].effect == Effect::Free;
--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod load;
 mod proc;
+mod region;
 mod relay;
 mod rig;
 
@@ -55,6 +56,22 @@
         /// The folder of the logs.
         logs: std::path::PathBuf,
     },
+    /// Another region as last resort, two and three regions of real processes: worth with and without it, the hard cases
+    /// under the auditor, keys replaced under load, the price of a hop.
+    Region {
+        /// Seeds with the halls of a region lost, each with and without the other.
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// Scenarios of the hard cases, ten cases by turns.
+        #[arg(long, default_value_t = 100)]
+        scenarios: u64,
+        /// Changes of keys under load.
+        #[arg(long, default_value_t = 50)]
+        keys: u32,
+        /// Runs side by side; each takes about two cores.
+        #[arg(long, default_value_t = 1)]
+        lanes: usize,
+    },
     /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
     Testbed,
     /// The bare relay itself, as a process of its own; `relay` starts it.
@@ -74,6 +91,9 @@
             limits::measure(seeds.max(1), seconds.max(2.0), only.as_deref(), detail)
         }
         Command::Fleet { logs } => fleet::measure(&logs),
+        Command::Region { seeds, scenarios, keys, lanes } => {
+            region::measure(seeds, scenarios, keys, lanes.max(1))
+        }
         Command::Testbed => rig::measure(),
         Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
     };
--- a/crates/gaugesaddle-measure/src/proc.rs
+++ b/crates/gaugesaddle-measure/src/proc.rs
@@ -14,14 +14,24 @@
             return Ok(ns / 1e9);
         }
     }
+    ticks(pid, 11)
+}
+
+/// Two neighbouring fields of `/proc/PID/stat`, time in the program and in the system for it, as seconds.
+fn ticks(pid: u32, first: usize) -> io::Result<f64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
     // The name may hold anything; the fields are counted from behind it.
     let fields = text.rsplit(')').next().unwrap_or("").split_whitespace().collect::<Vec<_>>();
     let field = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok());
-    let ticks = field(11).zip(field(12)).ok_or_else(|| io::Error::other("no CPU time in /proc"))?;
+    let ticks = field(first).zip(field(first + 1)).ok_or_else(|| io::Error::other("no CPU time in /proc"))?;
     Ok((ticks.0 + ticks.1) / TICKS)
 }
 
+/// CPU seconds of the processes that this one has started and seen end.
+pub fn children_cpu_seconds() -> io::Result<f64> {
+    ticks(std::process::id(), 13)
+}
+
 /// The most memory that it has had, in kilobytes.
 pub fn peak_kb(pid: u32) -> io::Result<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
--- a/crates/gaugesaddle-testbed/src/audit.rs
+++ b/crates/gaugesaddle-testbed/src/audit.rs
@@ -36,6 +36,10 @@
     Drain,
     /// A cold node was sent more than its budget.
     Cold,
+    /// A request came back to a region that it had left, or made more hops than it may.
+    Looped,
+    /// More left for a region within a second than the budget of all proxies.
+    OverBudget,
     /// A proxy's process ended badly.
     Crash,
 }
@@ -49,6 +53,8 @@
             | Broken::AnsweredLate
             | Broken::Foreign
             | Broken::SentAfterAnswer
+            | Broken::Looped
+            | Broken::OverBudget
             | Broken::Crash => 1,
             Broken::UnsafeRepeated | Broken::KeyedRepeated | Broken::RefusedAfterRun => 2,
             Broken::Drain => 3,
@@ -95,6 +101,21 @@
     pub worth: f64,
 }
 
+/// What the clients of a region got.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RegionFigures {
+    /// Worth in time over worth asked for.
+    pub g: f64,
+    /// The part of each class's requests that was in time.
+    pub in_time: Vec<f64>,
+    /// Requests of its clients that other regions' nodes worked on, and the most of them that began within a second.
+    pub left: u64,
+    /// See `left`.
+    pub most_left_per_s: usize,
+    /// When its nodes had the first and the last request of another region's.
+    pub lent: Option<(Moment, Moment)>,
+}
+
 /// What the records say.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
@@ -108,6 +129,8 @@
     pub worst_10s: f64,
     /// By class.
     pub classes: Vec<ClassFigures>,
+    /// By region, where there are several.
+    pub regions: Vec<RegionFigures>,
     /// Attempts that came whole.
     pub attempts: u64,
     /// Keys of keyed and unsafe requests that took effect more than once, whoever asked again.
@@ -160,6 +183,10 @@
                 statuses.join(", ")
             )?;
         }
+        for (region, r) in self.regions.iter().enumerate() {
+            let (name, g, left, most) = (crate::regions::name(region), r.g, r.left, r.most_left_per_s);
+            writeln!(f, "  {name:<10} G {g:.3}; {left} left, {most} within a second at most")?;
+        }
         let verdict = if self.is_clean() { "the four rules were kept" } else { "NOT CLEAN" };
         writeln!(f, "{verdict}")
     }
@@ -212,6 +239,7 @@
     auditor.repeats();
     auditor.drains();
     auditor.cold();
+    auditor.regions();
     auditor.figures();
     auditor.evidence(dropped);
     auditor.verdict
@@ -576,12 +604,62 @@
         }
     }
 
+    /// The way of each request through regions, and how many left for each of them.
+    fn regions(&mut self) {
+        let (count, hops) = (self.s.regions.count, self.s.regions.hops as usize);
+        if count < 2 {
+            return;
+        }
+        let of_node = |a: &Attempt| self.s.region(a.boot.node);
+        let (mut found, mut left) = (Vec::new(), HashMap::<(usize, usize), Vec<(Moment, &Record)>>::new());
+        self.verdict.regions = vec![RegionFigures::default(); count];
+        for (id, tries) in &self.tries {
+            let Some(sent) = self.by_request.get(id) else { continue };
+            let mut sent: Vec<&Attempt> = sent.iter().map(|a| &self.attempts[a]).collect();
+            sent.sort_by_key(|a| a.arriving.at);
+            // By the region whose proxy was asked; a client that had to ask once more began anew there.
+            let home = self.s.region(tries.last().map_or(0, |t| t.proxy));
+            let mut way = vec![home];
+            for a in &sent {
+                let region = of_node(a);
+                if way.last() != Some(&region) {
+                    if way.contains(&region) || way.len() > hops {
+                        let text = format!("request {id:016x} went through regions {way:?} and to {region}");
+                        found.push((Broken::Looped, text, vec![tries[0].asked, a.arriving]));
+                    }
+                    way.push(region);
+                    left.entry((home, region)).or_default().push((a.arriving.at, a.arriving));
+                    let lent = &mut self.verdict.regions[region].lent;
+                    *lent = Some((lent.map_or(a.arriving.at, |l| l.0), a.arriving.at));
+                }
+            }
+            self.verdict.regions[home].left += u64::from(way.len() > 1);
+        }
+        // Left in one second, they may arrive in a little less: the way differs by the slack at most, either way.
+        let window = 1_000_000 - 2 * self.slack;
+        for ((home, to), mut times) in left {
+            times.sort_by_key(|t| t.0);
+            let within = |i: usize| times[i..].iter().take_while(|t| t.0 < times[i].0 + window).count();
+            let (most, at) = (0..times.len()).map(|i| (within(i), i)).max().unwrap_or((0, 0));
+            let figures = &mut self.verdict.regions[home];
+            figures.most_left_per_s = figures.most_left_per_s.max(most);
+            if most > self.s.regions.per_s as usize {
+                let text = format!("{most} requests left region {home} for {to} within a second");
+                found.push((Broken::OverBudget, text, vec![times[at].1]));
+            }
+        }
+        for (broken, text, records) in found {
+            self.found(broken, text, records);
+        }
+    }
+
     fn figures(&mut self) {
         /// A request with all its tries.
         #[derive(Default)]
         struct Whole {
             asked: Moment,
             class: usize,
+            region: usize,
             in_time: bool,
         }
         let mut wholes: HashMap<u64, Whole> = HashMap::new();
@@ -591,17 +669,17 @@
             .iter()
             .map(|c| ClassFigures { name: c.name.clone(), worth: c.worth, ..ClassFigures::default() })
             .collect();
-        let mut seen = |first: u64, at: Moment, class: usize| {
-            let w = wholes.entry(first).or_insert(Whole { asked: at, class, in_time: false });
+        let mut seen = |first: u64, at: Moment, class: usize, region: usize| {
+            let w = wholes.entry(first).or_insert(Whole { asked: at, class, region, in_time: false });
             w.asked = w.asked.min(at);
         };
         for (at, first, class) in &self.unreachable {
-            seen(*first, *at, *class);
+            seen(*first, *at, *class, 0);
         }
         for (id, tries) in &self.tries {
             for t in tries {
                 classes[t.class].tries += 1;
-                seen(self.firsts[id], t.asked.at, t.class);
+                seen(self.firsts[id], t.asked.at, t.class, self.s.region(t.proxy));
             }
         }
         for (id, tries) in &self.tries {
@@ -632,6 +710,13 @@
                 1.0
             }
         };
+        for (region, figures) in self.verdict.regions.iter_mut().enumerate() {
+            let own = || wholes.values().filter(move |w| w.region == region);
+            figures.g = part(&mut own());
+            let of = |class: usize| own().filter(move |w| w.class == class);
+            let in_time = |class| part(&mut of(class));
+            figures.in_time = (0..self.s.classes.len()).map(in_time).collect();
+        }
         let last = wholes.values().map(|w| w.asked).max().unwrap_or(0);
         let mut worst = part(&mut wholes.values());
         let g = worst;
--- /dev/null
+++ b/crates/gaugesaddle-testbed/src/authority.rs
@@ -0,0 +1,172 @@
+//! Certificates for regions under test: an authority of the test's own, sound and unsound ones, and a gateway's client
+//! that says what the test words.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+/// Who signs.
+pub struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    /// Its own certificate.
+    pub pem: String,
+}
+
+/// A certificate and its key, in PEM.
+#[derive(Clone)]
+pub struct Keys {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+const DAY: Duration = Duration::from_secs(86_400);
+
+impl Authority {
+    /// A new one.
+    pub fn new() -> Authority {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(Vec::new()).expect("sound");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let pem = params.self_signed(&key).expect("signed").pem();
+        Authority { issuer: Issuer::new(params, key), pem }
+    }
+
+    /// Made out to that name, valid for a year.
+    pub fn issue(&self, name: &str) -> Keys {
+        self.issue_for(name, 365)
+    }
+
+    /// The same, with so many days left; below 0 it has ended.
+    pub fn issue_for(&self, name: &str, days: i64) -> Keys {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(vec![name.to_string()]).expect("a name");
+        let now = SystemTime::now();
+        let end = if days < 0 { now - DAY * days.unsigned_abs() as u32 } else { now + DAY * days as u32 };
+        params.not_before = (now - DAY * 1000).into();
+        params.not_after = end.into();
+        let certificate = params.signed_by(&key, &self.issuer).expect("signed").pem();
+        Keys { certificate, key: key.serialize_pem() }
+    }
+}
+
+impl Default for Authority {
+    fn default() -> Authority {
+        Authority::new()
+    }
+}
+
+/// The three files of a region.
+pub struct KeyFiles {
+    /// Where they are.
+    pub folder: PathBuf,
+}
+
+impl KeyFiles {
+    /// Writes one, moved into place whole.
+    pub fn put(&self, name: &str, text: &str, mode: u32) -> io::Result<()> {
+        let draft = self.folder.join(format!("{name}.draft"));
+        std::fs::write(&draft, text)?;
+        std::fs::set_permissions(&draft, std::fs::Permissions::from_mode(mode))?;
+        std::fs::rename(&draft, self.folder.join(name))
+    }
+
+    /// Writes all three.
+    pub fn put_all(&self, keys: &Keys, trust: &str) -> io::Result<()> {
+        self.put("trust.pem", trust, 0o644)?;
+        self.put("key.pem", &keys.key, 0o600)?;
+        self.put("certificate.pem", &keys.certificate, 0o644)
+    }
+
+    /// The lines of the operator's file that name them.
+    pub fn lines(&self) -> String {
+        let of = |name: &str| self.folder.join(name);
+        let (certificate, key, trust) = (of("certificate.pem"), of("key.pem"), of("trust.pem"));
+        format!("certificate = {certificate:?}\nkey = {key:?}\ntrust = {trust:?}\n")
+    }
+}
+
+/// What a peer shows at the gateway's door.
+pub fn client_config(keys: Option<&Keys>, trust: &str) -> Arc<rustls::ClientConfig> {
+    let mut roots = rustls::RootCertStore::empty();
+    for anchor in CertificateDer::pem_slice_iter(trust.as_bytes()).flatten() {
+        roots.add(anchor).expect("an authority");
+    }
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let builder = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .expect("a version")
+        .with_root_certificates(roots);
+    let mut config = match keys {
+        None => builder.with_no_client_auth(),
+        Some(keys) => {
+            let certificate = CertificateDer::from_pem_slice(keys.certificate.as_bytes()).expect("sound");
+            let key = PrivateKeyDer::from_pem_slice(keys.key.as_bytes()).expect("sound");
+            builder.with_client_auth_cert(vec![certificate], key).expect("a pair")
+        }
+    };
+    config.alpn_protocols = vec![b"h2".to_vec()];
+    Arc::new(config)
+}
+
+/// Asks a gateway as a peer with those keys; an error where it does not answer at all.
+pub async fn ask_gateway(
+    config: Arc<rustls::ClientConfig>, to: SocketAddr, name: &str, requests: Vec<Request<Full<Bytes>>>,
+) -> io::Result<Vec<Response<Bytes>>> {
+    let stream = tokio::net::TcpStream::connect(to).await?;
+    let name = ServerName::try_from(name.to_string()).map_err(io::Error::other)?;
+    let stream = tokio_rustls::TlsConnector::from(config).connect(name, stream).await?;
+    let http = hyper::client::conn::http2::Builder::new(TokioExecutor::new());
+    let (mut sender, connection) = http.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let driving = tokio::spawn(connection);
+    let mut answers = Vec::new();
+    for request in requests {
+        let answer = sender.send_request(request).await.map_err(io::Error::other)?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        answers.push(Response::from_parts(head, body));
+    }
+    driving.abort();
+    Ok(answers)
+}
+
+/// A folder of the test's own, gone with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    /// Makes it.
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("gaugesaddle-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    /// A file in it.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path
+    }
+
+    /// Its path.
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
--- a/crates/gaugesaddle-testbed/src/clients.rs
+++ b/crates/gaugesaddle-testbed/src/clients.rs
@@ -47,6 +47,8 @@
     classes: Vec<Class>,
     tell: Tell,
     doors: RefCell<Vec<Door>>,
+    /// Clients stay in their own region.
+    regions: usize,
     most: usize,
     marks: bool,
     kept: RefCell<Vec<(usize, Reader<TcpStream>)>>,
@@ -74,6 +76,7 @@
             classes: s.classes.clone(),
             tell,
             doors: RefCell::new(addresses.iter().enumerate().map(door).collect()),
+            regions: s.regions.count,
             most: s.clients.connections,
             marks: s.clients.mark_retries,
             kept: RefCell::default(),
@@ -103,7 +106,8 @@
     fn order(&self, ask: &Ask, number: u32) -> Vec<usize> {
         let now = Instant::now();
         let doors = self.doors.borrow();
-        let mut order: Vec<usize> = (0..doors.len()).collect();
+        let own = |i: &usize| doors[*i].hall % self.regions == ask.hall % self.regions;
+        let mut order: Vec<usize> = (0..doors.len()).filter(own).collect();
         let deal = |i: usize| mix(ask.id, (u64::from(number) << 32) + i as u64);
         order.sort_by_key(|i| {
             let door = &doors[*i];
--- a/crates/gaugesaddle-testbed/src/lease.rs
+++ b/crates/gaugesaddle-testbed/src/lease.rs
@@ -19,6 +19,7 @@
 }
 
 impl Lease {
+    /// One that nobody holds.
     pub fn take() -> io::Result<Lease> {
         let start = u64::from(std::process::id());
         let mut last = io::Error::other("no network was tried");
--- a/crates/gaugesaddle-testbed/src/lib.rs
+++ b/crates/gaugesaddle-testbed/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`audit`] judges the four rules from the stand-ins' [`Record`]s; a [`Fault`]y relay in the proxies' place
 //!   shows that it finds what it is there to find.
 //! - [`scripted`] has peers whose every byte the test words, [`relay`] a link that fails.
+//! - [`authority`] makes certificates for regions under test.
 //! - [`program`] finds the built programs.
 //!
 //! Limits: 64 proxies, 512 nodes, 20,000 requests a second in a file, 4 million records. All stand-ins share one
@@ -13,23 +14,25 @@
 
 mod agent;
 mod audit;
+pub mod authority;
 mod clients;
 pub mod dice;
 mod faulty;
 mod http;
-mod lease;
+pub mod lease;
 mod node;
 pub mod plan;
 mod process;
 pub mod processor;
 pub mod program;
 mod record;
+mod regions;
 pub mod relay;
 pub mod scenario;
 pub mod scripted;
 mod world;
 
-pub use audit::{audit, Broken, ClassFigures, Finding, Verdict};
+pub use audit::{audit, Broken, ClassFigures, Finding, RegionFigures, Verdict};
 pub use faulty::Fault;
 pub use process::{Process, Program};
 pub use record::{Boot, Event, Journal, Moment, Record, Standing};
--- a/crates/gaugesaddle-testbed/src/plan.rs
+++ b/crates/gaugesaddle-testbed/src/plan.rs
@@ -66,6 +66,12 @@
     LinkCut(usize, usize, bool),
     /// What passes between a proxy and a node comes so many microseconds later.
     LinkDelay(usize, usize, u64),
+    /// The way between regions is so many microseconds longer.
+    RegionDelay(u64),
+    /// Nothing passes between regions while true.
+    RegionCut(bool),
+    /// All regions get new keys.
+    NewKeys,
     /// Discovery is silent while true.
     DiscoveryDown(bool),
     /// Discovery moves.
@@ -272,6 +278,17 @@
                 add(at + for_s, Step::ProxyStop(proxy, false));
             }
             What::RestartProxy { proxy } => add(at, Step::ProxyRestart(proxy)),
+            What::RegionDelay { by_ms, for_s } => {
+                add(at, Step::RegionDelay((by_ms * 1e3) as u64));
+                add(at + for_s, Step::RegionDelay(0));
+            }
+            What::RegionCut { for_s } => {
+                add(at, Step::RegionCut(true));
+                add(at + for_s, Step::RegionCut(false));
+            }
+            What::NewKeys { times, every_s } => {
+                (0..times).for_each(|n| add(at + f64::from(n) * every_s, Step::NewKeys));
+            }
             What::Burst { .. } | What::Crowd { .. } => {}
         }
     }
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -18,6 +18,8 @@
     pub proxies: usize,
     /// Halls; nodes stand in them by turns.
     pub halls: usize,
+    /// Regions; halls belong to them by turns, and with them their nodes and proxies.
+    pub regions: Regions,
     /// What a proxy is told that it may use.
     pub limits: Limits,
     /// The nodes at the start.
@@ -36,6 +38,30 @@
     pub events: Vec<Planned>,
 }
 
+/// Other regions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Regions {
+    /// How many; one: there is no other.
+    pub count: usize,
+    /// Each is the last resort of the others; else they know nothing of one another.
+    pub joined: bool,
+    /// What may leave for each other region, and be taken in from it, over all proxies: requests a second and in flight.
+    pub per_s: u32,
+    /// See `per_s`.
+    pub in_flight: u32,
+    /// Hops that a request may make.
+    pub hops: u32,
+    /// The way between regions, one way.
+    pub way_ms: f64,
+}
+
+impl Default for Regions {
+    fn default() -> Regions {
+        Regions { count: 1, joined: true, per_s: 100, in_flight: 100, hops: 1, way_ms: 10.0 }
+    }
+}
+
 /// Limits that a proxy is told.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -333,6 +359,25 @@
         /// The part that follows `Retry-After`.
         honour: f64,
     },
+    /// The way between regions is longer, both ways.
+    RegionDelay {
+        /// By so much, each way.
+        by_ms: f64,
+        /// For so long.
+        for_s: f64,
+    },
+    /// Nothing passes between regions; connections stay open and silent.
+    RegionCut {
+        /// For so long.
+        for_s: f64,
+    },
+    /// All regions get new keys, from the same authority.
+    NewKeys {
+        /// So many times ...
+        times: u32,
+        /// ... with so much between them.
+        every_s: f64,
+    },
     /// More requests come.
     Burst {
         /// So many times as many.
@@ -447,6 +492,7 @@
             seed: 1,
             seconds: 8.0,
             proxies: 3,
+            regions: Regions::default(),
             halls: 3,
             limits: Limits::default(),
             kinds: vec![kind("fast", 4, 1.8), kind("slow", 8, 0.9)],
@@ -502,6 +548,11 @@
         self
     }
 
+    /// The region of a hall, of a proxy, or of a node's place: all stand by turns.
+    pub fn region(&self, number: usize) -> usize {
+        number % self.halls % self.regions.count
+    }
+
     /// Nodes at the start.
     pub fn nodes(&self) -> usize {
         self.kinds.iter().map(|k| k.count).sum()
@@ -533,12 +584,21 @@
             What::Crowd { clients, tries, wait_ms, honour, .. } => {
                 clients <= 20_000 && tries <= 1000 && range(wait_ms) && part(honour)
             }
-            What::DiscoveryDown { .. } | What::DiscoveryMove {} => true,
+            What::NewKeys { times, every_s } => times <= 1000 && above(every_s),
+            What::RegionDelay { by_ms, .. } => range([0.0, by_ms]),
+            What::DiscoveryDown { .. } | What::DiscoveryMove {} | What::RegionCut { .. } => true,
         };
         let tests = [
             ((0.1..=3600.0).contains(&self.seconds), "seconds", "0.1 to 3600"),
             ((1..=256).contains(&self.proxies), "proxies", "1 to 256"),
             ((1..=64).contains(&self.halls), "halls", "1 to 64"),
+            (
+                (1..=8).contains(&self.regions.count)
+                    && self.halls % self.regions.count == 0
+                    && self.proxies % self.regions.count == 0,
+                "regions.count",
+                "1 to 8, with as many halls and proxies in each",
+            ),
             ((1..=512).contains(&nodes), "kinds", "1 to 512 nodes together"),
             (self.kinds.iter().all(|k| above(k.speed) && k.cores > 0), "kinds", "a speed and cores above 0"),
             (self.kinds.iter().all(|k| part(k.cold_from)), "kinds.cold_from", "0 to 1"),
@@ -585,6 +645,8 @@
                    "aim_us": us(c.aim_ms), "deadline_us": us(c.deadline_ms), "gain": c.worth, "late_worth": 0.0,
                    "stream": false})
         };
+        let region = self.region(position);
+        let own: Vec<usize> = (0..self.proxies).filter(|p| self.region(*p) == region).collect();
         let ramp = self.kinds.iter().map(|k| k.ramp_s).fold(0.0, f64::max);
         let cold = self.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min);
         json!({
@@ -593,8 +655,8 @@
             "customers": [],
             "discovery": if self.discovery.asked { "subscribe" } else { "automatic" },
             "granularity_us": 4000,
-            "group_size": self.proxies,
-            "position": position,
+            "group_size": own.len(),
+            "position": own.iter().position(|p| *p == position).unwrap_or(0),
             "limits": {"cancel": true, "conn_idle_us": 30_000_000, "dial_timeout_us": 120_000, "max_attempts": 5,
                        "open_cap": self.limits.open_cap, "parallel_tries": true, "retry_after": true},
             "my_zone": hall(position % self.halls),
@@ -604,7 +666,7 @@
                       "must_ask_in_us": us(self.rules.told_latest_s * 1e3), "ramp_time_us": us(ramp * 1e3),
                       "tip_after_us": us(self.rules.fall_ms), "stop_sending_within_us": us(self.rules.drain_grace_ms)},
             "weight_source": "rough",
-            "zones": (0..self.halls).map(hall).collect::<Vec<_>>(),
+            "zones": (0..self.halls).filter(|h| self.region(*h) == region).map(hall).collect::<Vec<_>>(),
         })
     }
 }
--- a/crates/gaugesaddle-testbed/src/scripted.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -352,7 +352,8 @@
         self.log.lock().unwrap().clone()
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends a signal by its name, `-HUP` or `-STOP`.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
--- a/crates/gaugesaddle-testbed/src/world.rs
+++ b/crates/gaugesaddle-testbed/src/world.rs
@@ -10,6 +10,7 @@
 use crate::plan::{plan, Ask, Plan, Step};
 use crate::process::{Process, Program};
 use crate::record::{Boot, Event, Journal, Record, Standing};
+use crate::regions::Joined;
 use crate::relay::Relay;
 use crate::scenario::{hall, Kind, Scenario};
 use serde_json::{json, Value};
@@ -111,6 +112,8 @@
     delivered: RefCell<HashMap<(usize, usize), u64>>,
     delays: RefCell<Dice>,
     logs: RefCell<Vec<Vec<String>>>,
+    /// Where there are regions that know one another.
+    joined: Option<Joined>,
 }
 
 impl Drop for World {
@@ -156,7 +159,12 @@
                 }
             }
         }
+        let joined = match s.regions.count > 1 && s.regions.joined {
+            true => Some(Joined::new(s, &lease, &folder).await?),
+            false => None,
+        };
         let world = Rc::new(World {
+            joined,
             cast: cast.clone(),
             plan,
             journal,
@@ -217,7 +225,8 @@
         if cold {
             self.publish(&node, Standing::Ready, self.s.discovery.add_s);
         } else {
-            (0..proxies).for_each(|p| self.agents[p].put(self.line(&node, p, Standing::Ready)));
+            let own = (0..proxies).filter(|p| self.s.region(*p) == self.s.region(place));
+            own.for_each(|p| self.agents[p].put(self.line(&node, p, Standing::Ready)));
         }
         Ok(())
     }
@@ -238,7 +247,9 @@
     /// News of a node reach each agent after a while of its own.
     fn publish(&self, node: &Rc<Node>, standing: Standing, after_s: [f64; 2]) {
         let now = self.journal.now();
-        for (proxy, agent) in self.agents.iter().enumerate() {
+        let region = self.s.region(node.boot.node);
+        let own = self.agents.iter().enumerate().filter(|(p, _)| self.s.region(*p) == region);
+        for (proxy, agent) in own {
             let wait = (self.delays.borrow_mut().within(after_s) * 1e6) as u64;
             let mut delivered = self.delivered.borrow_mut();
             let last = delivered.entry((proxy, node.boot.node)).or_default();
@@ -271,7 +282,11 @@
         let actor = match &self.cast {
             Cast::Program(program) => {
                 let config = self.config(proxy, &agent.known());
-                Actor::Process(Process::start(program, &self.folder, &format!("p{proxy}"), &config)?)
+                let mut program = program.clone();
+                if let Some(joined) = &self.joined {
+                    program.arguments.extend(["--config".into(), joined.file(proxy)?.display().to_string()]);
+                }
+                Actor::Process(Process::start(&program, &self.folder, &format!("p{proxy}"), &config)?)
             }
             Cast::Faulty(fault) => {
                 let (listen, discovery) = (self.lease.proxy(proxy), agent.address());
@@ -460,6 +475,18 @@
             }
             Step::DiscoveryDown(down) => self.agents.iter().for_each(|a| a.set_down(down)),
             Step::DiscoveryMove => self.move_discovery().await,
+            Step::RegionDelay(by_us) => self.joined.iter().for_each(|j| j.delay(by_us)),
+            Step::RegionCut(cut) => self.joined.iter().for_each(|j| j.cut(cut)),
+            Step::NewKeys => {
+                if let Some(Err(e)) = self.joined.as_ref().map(|j| j.new_keys()) {
+                    self.journal.put(Event::Strange { text: format!("no new keys: {e}") });
+                }
+                for actor in self.proxies.borrow().iter().flatten() {
+                    if let Actor::Process(process) = actor {
+                        let _ = process.signal("HUP");
+                    }
+                }
+            }
             Step::ProxyKill(proxy) => self.kill_proxy(proxy),
             Step::ProxyStart(proxy) => {
                 if let Err(e) = self.start_proxy(proxy).await {
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -4,11 +4,13 @@
 use crate::error::Error;
 use crate::exchange::Input;
 use crate::operator::{self, Operator};
+use crate::region::{Own, RegionWatch, Regions};
 use crate::registry::{Bounds, Registry};
 use crate::seam::Subsystem;
 use crate::storm::StormWatch;
 use crate::succession::Succession;
 use crate::{admin, clock, config, discovery, form, pacing, server, state, upstream};
+use gaugesaddle_region::Share;
 use gaugesaddle_service::Order;
 use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
@@ -56,6 +58,7 @@
     operator: Operator,
     discovery: watch::Sender<SocketAddr>,
     state: watch::Sender<operator::State>,
+    regions: Option<Rc<Regions>>,
 }
 
 impl Reload {
@@ -79,6 +82,9 @@
         let rest = if keys.is_empty() { keys } else { format!("; not taken up before a restart: {keys}") };
         tracing::info!("configuration read again, discovery at {}{rest}", newer.discovery);
         self.discovery.send_if_modified(|held| std::mem::replace(held, newer.discovery) != newer.discovery);
+        if let Some(regions) = &self.regions {
+            regions.take_up(&operator.region);
+        }
         let state = operator.state;
         self.state.send_if_modified(|held| std::mem::replace(held, state.clone()) != state);
     }
@@ -96,7 +102,8 @@
     let clock = clock::Clock::new();
     // Clients and backends share what the rest leaves; other callers take from the clients' part.
     let callers = operator.state.socket.as_ref().map_or(0, |_| operator.state.connections + 1)
-        + if upgrades { OPERATORS } else { 0 };
+        + if upgrades { OPERATORS } else { 0 }
+        + if operator.region.enabled { operator.region.descriptors() } else { 0 };
     let body_bytes = config.memory / BODY_PART;
     let bounds = |sockets: usize| {
         let (kept, left) = (sockets / server::KEPT_PART, sockets.saturating_sub(RESERVE));
@@ -168,6 +175,23 @@
     if let Some(storm) = storm.transpose().map_err(Error::Storm)? {
         subsystems.push(Box::new(StormWatch::new(storm, registry.clone())));
     }
+    let own = Own {
+        clock,
+        share: Share { proxies: config.module.proxies, position: config.module.position },
+        classes: &config.module.classes,
+        names: server.rules.names.classes(),
+        seed: config.seed,
+    };
+    let regions = operator.region.enabled.then(|| Regions::new(operator.region.clone(), own)).transpose()?;
+    let gateway = regions.as_ref().and(operator.region.listen);
+    let gateway =
+        gateway.map(|at| listen("region.listen", at, bind("region.listen", at, upgrades)?)).transpose()?;
+    if let Some(regions) = &regions {
+        let (classes, tick) = (&config.module.classes, config.module.tick);
+        subsystems.push(Box::new(RegionWatch::new(regions.clone(), registry.clone(), classes, tick)));
+        tokio::task::spawn_local(regions.clone().watch_keys());
+        tokio::task::spawn_local(regions.clone().serve(server.clone(), gateway));
+    }
     let driver = Driver::new(Parts {
         subsystems,
         clock,
@@ -192,7 +216,8 @@
     tokio::task::spawn_local(watch.run(addresses));
     let (state, settings) = watch::channel(operator.state.clone());
     tokio::task::spawn_local(state::serve(registry.clone(), clock, settings, bound));
-    let reload = Reload { document: config.document, file, operator, discovery, state };
+    let reload =
+        Reload { document: config.document, file, operator, discovery, state, regions: regions.clone() };
     tokio::task::spawn_local(reload.run(hangup));
     tokio::task::spawn_local(obey(orders, sender.clone()));
     if let Some(listener) = admin {
@@ -222,7 +247,10 @@
     if upgrades {
         tokio::task::spawn_local(succession.wait(heard));
     }
-    server.run(listener, stop).await;
+    server.clone().run(listener, stop).await;
+    if let Some(regions) = regions {
+        regions.drained(server.rules.longest).await;
+    }
     Ok(())
 }
 
--- a/crates/gaugesaddle/src/cli.rs
+++ b/crates/gaugesaddle/src/cli.rs
@@ -2,8 +2,8 @@
 
 use crate::error::Error;
 use crate::operator::{self, Operator};
-use crate::{app, state};
-use clap::{Parser, Subcommand};
+use crate::{app, region, state};
+use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -28,6 +28,8 @@
     },
     /// Print the state of a running proxy: its requests, backends, connections and reasons.
     State {
+        /// Only that part, `regions`.
+        part: Option<Part>,
         /// Its socket; by default `state.socket` of the operator's file.
         #[arg(long, value_name = "PATH")]
         socket: Option<PathBuf>,
@@ -37,6 +39,13 @@
     },
 }
 
+/// A part of the state.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Part {
+    /// Other regions.
+    Regions,
+}
+
 /// Runs the program.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
@@ -55,11 +64,11 @@
     match arguments.command {
         None => app::run(file.clone(), operator()?),
         Some(Command::Check { file }) => {
-            operator::load(&file)?;
+            region::check(&operator::load(&file)?.region)?;
             println!("{}: good", file.display());
             Ok(())
         }
-        Some(Command::State { socket, json }) => {
+        Some(Command::State { part, socket, json }) => {
             let socket = match socket {
                 Some(socket) => socket,
                 None => operator()?.state.socket.ok_or(Error::Usage(
@@ -67,7 +76,13 @@
                 ))?,
             };
             let state = state::ask(&socket)?;
-            if json {
+            if let Some(Part::Regions) = part {
+                let view = state.region.as_ref().ok_or(Error::Usage("this proxy has no other regions"))?;
+                match json {
+                    true => println!("{}", serde_json::to_string_pretty(view).unwrap_or_default()),
+                    false => print!("{}", state::render_regions(view, state.time_us)),
+                }
+            } else if json {
                 println!("{}", serde_json::to_string_pretty(&state).unwrap_or_default());
             } else {
                 print!("{}", state::render(&state));
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -5,8 +5,9 @@
 use crate::exchange::{Answer, Arrived, Call, Ended, Input, Refusal, Target, Upstream, Upstreams};
 use crate::registry::{BackendRow, End, Registry};
 use crate::roster::Roster;
-use crate::seam::Subsystem;
+use crate::seam::{Leaving, Subsystem};
 use beechworks::*;
+use gaugesaddle_region::Final;
 use gaugesaddle_service::{Order, Verdict};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -43,6 +44,10 @@
     /// Whose it is, and whether that comes out of turn.
     source: (u64, bool),
     call: Rc<Call>,
+    /// Through which regions it came.
+    hop: Option<gaugesaddle_region::Path>,
+    /// It was handed to another region: the module knows it no more.
+    left: bool,
     /// `None`: it has had its final answer, or its client is gone.
     reply: Option<oneshot::Sender<Answer>>,
     attempts: HashMap<AttemptNo, Attempt>,
@@ -239,8 +244,15 @@
                 if let Some(r) = self.requests.get_mut(&request).filter(|r| r.reply.is_some()) {
                     r.reply = None;
                     let class = r.class;
+                    if r.left {
+                        // Dropped, the hop is called off at the other region.
+                        r.attempts
+                            .drain()
+                            .for_each(|(_, out)| _ = out.end(Outcome::Cancelled, self.clock.now()));
+                    } else {
+                        self.events.push(Event::ClientGone { request });
+                    }
                     self.count(class, End::Left);
-                    self.events.push(Event::ClientGone { request });
                     self.forget(request);
                 }
             }
@@ -267,7 +279,7 @@
             work_hint: new.work_hint,
             repeat: new.repeat,
             out_of_turn: false,
-            foreign: false,
+            foreign: new.hop.is_some(),
         };
         for subsystem in &mut self.subsystems {
             subsystem.arrived(now, &new, &mut told);
@@ -288,8 +300,19 @@
         let (class, aim, deadline) = (new.class, new.came + stretch, new.deadline);
         let source = (new.source, out_of_turn);
         let after_last = new.after_last;
-        let open =
-            Open { class, aim, deadline, after_last, source, call: new.call, reply, attempts, count: 0 };
+        let open = Open {
+            class,
+            aim,
+            deadline,
+            after_last,
+            source,
+            call: new.call,
+            hop: new.hop,
+            left: false,
+            reply,
+            attempts,
+            count: 0,
+        };
         self.requests.insert(new.id, open);
     }
 
@@ -299,7 +322,10 @@
         // One outcome an attempt: what it sends after it was called off does not count.
         let Some(out) = r.attempts.remove(&attempt) else { return };
         let sent = out.end(ended.outcome, now);
-        self.subsystems.iter_mut().for_each(|s| s.ended(ended.outcome));
+        let left = r.left;
+        if !left {
+            self.subsystems.iter_mut().for_each(|s| s.ended(ended.outcome));
+        }
         if let Some(answer) = ended.answer {
             if let Some(reply) = r.reply.take() {
                 let (class, end) = (r.class, if now <= r.aim { End::InAim } else { End::Late });
@@ -307,6 +333,9 @@
                 self.count(class, end);
             }
         }
+        if left {
+            return self.last_word(now, request, ended.outcome);
+        }
         let settled = self.requests.get(&request).is_none_or(|r| r.reply.is_none());
         let (outcome, latency) = (ended.outcome, now - sent);
         self.events.push(Event::AttemptEnded(AttemptEnd { request, attempt, outcome, latency, settled }));
@@ -420,6 +449,11 @@
         while let Some((at, request)) = self.deadlines.first().filter(|d| d.0 <= now).copied() {
             self.deadlines.pop_first();
             let Some(r) = self.requests.get_mut(&request) else { continue };
+            if r.left {
+                r.attempts.drain().for_each(|(_, out)| _ = out.end(Outcome::TimedOut, now));
+                self.last_word(now, request, Outcome::TimedOut);
+                continue;
+            }
             let settled = r.reply.is_none();
             for (attempt, out) in r.attempts.drain() {
                 let outcome = Outcome::TimedOut;
@@ -514,15 +548,9 @@
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
             Action::Dispatch { request, backend } => self.dispatch(now, request, backend),
-            Action::Refuse { request } => {
-                let source = self.requests.get(&request).filter(|r| r.reply.is_some()).map(|r| r.source);
-                if let Some((source, out_of_turn)) = source {
-                    let refusal = self.refusal(now, source, out_of_turn, false);
-                    self.answer(request, refusal, End::RefusedByModule);
-                }
-            }
+            Action::Refuse { request } => self.refuse(now, request, End::RefusedByModule),
             Action::Fail { request } => self.answer(request, Answer::Failed, End::FailedByModule),
-            Action::Leave { request } => self.answer(request, Answer::Failed, End::FailedByModule),
+            Action::Leave { request } => self.leave(now, request),
             Action::Cancel { request, attempt } => {
                 let Some(r) = self.requests.get_mut(&request) else { return };
                 let Some(out) = r.attempts.remove(&attempt) else { return };
@@ -538,6 +566,41 @@
         }
     }
 
+    fn refuse(&mut self, now: Time, request: RequestId, end: End) {
+        let source = self.requests.get(&request).filter(|r| r.reply.is_some()).map(|r| r.source);
+        if let Some((source, out_of_turn)) = source {
+            let refusal = self.refusal(now, source, out_of_turn, false);
+            self.answer(request, refusal, end);
+        }
+    }
+
+    /// Hands a request to whatever subsystem has a place for it; if none has, it is refused at once: it never ran.
+    fn leave(&mut self, now: Time, request: RequestId) {
+        let Some(r) = self.requests.get_mut(&request).filter(|r| r.reply.is_some()) else { return };
+        r.left = true;
+        let place = self.subsystems.iter_mut().find_map(|s| {
+            let (class, deadline, hop) = (r.class, r.deadline, r.hop.as_ref());
+            s.place(now, Leaving { class, call: &r.call, deadline, hop })
+        });
+        let Some(place) = place else { return self.refuse(now, request, End::RefusedElsewhere) };
+        let attempt = AttemptNo(r.count);
+        r.count += 1;
+        let mut report = Report { to: self.inputs.clone(), request, attempt, told: false };
+        let task = tokio::task::spawn_local(async move { report.tell(place.await) });
+        r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle(), row: None });
+    }
+
+    /// What a client is told whose request another region did not serve.
+    fn last_word(&mut self, now: Time, request: RequestId, outcome: Outcome) {
+        let Some(r) = self.requests.get(&request) else { return };
+        let effect = self.config.classes.get(r.class.0).map_or(Effect::Unsafe, |c| c.effect);
+        match gaugesaddle_region::word(effect, outcome) {
+            _ if r.reply.is_none() => self.forget(request),
+            Final::Refuse => self.refuse(now, request, End::RefusedElsewhere),
+            Final::Fail => self.answer(request, Answer::Failed, End::FailedElsewhere),
+        }
+    }
+
     fn dispatch(&mut self, now: Time, request: RequestId, backend: BackendId) {
         let inputs = self.inputs.clone();
         let Some(r) = self.requests.get_mut(&request) else { return };
@@ -614,6 +677,7 @@
             came,
             deadline,
             after_last: None,
+            hop: None,
             work_hint,
             repeat,
             key,
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -42,6 +42,17 @@
     /// The operator's file.
     #[error(transparent)]
     Operator(#[from] crate::operator::OperatorError),
+    /// A key of `[region]` that does not go with what the platform tells.
+    #[error("{key}: {what}")]
+    Region {
+        /// The key.
+        key: String,
+        /// What was expected.
+        what: String,
+    },
+    /// The region's keys.
+    #[error(transparent)]
+    Keys(#[from] crate::region::KeyError),
     /// An address or a path can't be listened on.
     #[error("{key}: expected {expected}, got {at}: {source}")]
     Listen {
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -82,6 +82,8 @@
     pub key: Option<u64>,
     /// The hash of its account, or of its client's address where there are no accounts.
     pub source: u64,
+    /// Through which regions it came, where another region's gateway brought it.
+    pub hop: Option<gaugesaddle_region::Path>,
     pub call: Rc<Call>,
     pub reply: oneshot::Sender<Answer>,
 }
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -4,6 +4,7 @@
 //! `deploy/gaugesaddle.toml` lists every key with its unit, range, default and reason; a test holds it to this
 //! type. Each subsystem adds a section of its own.
 
+use crate::region::settings::Region;
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer};
 use std::path::{Path, PathBuf};
@@ -25,6 +26,8 @@
     pub storm: Storm,
     /// What backends may hold.
     pub limits: Limits,
+    /// Other regions as last resort.
+    pub region: Region,
 }
 
 /// `[limits]`. Wants a restart. What all proxies together may hold on one backend.
@@ -243,6 +246,7 @@
         let what = format!("expected no less than limits.least_per_backend ({least}), got {most}");
         return Err((None, "limits.most_per_backend".into(), what));
     }
+    read.region.check().map_err(|(key, what)| (None, key, what))?;
     Ok(read)
 }
 
@@ -285,6 +289,12 @@
     if running.limits != newer.limits {
         keys.push("limits");
     }
+    // The switch and the exercise are taken up.
+    let mut held = newer.region.clone();
+    (held.switch, held.exercise_percent) = (running.region.switch, running.region.exercise_percent);
+    if running.region != held {
+        keys.push("region");
+    }
     keys
 }
 
@@ -321,6 +331,62 @@
         assert!(told.ends_with("got -1"), "{told}");
     }
 
+    /// A section that is sound but for one line.
+    fn region(changed: &str, to: &str) -> String {
+        let sound = "[region]\nenabled = true\nname = \"north\"\ncertificate = \"/c\"\nkey = \"/k\"\ntrust = \"/t\"\n\
+                     listen = \"127.0.0.1:7443\"\nhops = 1\n[region.rule]\nenter_ms = 500\n\
+                     [[region.other]]\nname = \"south\"\naddresses = [\"127.0.0.1:7444\"]\nround_trip_ms = 40\n\
+                     send = { per_s = 10, in_flight = 5 }\ntake = { per_s = 10, in_flight = 5 }\n\
+                     [[region.other]]\nname = \"west\"\naddresses = [\"127.0.0.1:7445\"]\nround_trip_ms = 40\n\
+                     send = { per_s = 10, in_flight = 5 }\ntake = { per_s = 10, in_flight = 5 }\n";
+        assert!(changed.is_empty() || sound.contains(changed), "{changed}");
+        sound.replacen(changed, to, 1)
+    }
+
+    #[test]
+    fn each_flaw_of_the_regions_is_told_by_its_key() {
+        assert!(parse(&region("", "")).is_ok());
+        for (line, to, expected) in [
+            ("name = \"north\"", "name = \"North\"", "region.name: expected up to 32 lower-case"),
+            (
+                "name = \"south\"",
+                "name = \"north\"",
+                "region.other.0.name: expected another region than this",
+            ),
+            ("name = \"west\"", "name = \"south\"", "region.other.1.name: expected each region once"),
+            (
+                "127.0.0.1:7445",
+                "127.0.0.1:7444",
+                "region.other.1.addresses: expected addresses of no other region",
+            ),
+            (
+                "127.0.0.1:7444",
+                "127.0.0.1:7443",
+                "region.other.0.addresses: expected addresses of no other region",
+            ),
+            (
+                "send = { per_s = 10",
+                "send = { per_s = 0",
+                "region.other.0.send.per_s: expected 1 to 100000, got 0",
+            ),
+            ("in_flight = 5", "in_flight = 0", "region.other.0.send.in_flight: expected 1 to 100000, got 0"),
+            ("send = { per_s = 10", "send = { per_s = -1", "line 15: region.other.send"),
+            ("hops = 1", "hops = 5", "region.hops: expected 1 to 4, got 5"),
+            ("enter_ms = 500", "enter_ms = 0", "region.rule.enter_ms: expected 1 to 600000, got 0"),
+            (
+                "enter_ms = 500",
+                "short_below_percent = 90",
+                "region.rule.enough_from_percent: expected 91 to 200",
+            ),
+            ("round_trip_ms = 40", "round_trip_ms = 0", "region.other.0.round_trip_ms: expected 1 to 10000"),
+            ("key = \"/k\"", "key = \"k\"", "region.key: expected an absolute path"),
+            ("key = \"/k\"", "keys = \"/k\"", "line 5: region.keys: unknown field `keys`"),
+        ] {
+            let told = flaw(&region(line, to));
+            assert!(told.starts_with(expected), "{told}\nfor {expected}");
+        }
+    }
+
     #[test]
     fn the_file_that_is_shipped_says_the_defaults_and_every_key() {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gaugesaddle.toml");
@@ -328,12 +394,15 @@
         let text = std::fs::read_to_string(path).unwrap();
         // With every commented key switched on it must still be read: no key is told that doesn't exist.
         let on = |l: &str| match l.strip_prefix("#") {
-            Some(key) if !key.starts_with(' ') && key.contains('=') => key.to_string(),
+            Some(key) if !key.starts_with(' ') && (key.contains('=') || key.starts_with('[')) => {
+                key.to_string()
+            }
             _ => l.to_string(),
         };
         let all: Vec<String> = text.lines().map(on).collect();
         let all = parse(&all.join("\n")).expect("every key is known");
         assert!(all.state.socket.is_some());
+        assert_eq!(all.region.other.len(), 1);
         for key in [
             "level",
             "socket",
@@ -343,6 +412,21 @@
             "sources",
             "least_per_backend",
             "most_per_backend",
+            "switch",
+            "exercise_percent",
+            "listen",
+            "certificate",
+            "key",
+            "trust",
+            "hops",
+            "margin_ms",
+            "drain_s",
+            "short_below_percent",
+            "enough_from_percent",
+            "enter_ms",
+            "return_ms",
+            "send",
+            "take",
         ] {
             assert!(
                 text.lines().any(|l| l.trim_start_matches('#').starts_with(&format!("{key} ="))),
--- /dev/null
+++ b/crates/gaugesaddle/src/region/client.rs
@@ -0,0 +1,232 @@
+//! The link to another region: a few long HTTP/2 connections over mutual TLS, and one hop to one end.
+
+use super::{FATE, PATH, TOOK};
+use crate::clock::Clock;
+use crate::exchange::{strip, Call, BODY_BYTES, TIME_LEFT};
+use beechworks::{Micros, Time};
+use bytes::Bytes;
+use gaugesaddle_region::{Fate, HopEnd, Path};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, Uri};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rustls::pki_types::ServerName;
+use rustls::ClientConfig;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio_rustls::TlsConnector;
+
+/// Connections to one region: a second one for when the first is being replaced or has lost a packet.
+const CONNECTIONS: usize = 2;
+/// A connection that is not up after this time counts as failed.
+const DIAL: Duration = Duration::from_millis(1_500);
+/// A connection that answers no ping for so long is dead, however alive it looks: pinged each second.
+const PING: Duration = Duration::from_secs(1);
+const PING_PATIENCE: Duration = Duration::from_millis(1_500);
+/// An answer over a hop is held whole up to this size. As many as may be in flight are held at once.
+pub const ANSWER_BYTES: usize = 1 << 20;
+/// A head from a gateway.
+const HEAD_BYTES: u32 = 16 << 10;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Runs the futures of HTTP/2 on this thread.
+#[derive(Clone, Copy)]
+pub struct Here;
+
+impl<F: Future + 'static> hyper::rt::Executor<F> for Here {
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(async move { drop(future.await) });
+    }
+}
+
+/// The keys in use, and how often they have changed.
+#[derive(Clone)]
+pub struct Keys {
+    pub client: Arc<ClientConfig>,
+    pub generation: u64,
+}
+
+struct Held {
+    sender: Sender,
+    generation: u64,
+}
+
+/// The connections to one region.
+pub struct Peer {
+    clock: Clock,
+    /// Its certificate's name, and the name that is used for it in requests.
+    name: ServerName<'static>,
+    host: String,
+    addresses: Vec<SocketAddr>,
+    slots: [Mutex<Option<Held>>; CONNECTIONS],
+    turn: Cell<usize>,
+    dials: Cell<usize>,
+    keys: Rc<RefCell<Keys>>,
+}
+
+/// No answer: whether the request may have reached the other side.
+struct Lost {
+    begun: bool,
+}
+
+impl Peer {
+    /// `from`: with which of its addresses to begin, for all proxies together use them all.
+    pub fn new(
+        clock: Clock, certificate_name: &str, addresses: Vec<SocketAddr>, from: usize,
+        keys: Rc<RefCell<Keys>>,
+    ) -> Option<Peer> {
+        let name = ServerName::try_from(certificate_name.to_string()).ok()?;
+        let (turn, dials) = (Cell::new(0), Cell::new(from));
+        let slots = Default::default();
+        Some(Peer { clock, name, host: certificate_name.into(), addresses, slots, turn, dials, keys })
+    }
+
+    /// A connection with the present keys; those with earlier ones end by themselves once what is on them has ended.
+    /// Tells also whether it was made for this request.
+    async fn sender(&self) -> Result<(Sender, bool), Lost> {
+        let slot = self.turn.get() % CONNECTIONS;
+        self.turn.set(slot + 1);
+        let mut held = self.slots[slot].lock().await;
+        let keys = self.keys.borrow().clone();
+        if let Some(held) = &*held {
+            if held.generation == keys.generation && !held.sender.is_closed() {
+                return Ok((held.sender.clone(), false));
+            }
+        }
+        *held = None;
+        let sender = tokio::time::timeout(DIAL, self.dial(&keys)).await.ok().flatten();
+        let sender = sender.ok_or(Lost { begun: false })?;
+        *held = Some(Held { sender: sender.clone(), generation: keys.generation });
+        Ok((sender, true))
+    }
+
+    async fn dial(&self, keys: &Keys) -> Option<Sender> {
+        let next = self.dials.get();
+        self.dials.set(next.wrapping_add(1));
+        let address = *self.addresses.get(next % self.addresses.len().max(1))?;
+        let failed = |e: &dyn std::fmt::Display| tracing::warn!("region {}: {address}: {e}", self.host);
+        let stream = TcpStream::connect(address).await.inspect_err(|e| failed(e)).ok()?;
+        let _ = stream.set_nodelay(true);
+        let connector = TlsConnector::from(keys.client.clone());
+        let stream = connector.connect(self.name.clone(), stream).await.inspect_err(|e| failed(e)).ok()?;
+        let mut http = http2::Builder::new(Here);
+        http.timer(TokioTimer::new())
+            .keep_alive_interval(PING)
+            .keep_alive_timeout(PING_PATIENCE)
+            .keep_alive_while_idle(true)
+            .max_header_list_size(HEAD_BYTES);
+        let (sender, connection) =
+            http.handshake(TokioIo::new(stream)).await.inspect_err(|e| failed(e)).ok()?;
+        tokio::task::spawn_local(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!("a connection to another region ended: {e}");
+            }
+        });
+        Some(sender)
+    }
+
+    /// One hop to its end, which comes by `until`. With the answer, if a backend there served it.
+    pub async fn hop(
+        &self, call: &Call, body: Bytes, path: &Path, told: Micros, until: Time,
+    ) -> (HopEnd, Option<Response<Bytes>>) {
+        let began = self.clock.now();
+        let begun = Cell::new(false);
+        let asked = self.ask(request(&self.host, call, body, path, told), &begun);
+        let ended = tokio::time::timeout_at(self.clock.instant(until), asked).await;
+        let took = self.clock.now() - began;
+        let lost =
+            |begun| HopEnd { fate: Fate::of_lost(begun), took, there: None, retry_after: None, lost: true };
+        let mut answer = match ended {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(lost_at)) => return (lost(lost_at.begun), None),
+            Err(_) => return (lost(begun.get()), None),
+        };
+        let number = |value: Option<&HeaderValue>| value.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+        // Between gateways only: no client sees them.
+        let headers = answer.headers_mut();
+        let fate = Fate::read(headers.remove(FATE).as_ref().map(|v| v.as_bytes()));
+        let there = number(headers.remove(TOOK).as_ref()).map(|us| Micros(us).min(took));
+        let after = number(headers.get(RETRY_AFTER)).map(|s| Micros(s.saturating_mul(1_000_000)));
+        let retry_after = after.filter(|_| fate == Fate::NotRun);
+        let end = HopEnd { fate, took, there, retry_after, lost: false };
+        (end, (fate == Fate::Ran).then_some(answer))
+    }
+
+    async fn ask(&self, request: Request<Full<Bytes>>, begun: &Cell<bool>) -> Result<Response<Bytes>, Lost> {
+        loop {
+            let (mut sender, fresh) = self.sender().await?;
+            let sent = match sender.ready().await {
+                Ok(()) => {
+                    begun.set(true);
+                    sender.try_send_request(request.clone()).await.map_err(|mut e| {
+                        // It was given back unsent, or refused by the other side before it was looked at.
+                        Lost { begun: e.take_message().is_none() && !is_refused(e.error()) }
+                    })
+                }
+                Err(_) => Err(Lost { begun: false }),
+            };
+            let answer = match sent {
+                Ok(answer) => answer,
+                // The other side closed it for its own reasons, new keys say, before this request: another will do.
+                Err(Lost { begun: false }) if !fresh => {
+                    begun.set(false);
+                    continue;
+                }
+                Err(lost) => return Err(lost),
+            };
+            let (mut head, body): (_, Incoming) = answer.into_parts();
+            // Broken in the middle it must not look whole; it has run all the same.
+            let body = Limited::new(body, ANSWER_BYTES).collect().await.map_err(|_| Lost { begun: true })?;
+            strip(&mut head.headers);
+            return Ok(Response::from_parts(head, body.to_bytes()));
+        }
+    }
+}
+
+/// RFC 9113, 8.7: a stream that was refused was not processed at all.
+fn is_refused(e: &hyper::Error) -> bool {
+    let mut source = std::error::Error::source(e);
+    while let Some(e) = source {
+        if let Some(e) = e.downcast_ref::<h2::Error>() {
+            return e.reason() == Some(h2::Reason::REFUSED_STREAM);
+        }
+        source = e.source();
+    }
+    false
+}
+
+fn request(host: &str, call: &Call, body: Bytes, path: &Path, told: Micros) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = call.head.method().clone();
+    let place = call.head.uri().path_and_query().map_or("/", |p| p.as_str());
+    *request.uri_mut() =
+        Uri::builder().scheme("https").authority(host).path_and_query(place).build().unwrap_or_default();
+    *request.headers_mut() = call.head.headers().clone();
+    let headers = request.headers_mut();
+    headers.insert(TIME_LEFT, HeaderValue::from(told.0 / 1000));
+    // Whatever a client wrote there is none of it.
+    headers.remove(FATE);
+    headers.remove(TOOK);
+    headers.remove(PATH);
+    if let Ok(path) = HeaderValue::from_str(&path.text()) {
+        headers.insert(PATH, path);
+    }
+    request
+}
+
+/// What may leave: a body that is held whole and small.
+pub fn body_of(call: &Call) -> Option<Bytes> {
+    match &call.body {
+        crate::body::CallBody::Whole(bytes) if bytes.len() <= BODY_BYTES => Some(bytes.clone()),
+        _ => None,
+    }
+}
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -30,6 +30,10 @@
     FailedUnanswered,
     /// The module had to start anew.
     FailedRestart,
+    /// Handed over, and no region had a place for it, or one refused it as not run.
+    RefusedElsewhere,
+    /// Handed over, and it may have run there without an answer in time.
+    FailedElsewhere,
     /// Its client closed the connection first.
     Left,
 }
@@ -137,6 +141,8 @@
     open: Cell<usize>,
     /// Some backend can be sent requests.
     pub(crate) serving: Cell<bool>,
+    /// None can, and another region takes requests in their place.
+    pub(crate) elsewhere: Cell<bool>,
     /// Clients can connect.
     pub(crate) listening: Cell<bool>,
     lifecycle: Cell<Lifecycle>,
@@ -145,6 +151,8 @@
     /// What the proxy stands in, and since when; calm where storms are not watched.
     pub(crate) storm: Cell<gaugesaddle_storm::State>,
     pub(crate) storm_seen: RefCell<Option<StormState>>,
+    /// Other regions, where there are some.
+    pub(crate) region: RefCell<Option<RegionView>>,
     pub(crate) connections: Cell<usize>,
     pub(crate) upstream_sockets: Cell<usize>,
     /// What one process may hold alone, and while two share it.
@@ -174,11 +182,13 @@
             backends: RefCell::default(),
             open: Cell::default(),
             serving: Cell::default(),
+            elsewhere: Cell::default(),
             listening: Cell::default(),
             lifecycle: Cell::default(),
             connects: Cell::default(),
             storm: Cell::new(gaugesaddle_storm::State::Calm),
             storm_seen: RefCell::default(),
+            region: RefCell::default(),
             connections: Cell::default(),
             upstream_sockets: Cell::default(),
             bounds,
@@ -213,7 +223,14 @@
 
     /// Clients may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.serving.get() && self.listening.get() && self.lifecycle.get().welcomes()
+        (self.serving.get() || self.elsewhere.get())
+            && self.listening.get()
+            && self.lifecycle.get().welcomes()
+    }
+
+    /// Another region's requests may be sent here: they go no further than to backends of this one.
+    pub(crate) fn serves_here(&self) -> bool {
+        self.serving.get() && self.is_ready()
     }
 
     pub(crate) fn taken(&self, class: ClassId) {
@@ -269,11 +286,16 @@
                 taken: row.taken.get(),
                 in_aim: end(End::InAim),
                 late: end(End::Late),
-                refused: Refused { module: end(End::RefusedByModule), open_cap: end(End::RefusedOpenCap) },
+                refused: Refused {
+                    module: end(End::RefusedByModule),
+                    open_cap: end(End::RefusedOpenCap),
+                    elsewhere: end(End::RefusedElsewhere),
+                },
                 failed: Failed {
                     module: end(End::FailedByModule),
                     unanswered: end(End::FailedUnanswered),
                     restart: end(End::FailedRestart),
+                    elsewhere: end(End::FailedElsewhere),
                 },
                 left: end(End::Left),
             }
@@ -303,6 +325,7 @@
             reasons: self.tally.all(),
             connects: self.connects.get(),
             storm: self.storm_seen.borrow().clone(),
+            region: self.region.borrow().clone(),
         }
     }
 }
@@ -415,6 +438,9 @@
     /// Storms, where they are watched.
     #[serde(default)]
     pub storm: Option<StormState>,
+    /// Other regions, where there are some.
+    #[serde(default)]
+    pub region: Option<RegionView>,
 }
 
 /// What is seen of storms, a few times a second.
@@ -436,6 +462,72 @@
     pub let_in_per_s: Option<f64>,
 }
 
+/// How this proxy stands with other regions, a few times a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RegionView {
+    /// This region's name.
+    pub name: String,
+    /// `local`, `spilling` or `returning`.
+    pub state: String,
+    /// Since when.
+    pub since_us: u64,
+    /// What the usable backends can do beside what comes, at most 9.99.
+    pub covered: f64,
+    /// `auto`, `never` or `now`.
+    pub switch: String,
+    /// When the certificate in use ends.
+    pub certificate_end_us: u64,
+    /// Sets of keys taken into use since the start, and those that could not be.
+    pub keys_taken: u64,
+    /// See `keys_taken`.
+    pub keys_refused: u64,
+    /// Open connections from other regions.
+    pub connections: usize,
+    /// Handshakes that failed, and peers whose certificate is no region's.
+    pub strangers: u64,
+    /// Requests from gateways that were not of the form, or had been here.
+    pub barred: u64,
+    /// The other regions, in the order of the file.
+    pub others: Vec<OtherView>,
+}
+
+/// One other region.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OtherView {
+    /// Its name.
+    pub name: String,
+    /// Out there now, and how many may be.
+    pub in_flight: (u32, u32),
+    /// Sent in this second, and how many may be.
+    pub per_s: (u32, u32),
+    /// Sent; of these served there, refused as not run, and those that may have run.
+    pub sent: u64,
+    /// See `sent`.
+    pub ran: u64,
+    /// See `sent`.
+    pub not_run: u64,
+    /// See `sent`.
+    pub may_have_run: u64,
+    /// Not sent: they would go round, or had no hop left.
+    pub barred: u64,
+    /// Not sent: less time left than the way takes.
+    pub too_late: u64,
+    /// Not sent: the budget was used up.
+    pub over_budget: u64,
+    /// Not sent: the region refused or failed a moment ago.
+    pub backed_off: u64,
+    /// A high quantile of the way there and back, with the margin.
+    pub trip_us: u64,
+    /// Left alone until then.
+    pub paused_until_us: Option<u64>,
+    /// From there: in service now, and how many may be.
+    pub taken_in_flight: (u32, u32),
+    /// From there: taken in, and refused for its budget.
+    pub taken: u64,
+    /// See `taken`.
+    pub refused: u64,
+}
+
 /// A value with its bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gauge {
@@ -480,6 +572,9 @@
     pub module: u64,
     /// More requests were open than the settings allow.
     pub open_cap: u64,
+    /// Handed over to other regions, none of which took it.
+    #[serde(default)]
+    pub elsewhere: u64,
 }
 
 /// Failures by reason.
@@ -491,6 +586,9 @@
     pub unanswered: u64,
     /// The module had to start anew.
     pub restart: u64,
+    /// Handed over to another region, where it may have run.
+    #[serde(default)]
+    pub elsewhere: u64,
 }
 
 /// A backend and the attempts sent to it.
--- a/crates/gaugesaddle/src/server.rs
+++ b/crates/gaugesaddle/src/server.rs
@@ -3,15 +3,17 @@
 use crate::body::{CallBody, Download, Passing, Seen, Tap, HELD_BYTES, MOST_BYTES};
 use crate::clock::{duration, Clock};
 use crate::exchange::{strip, Answer, Arrived, Call, Input, Refusal, BODY_BYTES};
-use crate::form::{self, Rules, Wrong};
+use crate::form::{self, Form, Rules, Wrong};
 use crate::registry::Registry;
 use crate::tally::Reason;
 use beechworks::{Micros, RequestId, Time};
 use bytes::{Bytes, BytesMut};
+use gaugesaddle_region::Path;
 use gaugesaddle_service::{IDLE_CLOSE, LISTEN_ON};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -421,7 +423,7 @@
         &self, request: Request<Incoming>, link: &Rc<Link>, seen: &Seen,
     ) -> Result<Response<Download>, Wrong> {
         let came = self.clock.now();
-        let (mut head, body) = request.into_parts();
+        let (head, body) = request.into_parts();
         let length = body.size_hint().exact();
         form::framing(&head, length, seen)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
@@ -433,12 +435,39 @@
         }
         let form = self.rules.read(&head, length)?;
         let mut room = Room { bytes: 0, server: self };
-        let mut body = self.read(body, link, came, &mut room).await?;
-        if !self.ids.borrow_mut().insert(form.id.clone()) {
-            let text = "X-Correlation-Id: that of a request that is open";
-            return Err(Wrong(StatusCode::CONFLICT, text, Reason::WrongId));
+        let body = self.read(body, link, came, &mut room).await?;
+        if self.is_open(&form.id) {
+            return Err(open_already());
         }
         link.phase.set(Phase::Taken);
+        let answer = self.carry(form, head, body, link.source, None).await?;
+        Ok(match answer {
+            Answer::Served(answer) => {
+                let (link, clock) = (link.clone(), self.clock);
+                let done = move || link.phase.set(Phase::Waiting(clock.now()));
+                answer.map(|payload| Download::new(payload, done))
+            }
+            Answer::Refused(refusal) => self.refusal(refusal, link),
+            Answer::Failed => {
+                self.registry.tally.count(Reason::Failed);
+                plain(StatusCode::BAD_GATEWAY, "failed")
+            }
+        })
+    }
+
+    /// A request with that id is open.
+    fn is_open(&self, id: &HeaderValue) -> bool {
+        self.ids.borrow().contains(id)
+    }
+
+    /// Gives a whole request to the driver and waits for its one answer; dropped before that, its client has gone.
+    /// `source`: whose it is where the request doesn't say; `hop`: through which regions it came.
+    pub async fn carry(
+        &self, form: Form, mut head: Parts, mut body: CallBody, source: u64, hop: Option<Path>,
+    ) -> Result<Answer, Wrong> {
+        if !self.ids.borrow_mut().insert(form.id.clone()) {
+            return Err(open_already());
+        }
         let whole = self.clock.now();
         let request = RequestId(self.number());
         let mut ticket = Ticket { request, id: form.id, server: self, answered: false };
@@ -473,25 +502,15 @@
             work_hint: form.work_hint,
             repeat: form.repeat,
             key: form.key,
-            source: form.source.unwrap_or(link.source),
+            source: form.source.unwrap_or(source),
+            hop,
             call: Rc::new(Call { head: sent, body }),
             reply,
         });
         let _ = self.inputs.send(arrived);
         let answer = answer.await;
         ticket.answered = true;
-        Ok(match answer {
-            Ok(Answer::Served(answer)) => {
-                let (link, clock) = (link.clone(), self.clock);
-                let done = move || link.phase.set(Phase::Waiting(clock.now()));
-                answer.map(|payload| Download::new(payload, done))
-            }
-            Ok(Answer::Refused(refusal)) => self.refusal(refusal, link),
-            Ok(Answer::Failed) | Err(_) => {
-                self.registry.tally.count(Reason::Failed);
-                plain(StatusCode::BAD_GATEWAY, "failed")
-            }
-        })
+        Ok(answer.unwrap_or(Answer::Failed))
     }
 
     /// Reads a body, whole where there is room for it.
@@ -586,7 +605,12 @@
     hasher.finish()
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Download> {
+fn open_already() -> Wrong {
+    let text = "X-Correlation-Id: that of a request that is open";
+    Wrong(StatusCode::CONFLICT, text, Reason::WrongId)
+}
+
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Download> {
     let mut answer = Response::new(Download::whole(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
     answer
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::error::Error;
 use crate::operator::State;
-use crate::registry::{Registry, Snapshot};
+use crate::registry::{RegionView, Registry, Snapshot};
 use crate::{clock::Clock, table};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
@@ -172,6 +172,59 @@
     serde_json::from_slice(&document).map_err(|e| fail(format!("expected the state of a proxy: {e}")))
 }
 
+/// How a proxy stands with other regions, for people to read.
+pub fn render_regions(view: &RegionView, now_us: u64) -> String {
+    let since = |at: u64| format!("{:.1} s", now_us.saturating_sub(at) as f64 / 1e6);
+    let for_how_long =
+        if view.since_us == 0 { String::new() } else { format!(" for {}", since(view.since_us)) };
+    let mut text = format!(
+        "region {}: {}{for_how_long}, switch {}; backends cover {:.2} of what comes\n\
+         keys changed {} times, {} sets could not be used; the certificate ends in {} days\n\
+         connections from other regions {}, strangers {}, requests barred {}\n\n",
+        view.name,
+        view.state,
+        view.switch,
+        view.covered,
+        view.keys_taken,
+        view.keys_refused,
+        view.certificate_end_us.saturating_sub(now_us) / 86_400_000_000,
+        view.connections,
+        view.strangers,
+        view.barred,
+    );
+    let of = |pair: (u32, u32)| format!("{} of {}", pair.0, pair.1);
+    let rows = view.others.iter().map(|o| {
+        let paused = o.paused_until_us.filter(|until| *until > now_us);
+        let mut row = vec![o.name.clone(), of(o.in_flight), of(o.per_s)];
+        row.extend([o.sent, o.ran, o.not_run, o.may_have_run].map(|n| n.to_string()));
+        row.extend([o.barred, o.too_late, o.over_budget, o.backed_off].map(|n| n.to_string()));
+        row.push(format!("{:.1}", o.trip_us as f64 / 1e3));
+        row.push(paused.map_or("-".into(), |until| format!("{:.1} s", (until - now_us) as f64 / 1e6)));
+        row.extend([of(o.taken_in_flight), o.taken.to_string(), o.refused.to_string()]);
+        row
+    });
+    let head = [
+        "other",
+        "out",
+        "this second",
+        "sent",
+        "ran",
+        "not run",
+        "may have",
+        "barred",
+        "too late",
+        "budget",
+        "backoff",
+        "way ms",
+        "paused",
+        "in service",
+        "taken",
+        "refused",
+    ];
+    text += &table::render(&head, rows);
+    text
+}
+
 /// The state for people to read.
 pub fn render(state: &Snapshot) -> String {
     let seconds = |us: u64| format!("{:.1} s", us as f64 / 1e6);
@@ -214,8 +267,23 @@
             rate(storm.let_in_per_s)
         );
     }
-    let head =
-        ["class", "taken", "in aim", "late", "refused", "crowded", "failed", "unanswered", "restart", "left"];
+    if let Some(view) = &state.region {
+        text += &render_regions(view, state.time_us);
+        text.push('\n');
+    }
+    let head = [
+        "class",
+        "taken",
+        "in aim",
+        "late",
+        "refused",
+        "crowded",
+        "failed",
+        "unanswered",
+        "restart",
+        "elsewhere",
+        "left",
+    ];
     let rows = state.classes.iter().map(|c| {
         let numbers = [
             c.taken,
@@ -226,6 +294,7 @@
             c.failed.module,
             c.failed.unanswered,
             c.failed.restart,
+            c.refused.elsewhere + c.failed.elsewhere,
             c.left,
         ];
         std::iter::once(c.name.clone()).chain(numbers.iter().map(u64::to_string)).collect()
--- a/crates/gaugesaddle/tests/operator.rs
+++ b/crates/gaugesaddle/tests/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's file and the state socket of the built proxy: what is told, what a reload takes up, and that
 //! nothing of it harms what is served.
 
+use gaugesaddle_testbed::authority::Folder;
 use gaugesaddle_testbed::program;
 use gaugesaddle_testbed::scripted::*;
 use serde_json::{json, Value};
@@ -10,28 +11,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
-/// A folder of the test's own, gone with it.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("gaugesaddle-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-    fn file(&self, name: &str, text: &str) -> PathBuf {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).unwrap();
-        path
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn command(arguments: &[&str]) -> Output {
     Command::new(program::path("gaugesaddle"))
         .args(arguments)
