--- a/crates/gaugesaddle-measure/src/region.rs
+++ b/crates/gaugesaddle-measure/src/region.rs
@@ -162,7 +162,7 @@
 fn price(seed: u64, leave: bool) -> io::Result<f64> {
     let mut s = base(seed, 2);
     (s.seconds, s.clients.leaving) = (8.0, 0.0);
-    let s = if leave { lost(s, 0.2, 60.0) } else { s };
+    let s = if leave { lost(s, 0.2, 7.8) } else { s };
     let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
     let before = children_cpu_seconds()?;
     let outcome = run(&s, &Cast::Program(program), &mut |_| {})?;
@@ -252,8 +252,10 @@
     held &= clean == scenarios;
 
     println!("{keys} changes of keys while everything leaves");
-    let mut s = lost(base(77, 2), 0.5, 60.0);
+    let mut s = base(77, 2);
     (s.seconds, s.clients.leaving) = (3.0 + f64::from(keys) * 0.3, 0.0);
+    let until_the_end = s.seconds - 0.5;
+    let s = lost(s, 0.5, until_the_end);
     let s = s.event(2.0, What::NewKeys { times: keys, every_s: 0.3 });
     let changed = play(&s)?;
     let changed_clean = changed.verdict.is_clean();
