--- a/crates/gaugesaddle/src/region/tls.rs
+++ b/crates/gaugesaddle/src/region/tls.rs
@@ -90,10 +90,25 @@
     Ok((bytes, mode))
 }
 
-fn certificates(key: &'static str, path: &Path) -> Result<Vec<CertificateDer<'static>>, KeyError> {
-    let (bytes, _) = read(key, path)?;
-    let fail = || KeyError::Form { key, expected: "whole certificates", file: path.display().to_string() };
-    let found: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(&bytes).take(MOST).collect();
+/// The bytes of a file, and which it is.
+struct Text<'a> {
+    key: &'static str,
+    path: &'a Path,
+    bytes: Vec<u8>,
+    mode: u32,
+}
+
+impl Text<'_> {
+    fn read<'a>(key: &'static str, path: &'a Path) -> Result<Text<'a>, KeyError> {
+        read(key, path).map(|(bytes, mode)| Text { key, path, bytes, mode })
+    }
+}
+
+fn certificates(text: &Text) -> Result<Vec<CertificateDer<'static>>, KeyError> {
+    let Text { key, path, bytes, .. } = text;
+    let fail =
+        || KeyError::Form { key: *key, expected: "whole certificates", file: path.display().to_string() };
+    let found: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(bytes).take(MOST).collect();
     // A file that is cut off in the middle ends without its last line, and that is no certificate.
     let begun = bytes.windows(27).filter(|w| w == b"-----BEGIN CERTIFICATE-----").count();
     found.ok().filter(|f| f.len() == begun.min(MOST)).ok_or_else(fail)
@@ -115,15 +130,21 @@
 
 /// Reads the three files and judges them.
 pub fn load(settings: &Region, now: Time) -> Result<Identity, KeyError> {
-    let chain = certificates("certificate", &settings.certificate)?;
-    let anchors = certificates("trust", &settings.trust)?;
-    let (bytes, mode) = read("key", &settings.key)?;
-    let key = PrivateKeyDer::from_pem_slice(&bytes).map_err(|_| KeyError::Form {
+    let certificate = Text::read("certificate", &settings.certificate)?;
+    let trust = Text::read("trust", &settings.trust)?;
+    assemble(settings.own_certificate_name(), certificate, Text::read("key", &settings.key)?, trust, now)
+}
+
+/// The same of what stands in them.
+fn assemble(
+    own_name: &str, certificate: Text, key: Text, trust: Text, now: Time,
+) -> Result<Identity, KeyError> {
+    let (chain, anchors, mode) = (certificates(&certificate)?, certificates(&trust)?, key.mode);
+    let key = PrivateKeyDer::from_pem_slice(&key.bytes).map_err(|_| KeyError::Form {
         key: "key",
         expected: "a private key",
-        file: settings.key.display().to_string(),
+        file: key.path.display().to_string(),
     })?;
-    drop(bytes);
     let provider: Arc<CryptoProvider> = Arc::new(ring::default_provider());
     let library = |key| move |source| KeyError::Library { key, source };
     let signing = provider.key_provider.load_private_key(key).map_err(library("key"))?;
@@ -136,7 +157,7 @@
         valid: times.unwrap_or_default(),
         pair: certified.keys_match().is_ok(),
         mode,
-        own_name: chain.first().is_some_and(|c| is_for(c, settings.own_certificate_name())),
+        own_name: chain.first().is_some_and(|c| is_for(c, own_name)),
         chain: chain.len(),
         anchors: anchors.len(),
     };
@@ -168,3 +189,71 @@
     client.alpn_protocols = vec![b"h2".to_vec()];
     Ok(Identity { server: Arc::new(server), client: Arc::new(client), ends: seen.valid.1 })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use gaugesaddle_testbed::authority::Authority;
+    use rand_core::{RngCore, SeedableRng};
+
+    const YEAR_2030: Time = Time(1_893_456_000_000_000);
+
+    fn try_all(certificate: &[u8], key: &[u8], trust: &[u8], now: Time) -> Result<Identity, KeyError> {
+        let path = Path::new("/x");
+        let text = |key, bytes: &[u8]| Text { key, path, bytes: bytes.to_vec(), mode: 0o600 };
+        assemble("north", text("certificate", certificate), text("key", key), text("trust", trust), now)
+    }
+
+    /// Cut, changed, doubled and mixed up at random: an error or a sound set, never a panic, and no error tells what
+    /// stood in a file.
+    #[test]
+    fn any_bytes_are_keys_or_an_error() {
+        let (authority, other) = (Authority::new(), Authority::new());
+        let (keys, wrong) = (authority.issue("north"), other.issue("north"));
+        let now = crate::clock::Clock::new().now();
+        assert!(
+            try_all(keys.certificate.as_bytes(), keys.key.as_bytes(), authority.pem.as_bytes(), now).is_ok()
+        );
+        assert!(matches!(
+            try_all(keys.certificate.as_bytes(), keys.key.as_bytes(), authority.pem.as_bytes(), YEAR_2030),
+            Err(KeyError::Unfit(Unfit::Expired))
+        ));
+        let sound = [&keys.certificate, &keys.key, &authority.pem, &wrong.certificate, &wrong.key];
+        let secret: Vec<&str> = keys.key.lines().filter(|l| l.len() > 30).collect();
+        let mut dice = rand_pcg::Pcg32::seed_from_u64(11);
+        let mut draw = |below: usize| dice.next_u32() as usize % below.max(1);
+        let mut sound_sets = 0;
+        for _ in 0..20_000 {
+            let mut files = [sound[0], sound[1], sound[2]].map(|f| f.as_bytes().to_vec());
+            for _ in 0..=draw(2) {
+                let file = draw(3);
+                let bytes = &mut files[file];
+                match draw(5) {
+                    0 => bytes.truncate(draw(bytes.len() + 1)),
+                    1 if !bytes.is_empty() => {
+                        let at = draw(bytes.len());
+                        bytes[at] = draw(256) as u8;
+                    }
+                    2 => bytes.extend_from_slice(sound[draw(5)].as_bytes()),
+                    3 => *bytes = sound[draw(5)].as_bytes().to_vec(),
+                    _ => {
+                        let at = draw(bytes.len() + 1);
+                        let more: Vec<u8> = (0..draw(40)).map(|_| draw(256) as u8).collect();
+                        bytes.splice(at..at, more);
+                    }
+                }
+            }
+            match try_all(&files[0], &files[1], &files[2], now) {
+                Ok(_) => sound_sets += 1,
+                Err(e) => {
+                    let told = e.to_string();
+                    assert!(
+                        told.starts_with("region.") && secret.iter().all(|s| !told.contains(s)),
+                        "{told}"
+                    );
+                }
+            }
+        }
+        assert!((100..19_000).contains(&sound_sets), "{sound_sets} sets were sound: both sorts must come");
+    }
+}
