--- a/crates/gaugesaddle-region/src/backoff.rs
+++ b/crates/gaugesaddle-region/src/backoff.rs
@@ -13,6 +13,8 @@
 pub struct Backoff {
     until: Time,
     failures: u32,
+    /// When the last failure was seen.
+    noted: Time,
 }
 
 impl Backoff {
@@ -32,8 +34,13 @@
         self.pause(now, after.times(1.0 + unit.clamp(0.0, 1.0)));
     }
 
-    /// The link failed: no connection, or it broke or went silent.
-    pub fn failed(&mut self, now: Time, unit: f64) {
+    /// The link failed under what was sent at `sent`: no connection, or it broke or went silent. All that was out when
+    /// a failure was seen is of the same failure: counted one by one, a hundred at once would mean the longest pause.
+    pub fn failed(&mut self, now: Time, sent: Time, unit: f64) {
+        if self.failures > 0 && sent <= self.noted {
+            return;
+        }
+        self.noted = now;
         let pause = Micros(FIRST.0 << self.failures.min(5)).min(LONGEST);
         self.failures = self.failures.saturating_add(1);
         self.pause(now, pause.times(0.5 + unit.clamp(0.0, 1.0)));
@@ -60,17 +67,30 @@
         let mut now = Time(1_000_000);
         let mut pauses = Vec::new();
         for _ in 0..8 {
-            backoff.failed(now, 0.5);
+            backoff.failed(now, now, 0.5);
             pauses.push((backoff.until() - now).0 / 1000);
             now = backoff.until();
             assert!(backoff.open(now));
         }
         assert_eq!(pauses, [250, 500, 1000, 2000, 4000, 8000, 8000, 8000]);
         backoff.answered();
-        backoff.failed(now, 0.0);
+        backoff.failed(now, now, 0.0);
         assert_eq!((backoff.until() - now).0, 125_000);
     }
 
+    /// Seen in play: a link that was silent for 2 s under a hundred requests was left alone for 8 s more.
+    #[test]
+    fn what_fails_together_is_one_failure() {
+        let (mut backoff, sent) = (Backoff::default(), Time(1_000_000));
+        for late in 0..100 {
+            backoff.failed(Time(1_250_000 + late), sent, 0.5);
+        }
+        assert_eq!(backoff.until(), Time(1_500_000));
+        let next = backoff.until();
+        backoff.failed(next + Micros(100_000), next, 0.5);
+        assert_eq!((backoff.until() - next).0, 600_000, "the next one is another");
+    }
+
     #[test]
     fn a_told_pause_is_never_cut_short_and_never_endless() {
         let (mut a, mut b) = (Backoff::default(), Backoff::default());
@@ -79,7 +99,7 @@
         b.refused(now, Micros(u64::MAX), 1.0);
         assert_eq!((a.until() - now).0, 2_000_000);
         assert_eq!((b.until() - now).0, 60_000_000);
-        a.failed(now, 0.0);
+        a.failed(now, now, 0.0);
         assert_eq!((a.until() - now).0, 2_000_000, "a shorter one does not shorten it");
     }
 }
--- a/crates/gaugesaddle-region/src/trip.rs
+++ b/crates/gaugesaddle-region/src/trip.rs
@@ -5,8 +5,8 @@
 
 /// Samples that are kept: the greatest of so many recent ones is about their 97th percentile.
 const SAMPLES: usize = 32;
-/// A sample counts for so long: a link that was slow once is tried anew.
-const MEMORY: Micros = Micros(10_000_000);
+/// A sample counts for so long: with a way over all that requests have left, none is sent that could measure it anew.
+const MEMORY: Micros = Micros(3_000_000);
 
 /// A high quantile of a link's recent round trips. It follows a rise with the first sample.
 #[derive(Clone, Debug)]
--- a/crates/gaugesaddle-testbed/src/audit.rs
+++ b/crates/gaugesaddle-testbed/src/audit.rs
@@ -630,7 +630,8 @@
                     way.push(region);
                     left.entry((home, region)).or_default().push((a.arriving.at, a.arriving));
                     let lent = &mut self.verdict.regions[region].lent;
-                    *lent = Some((lent.map_or(a.arriving.at, |l| l.0), a.arriving.at));
+                    let at = a.arriving.at;
+                    *lent = Some(lent.map_or((at, at), |l| (l.0.min(at), l.1.max(at))));
                 }
             }
             self.verdict.regions[home].left += u64::from(way.len() > 1);
--- a/crates/gaugesaddle/src/region/tls.rs
+++ b/crates/gaugesaddle/src/region/tls.rs
@@ -106,8 +106,7 @@
 
 fn certificates(text: &Text) -> Result<Vec<CertificateDer<'static>>, KeyError> {
     let Text { key, path, bytes, .. } = text;
-    let fail =
-        || KeyError::Form { key, expected: "whole certificates", file: path.display().to_string() };
+    let fail = || KeyError::Form { key, expected: "whole certificates", file: path.display().to_string() };
     let found: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(bytes).take(MOST).collect();
     // A file that is cut off in the middle ends without its last line, and that is no certificate.
     let begun = bytes.windows(27).filter(|w| w == b"-----BEGIN CERTIFICATE-----").count();
