Let halls come back in the model of failover; name its states and the figures of regions

Need: the issue asks that returns happen over every order of messages, losses and crashes, and for 100,000 cases of the parsers. Change: halls that were lost may come back at any later moment; one that could not be served is seen served at home then. GAUGESADDLE_FUZZ_CASES asks the key files' test for more cases of the same seed.

--- a/crates/gaugesaddle-region/tests/failover.rs
+++ b/crates/gaugesaddle-region/tests/failover.rs
@@ -2,8 +2,8 @@
 //! model checker: no request is in a region twice, each gets one final answer, no keyed one runs twice, and every
 //! history ends. The regions use the crate's own hop rule and last words.
 //!
-//! Bound: one keyed and one free request at the same time, each region's halls lost at any moment and for good, up to
-//! two messages lost, one gateway killed with what it held.
+//! Bound: one keyed and one free request at the same time, each region's halls lost at any moment and back at any later
+//! one or never, up to two messages lost, one gateway killed with what it held.
 
 use beechworks::{Effect, KeyScope, Micros, Outcome};
 use gaugesaddle_region::{of_refusal, word, Fate, Final, Path};
@@ -30,6 +30,8 @@
 struct World {
     /// Whose halls are lost, and which gateways were killed.
     lost: Vec<bool>,
+    /// Whose halls came back.
+    back: Vec<bool>,
     killed: Vec<bool>,
     messages: Vec<Message>,
     /// By region and request: it is here, came with that path, and waits for another region's answer.
@@ -45,6 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
     LoseHalls(usize),
+    Return(usize),
     Kill(usize),
     Lose(usize),
     Deliver(usize),
@@ -102,6 +105,7 @@
         here[1][1] = Some((None, false)); // both regions have clients: both may fail over to each other
         vec![World {
             lost: vec![false; self.0],
+            back: vec![false; self.0],
             killed: vec![false; self.0],
             here,
             been: vec![vec![0], vec![1]],
@@ -113,9 +117,12 @@
 
     fn actions(&self, w: &World, steps: &mut Vec<Step>) {
         for region in 0..self.0 {
-            if !w.lost[region] {
+            if !w.lost[region] && !w.back[region] {
                 steps.push(Step::LoseHalls(region));
             }
+            if w.lost[region] {
+                steps.push(Step::Return(region));
+            }
             if w.kills == 0 && !w.killed[region] {
                 steps.push(Step::Kill(region));
             }
@@ -142,6 +149,7 @@
         let mut w = before.clone();
         match step {
             Step::LoseHalls(region) => w.lost[region] = true,
+            Step::Return(region) => (w.lost[region], w.back[region]) = (false, true),
             Step::Kill(region) => {
                 (w.killed[region], w.kills) = (true, 1);
                 for request in 0..2 {
@@ -243,6 +251,10 @@
             Property::sometimes("another region serves", |_, w: &World| {
                 w.been[0].len() == 2 && w.answers[0] == ["served"]
             }),
+            Property::sometimes(
+                "one that could not be served is served at home after the return",
+                |_, w: &World| w.back[0] && w.been[0] == [0] && w.answers[0] == ["served"],
+            ),
             Property::sometimes("both failed over to each other and gave up", |_, w: &World| {
                 w.been[0].len() > 1 && w.been[1].len() > 1 && w.answers.iter().all(|a| a == &["refused"])
             }),
@@ -254,12 +266,14 @@
 fn two_regions_failing_over_to_each_other() {
     let checker = Regions(2).checker().spawn_bfs().join();
     checker.assert_properties();
+    eprintln!("two regions: {} states", checker.unique_state_count());
     assert!(checker.unique_state_count() > 1000, "{} states", checker.unique_state_count());
 }
 
 #[test]
 fn three_regions_in_a_ring() {
-    let checker = Regions(3).checker().spawn_bfs().join();
+    let checker = Regions(3).checker().threads(2).spawn_bfs().join();
     checker.assert_properties();
+    eprintln!("three regions: {} states", checker.unique_state_count());
     assert!(checker.unique_state_count() > 10_000, "{} states", checker.unique_state_count());
 }
--- a/crates/gaugesaddle/src/region/tls.rs
+++ b/crates/gaugesaddle/src/region/tls.rs
@@ -222,7 +222,10 @@
         let mut dice = rand_pcg::Pcg32::seed_from_u64(11);
         let mut draw = |below: usize| dice.next_u32() as usize % below.max(1);
         let mut sound_sets = 0;
-        for _ in 0..20_000 {
+        // GAUGESADDLE_FUZZ_CASES asks for more, of the same fixed seed.
+        let cases =
+            std::env::var("GAUGESADDLE_FUZZ_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(20_000);
+        for _ in 0..cases {
             let mut files = [sound[0], sound[1], sound[2]].map(|f| f.as_bytes().to_vec());
             for _ in 0..=draw(2) {
                 let file = draw(3);
@@ -253,6 +256,9 @@
                 }
             }
         }
-        assert!((100..19_000).contains(&sound_sets), "{sound_sets} sets were sound: both sorts must come");
+        assert!(
+            (cases / 200..cases / 20 * 19).contains(&sound_sets),
+            "{sound_sets} sets were sound: both sorts must come"
+        );
     }
 }
