Say once what a region's budget lets go at one moment; drop a test's unused argument

Found on reading the change again: a burst of 0 was turned into the whole rate in two places, for what is sent and for what is taken in, and the stand-in gateway of the tests took an authority that it did not use, under a comment that was not so. Change: Allowance::burst says it for both; the argument is gone. Behaviour and assertions are as they were. Measured: the region's tests over sockets and the library's tests pass; clippy is clean.

--- a/crates/gaugesaddle/src/region/mod.rs
+++ b/crates/gaugesaddle/src/region/mod.rs
@@ -99,8 +99,7 @@
 }
 
 fn budget(allowed: &Allowance, own: &Own) -> Budget {
-    let burst = if allowed.burst == 0 { allowed.per_s } else { allowed.burst };
-    Budget::new(allowed.per_s, burst, allowed.in_flight, &classes(allowed, own), own.share)
+    Budget::new(allowed.per_s, allowed.burst(), allowed.in_flight, &classes(allowed, own), own.share)
 }
 
 fn classes(allowed: &Allowance, own: &Own) -> Vec<(Option<u32>, f64)> {
@@ -131,7 +130,7 @@
                 me: settings.name.clone(),
                 name: other.name.clone(),
                 per_s: send.per_s,
-                burst: if send.burst == 0 { send.per_s } else { send.burst },
+                burst: send.burst(),
                 in_flight: send.in_flight,
                 classes: classes(send, &own),
                 share: own.share,
--- a/crates/gaugesaddle/src/region/settings.rs
+++ b/crates/gaugesaddle/src/region/settings.rs
@@ -180,6 +180,15 @@
 }
 
 impl Allowance {
+    /// What may go at one moment.
+    pub fn burst(&self) -> u32 {
+        if self.burst == 0 {
+            self.per_s
+        } else {
+            self.burst
+        }
+    }
+
     fn is_none(&self) -> bool {
         *self == Allowance::default()
     }
--- a/crates/gaugesaddle/tests/region.rs
+++ b/crates/gaugesaddle/tests/region.rs
@@ -284,9 +284,8 @@
     }
 }
 
-/// A gateway of the test's own: it shakes hands as the south and then does what the test says.
-fn stand_in(authority: &Authority, then: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let _ = authority;
+/// A gateway of the test's own: it accepts, and then does what the test says.
+fn stand_in(then: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let then = Arc::new(then);
@@ -319,11 +318,11 @@
 #[test]
 fn a_gateway_that_refuses_stalls_or_talks_nonsense_in_the_handshake() {
     let authority = Authority::new();
-    let stalls = stand_in(&authority, |stream| {
+    let stalls = stand_in(|stream| {
         std::thread::sleep(Duration::from_secs(20));
         drop(stream);
     });
-    let nonsense = stand_in(&authority, |mut stream| {
+    let nonsense = stand_in(|mut stream| {
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
     });
     for (test, gate) in [("refuses", free_address()), ("stalls", stalls), ("nonsense", nonsense)] {
