--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -439,6 +439,17 @@
     pub demand: Vec<f64>,
 }
 
+/// What the backends of one zone are to this proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ZoneCapacity {
+    /// Those that it uses.
+    pub backends: u32,
+    /// Of these so many it finds ill.
+    pub ill: u32,
+    /// What the others can do for this proxy, in requests a second; infinite before any was served.
+    pub able: f64,
+}
+
 /// What the host sees of a storm, and what may be done while it lasts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pressure {
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -237,6 +237,12 @@
 }
 
 impl Peer {
+    /// It is used, and nothing speaks against it.
+    fn is_sound(&self) -> bool {
+        let ready = self.entry.state == BackendState::Ready;
+        self.used && ready && self.ejected.is_none() && self.strikes == 0 && !self.silent
+    }
+
     /// How many attempts of this proxy it may hold where all proxies together may hold so many; where a user's part
     /// of that is below one by their number alone its turn decides, else it is one at least.
     pub fn room_of(&self, limit: f64, one: bool) -> f64 {
@@ -455,21 +461,32 @@
     /// What the backends can do that this proxy has no reason to doubt, and what comes. One that was ejected counts
     /// again with its first good answer.
     pub fn capacity(&self) -> Capacity {
-        let sound = |p: &&Peer| {
-            p.used
-                && p.entry.state == BackendState::Ready
-                && p.ejected.is_none()
-                && p.strikes == 0
-                && !p.silent
-        };
-        let hold: f64 = self.peers.values().filter(sound).map(|p| p.limit * p.part).sum();
-        let able = match self.overall.get() {
+        let hold: f64 = self.peers.values().filter(|p| p.is_sound()).map(|p| p.limit * p.part).sum();
+        let able = self.rate_of(hold);
+        let arrivals = self.arrivals.per_s().unwrap_or(0.0);
+        Capacity { able, demand: self.classes.iter().map(|c| c.asked * arrivals).collect() }
+    }
+
+    /// Requests a second of those that are held so many at a time.
+    fn rate_of(&self, hold: f64) -> f64 {
+        match self.overall.get() {
             _ if hold <= 0.0 => 0.0,
             Some(latency) => hold / latency.max(1e-6),
             None => f64::INFINITY,
-        };
-        let arrivals = self.arrivals.per_s().unwrap_or(0.0);
-        Capacity { able, demand: self.classes.iter().map(|c| c.asked * arrivals).collect() }
+        }
+    }
+
+    /// The same by zone; a zone without a backend that this proxy uses is left out.
+    pub fn zones(&self) -> BTreeMap<ZoneId, ZoneCapacity> {
+        let mut zones: BTreeMap<ZoneId, (ZoneCapacity, f64)> = BTreeMap::new();
+        for p in self.peers.values().filter(|p| p.used && p.entry.state == BackendState::Ready) {
+            let (zone, hold) = zones.entry(p.entry.zone).or_default();
+            zone.backends += 1;
+            zone.ill += u32::from(!p.is_sound());
+            *hold += if p.is_sound() { p.limit * p.part } else { 0.0 };
+        }
+        let able = |(id, (zone, hold))| (id, ZoneCapacity { able: self.rate_of(hold), ..zone });
+        zones.into_iter().map(able).collect()
     }
 
     /// What is known of each backend's limit.
--- a/crates/gaugesaddle-model/src/tier.rs
+++ b/crates/gaugesaddle-model/src/tier.rs
@@ -9,6 +9,7 @@
 
 use beechworks::Time;
 use gaugesaddle_peers::{Boot, Output, Peers, Seal, Settings, Signals, Told};
+pub use gaugesaddle_testbed::datagrams::Links;
 use gaugesaddle_testbed::dice::{mix, Dice};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -48,42 +49,6 @@
     fn start(&self, places: usize, place: usize, boot: u32, seed: u64, now: u64) -> Box<dyn Process>;
 }
 
-/// The network between all processes, from some moment on.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Links {
-    /// By place, its part; nothing passes from part to part. Empty: one part.
-    pub parts: Vec<u8>,
-    /// Nothing passes from the first to the second.
-    pub one_way: Vec<(usize, usize)>,
-    /// Nothing that these send arrives.
-    pub unheard: Vec<usize>,
-    /// The part of all datagrams that is lost.
-    pub loss: f64,
-    /// The part that arrives twice, the second time much later.
-    pub doubled: f64,
-    /// The way, evenly drawn: what is sent later may arrive earlier.
-    pub way_us: [u64; 2],
-}
-
-impl Default for Links {
-    fn default() -> Links {
-        let (parts, one_way, unheard) = (Vec::new(), Vec::new(), Vec::new());
-        Links { parts, one_way, unheard, loss: 0.0, doubled: 0.0, way_us: [100, 2000] }
-    }
-}
-
-impl Links {
-    fn passes(&self, from: usize, to: usize) -> bool {
-        self.parts.get(from) == self.parts.get(to)
-            && !self.unheard.contains(&from)
-            && !self.one_way.contains(&(from, to))
-    }
-
-    fn whole(&self) -> bool {
-        self.parts.is_empty() && self.one_way.is_empty() && self.unheard.is_empty()
-    }
-}
-
 /// What happens.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -367,17 +332,10 @@
             *sent = (sent.0 + 1, sent.1 + bytes.len() as u64);
             self.in_second[from] += bytes.len() as u64;
             self.report.most_bytes_in_a_second = self.report.most_bytes_in_a_second.max(self.in_second[from]);
-            if !self.links.passes(from, to) || self.network.chance(self.links.loss) {
-                continue;
+            let ways = self.links.draw(&mut self.network, from, to);
+            for way in ways.into_iter().flatten() {
+                self.at(self.now + way, What::Deliver { to, from, bytes: bytes.clone() });
             }
-            let [least, most] = self.links.way_us;
-            let way = |dice: &mut Dice| dice.within([least as f64, most as f64]) as u64;
-            if self.network.chance(self.links.doubled) {
-                let late = way(&mut self.network) + 20 * most;
-                self.at(self.now + late, What::Deliver { to, from, bytes: bytes.clone() });
-            }
-            let once = way(&mut self.network);
-            self.at(self.now + once, What::Deliver { to, from, bytes });
         }
         let Some(r) = self.running[from].as_mut() else { return };
         // Timers of real hosts are right to a millisecond.
@@ -391,16 +349,7 @@
 
     /// Whether what one sends can reach the other, through a third if need be, and back.
     fn connected(&self, i: usize, j: usize) -> bool {
-        if self.links.whole() {
-            return true;
-        }
-        let reaches = |a: usize, b: usize| {
-            self.links.passes(a, b)
-                || (0..self.places).any(|k| {
-                    k != a && k != b && self.runs(k) && self.links.passes(a, k) && self.links.passes(k, b)
-                })
-        };
-        reaches(i, j) && reaches(j, i)
+        self.links.connected(i, j, |k| self.runs(k), self.places)
     }
 
     fn look(&mut self) {
--- /dev/null
+++ b/crates/gaugesaddle-testbed/src/datagrams.rs
@@ -0,0 +1,333 @@
+//! The way between proxies that know one another: a relay for their datagrams that cuts, loses, doubles, delays and
+//! reorders as it is told.
+//!
+//! Each proxy has an address here at which the others reach it. What a proxy sends to another's address is known by
+//! where it comes from, and goes on from the sender's address here: so the receiver sees the address that it was told.
+//! It runs on a thread of its own until it is dropped. Bound: [`UNDER_WAY`] datagrams; more are dropped and counted.
+
+use crate::dice::Dice;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+/// Datagrams that wait for their time.
+pub const UNDER_WAY: usize = 20_000;
+/// Of each proxy's datagrams the last so many are kept, to be sent again.
+const KEPT: usize = 64;
+/// A datagram may be so long on its way at most, in microseconds.
+const MOST_WAY_US: u64 = 10_000_000;
+
+/// The network between all processes, from some moment on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Links {
+    /// By place, its part; nothing passes from part to part. Empty: one part.
+    pub parts: Vec<u8>,
+    /// Nothing passes from the first to the second.
+    pub one_way: Vec<(usize, usize)>,
+    /// Nothing that these send arrives.
+    pub unheard: Vec<usize>,
+    /// What these send and get takes so much longer.
+    pub slow: Vec<usize>,
+    /// See `slow`.
+    pub slow_us: u64,
+    /// The part of all datagrams that is lost.
+    pub loss: f64,
+    /// The part that arrives twice, the second time much later.
+    pub doubled: f64,
+    /// The way, evenly drawn: what is sent later may arrive earlier.
+    pub way_us: [u64; 2],
+}
+
+impl Default for Links {
+    fn default() -> Links {
+        Links {
+            parts: Vec::new(),
+            one_way: Vec::new(),
+            unheard: Vec::new(),
+            slow: Vec::new(),
+            slow_us: 0,
+            loss: 0.0,
+            doubled: 0.0,
+            way_us: [100, 2000],
+        }
+    }
+}
+
+impl Links {
+    /// Whether anything passes from one place to another.
+    pub fn passes(&self, from: usize, to: usize) -> bool {
+        self.parts.get(from) == self.parts.get(to)
+            && !self.unheard.contains(&from)
+            && !self.one_way.contains(&(from, to))
+    }
+
+    /// Everybody reaches everybody.
+    pub fn whole(&self) -> bool {
+        self.parts.is_empty() && self.one_way.is_empty() && self.unheard.is_empty()
+    }
+
+    /// Everybody reaches everybody, and nearly all arrives in time.
+    pub fn calm(&self) -> bool {
+        self.whole() && self.loss == 0.0 && self.slow.is_empty()
+    }
+
+    /// Whether what one sends can reach the other, through a third of these if need be, and back.
+    pub fn connected(&self, i: usize, j: usize, running: impl Fn(usize) -> bool, places: usize) -> bool {
+        let reaches = |a: usize, b: usize| {
+            let through = |k: usize| k != a && k != b && running(k) && self.passes(a, k) && self.passes(k, b);
+            self.passes(a, b) || (0..places).any(through)
+        };
+        self.whole() || (reaches(i, j) && reaches(j, i))
+    }
+
+    /// When a datagram that is sent now arrives, from now, in microseconds: not at all, once or twice.
+    pub fn draw(&self, dice: &mut Dice, from: usize, to: usize) -> [Option<u64>; 2] {
+        if !self.passes(from, to) || dice.chance(self.loss) {
+            return [None, None];
+        }
+        let more = if self.slow.contains(&from) || self.slow.contains(&to) { self.slow_us } else { 0 };
+        let [least, most] = self.way_us;
+        let mut way = || dice.within([least as f64, most as f64]) as u64 + more;
+        let once = way();
+        let late = way() + 20 * most;
+        [Some(once), dice.chance(self.doubled).then_some(late)]
+    }
+
+    /// The first value that can't be.
+    pub fn check(&self, places: usize) -> Result<(), &'static str> {
+        let part = |x: f64| (0.0..=1.0).contains(&x);
+        let there = |p: &usize| *p < places;
+        let tests = [
+            (self.parts.is_empty() || self.parts.len() == places, "a part for each proxy"),
+            (self.one_way.iter().all(|(a, b)| there(a) && there(b)), "proxies that there are"),
+            (self.unheard.iter().chain(&self.slow).all(there), "proxies that there are"),
+            (part(self.loss) && part(self.doubled), "parts from 0 to 1"),
+            (
+                self.way_us[0] <= self.way_us[1] && self.way_us[1] + self.slow_us <= MOST_WAY_US,
+                "a way of up to 10 s",
+            ),
+        ];
+        tests.into_iter().find(|t| !t.0).map_or(Ok(()), |t| Err(t.1))
+    }
+}
+
+struct State {
+    links: Links,
+    dice: Dice,
+    under_way: usize,
+    dropped: u64,
+    /// By place: datagrams and bytes that it sent.
+    sent: Vec<(u64, u64)>,
+    longest: usize,
+    kept: Vec<VecDeque<(usize, Vec<u8>)>>,
+    /// To be sent as if from a place to another.
+    inject: VecDeque<(usize, usize, Vec<u8>)>,
+}
+
+/// The relay.
+pub struct Datagrams {
+    addresses: Vec<SocketAddr>,
+    state: Arc<Mutex<State>>,
+    /// A word to the thread: something is to be injected; its end is the relay's.
+    word: Option<watch::Sender<u64>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Datagrams {
+    /// Starts it for proxies that take their datagrams at these addresses; its own are on `host`.
+    pub fn start(listens: &[SocketAddr], host: IpAddr, seed: u64) -> io::Result<Datagrams> {
+        let sockets: Vec<std::net::UdpSocket> =
+            listens.iter().map(|_| std::net::UdpSocket::bind((host, 0))).collect::<io::Result<_>>()?;
+        let addresses = sockets.iter().map(|s| s.local_addr()).collect::<io::Result<Vec<_>>>()?;
+        sockets.iter().try_for_each(|s| s.set_nonblocking(true))?;
+        let count = listens.len();
+        let state = State {
+            links: Links::default(),
+            dice: Dice::new(seed, "datagrams"),
+            under_way: 0,
+            dropped: 0,
+            sent: vec![(0, 0); count],
+            longest: 0,
+            kept: vec![VecDeque::new(); count],
+            inject: VecDeque::new(),
+        };
+        let state = Arc::new(Mutex::new(state));
+        let (word, words) = watch::channel(0);
+        let (shared, listens) = (state.clone(), listens.to_vec());
+        let thread = std::thread::spawn(move || {
+            let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+                return;
+            };
+            tokio::task::LocalSet::new().block_on(&runtime, carry(sockets, listens, shared, words));
+        });
+        Ok(Datagrams { addresses, state, word: Some(word), thread: Some(thread) })
+    }
+
+    /// Where each proxy is reached.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// The network is like this from now on; what is under way arrives.
+    pub fn set(&self, links: Links) {
+        lock(&self.state).links = links;
+    }
+
+    /// Datagrams and bytes that each proxy sent so far.
+    pub fn sent(&self) -> Vec<(u64, u64)> {
+        lock(&self.state).sent.clone()
+    }
+
+    /// The longest datagram so far.
+    pub fn longest(&self) -> usize {
+        lock(&self.state).longest
+    }
+
+    /// Datagrams that were dropped because too many were under way.
+    pub fn dropped(&self) -> u64 {
+        lock(&self.state).dropped
+    }
+
+    /// The last datagrams of a proxy, and to whom they were.
+    pub fn kept(&self, place: usize) -> Vec<(usize, Vec<u8>)> {
+        lock(&self.state).kept[place].iter().cloned().collect()
+    }
+
+    /// Sends these bytes to a proxy as if another had sent them.
+    pub fn inject(&self, from: usize, to: usize, bytes: Vec<u8>) {
+        lock(&self.state).inject.push_back((from, to, bytes));
+        if let Some(word) = &self.word {
+            word.send_modify(|n| *n += 1);
+        }
+    }
+}
+
+impl Drop for Datagrams {
+    fn drop(&mut self) {
+        self.word = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn carry(
+    sockets: Vec<std::net::UdpSocket>, listens: Vec<SocketAddr>, state: Arc<Mutex<State>>,
+    mut words: watch::Receiver<u64>,
+) {
+    let Ok(sockets) = sockets.into_iter().map(UdpSocket::from_std).collect::<io::Result<Vec<_>>>() else {
+        return;
+    };
+    let sockets = Rc::new(sockets);
+    let places: Rc<HashMap<SocketAddr, usize>> = Rc::new(listens.iter().copied().zip(0..).collect());
+    let listens = Rc::new(listens);
+    for to in 0..sockets.len() {
+        let (sockets, listens, places, state) =
+            (sockets.clone(), listens.clone(), places.clone(), state.clone());
+        tokio::task::spawn_local(async move {
+            let mut buffer = [0; 2048];
+            loop {
+                let Ok((n, from)) = sockets[to].recv_from(&mut buffer).await else {
+                    tokio::task::yield_now().await; // a proxy that was killed refuses what was sent to it
+                    continue;
+                };
+                let Some(from) = places.get(&from).copied() else { continue };
+                let ways = take(&state, from, to, &buffer[..n]);
+                for way in ways.into_iter().flatten() {
+                    let (sockets, listens, state) = (sockets.clone(), listens.clone(), state.clone());
+                    let bytes = buffer[..n].to_vec();
+                    tokio::task::spawn_local(async move {
+                        tokio::time::sleep(Duration::from_micros(way)).await;
+                        lock(&state).under_way -= 1;
+                        let _ = sockets[from].send_to(&bytes, listens[to]).await;
+                    });
+                }
+            }
+        });
+    }
+    while words.changed().await.is_ok() {
+        let injected = std::mem::take(&mut lock(&state).inject);
+        for (from, to, bytes) in injected {
+            let _ = sockets[from].send_to(&bytes, listens[to]).await;
+        }
+    }
+}
+
+/// Counts a datagram and draws its ways.
+fn take(state: &Mutex<State>, from: usize, to: usize, bytes: &[u8]) -> [Option<u64>; 2] {
+    let mut state = lock(state);
+    let state = &mut *state;
+    state.sent[from].0 += 1;
+    state.sent[from].1 += bytes.len() as u64;
+    state.longest = state.longest.max(bytes.len());
+    let kept = &mut state.kept[from];
+    if kept.len() == KEPT {
+        kept.pop_front();
+    }
+    kept.push_back((to, bytes.to_vec()));
+    let mut ways = state.links.draw(&mut state.dice, from, to);
+    for way in &mut ways {
+        if way.is_some() && state.under_way >= UNDER_WAY {
+            *way = None;
+            state.dropped += 1;
+        }
+        state.under_way += usize::from(way.is_some());
+    }
+    ways
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::lease::Lease;
+
+    fn open(lease: &Lease) -> std::net::UdpSocket {
+        let socket = std::net::UdpSocket::bind(lease.peer()).unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        socket
+    }
+
+    #[test]
+    fn what_passes_comes_from_the_senders_address_and_what_is_cut_does_not() {
+        let lease = Lease::take().unwrap();
+        let ends: Vec<_> = (0..3).map(|_| open(&lease)).collect();
+        let listens: Vec<_> = ends.iter().map(|e| e.local_addr().unwrap()).collect();
+        let relay = Datagrams::start(&listens, lease.peer().ip(), 1).unwrap();
+        let (to, mut buffer) = (relay.addresses().to_vec(), [0; 64]);
+        ends[0].send_to(b"one", to[1]).unwrap();
+        assert_eq!(ends[1].recv_from(&mut buffer).unwrap(), (3, to[0]));
+        relay.set(Links { one_way: vec![(0, 1)], ..Links::default() });
+        ends[0].send_to(b"lost", to[1]).unwrap();
+        ends[1].send_to(b"back", to[0]).unwrap();
+        assert_eq!(ends[0].recv_from(&mut buffer).unwrap(), (4, to[1]), "the other way it passes");
+        relay.set(Links { doubled: 1.0, ..Links::default() });
+        ends[0].send_to(b"twice", to[1]).unwrap();
+        assert_eq!(ends[1].recv_from(&mut buffer).unwrap(), (5, to[0]), "and not what was cut");
+        assert_eq!(ends[1].recv_from(&mut buffer).unwrap(), (5, to[0]));
+        relay.inject(2, 1, b"forged".to_vec());
+        assert_eq!(ends[1].recv_from(&mut buffer).unwrap(), (6, to[2]));
+        assert_eq!(relay.sent(), [(3, 12), (1, 4), (0, 0)]);
+        assert_eq!((relay.kept(0).len(), relay.longest(), relay.dropped()), (3, 5, 0));
+    }
+
+    #[test]
+    fn links_that_cannot_be_are_told() {
+        let good = Links { parts: vec![0, 1, 0], slow: vec![2], slow_us: 5000, ..Links::default() };
+        assert_eq!(good.check(3), Ok(()));
+        assert_eq!(good.check(4), Err("a part for each proxy"));
+        assert!(Links { unheard: vec![3], ..Links::default() }.check(3).is_err());
+        assert!(Links { loss: 1.5, ..Links::default() }.check(3).is_err());
+        assert!(Links { way_us: [3, 2], ..Links::default() }.check(3).is_err());
+    }
+}
--- a/crates/gaugesaddle-testbed/src/lib.rs
+++ b/crates/gaugesaddle-testbed/src/lib.rs
@@ -16,6 +16,7 @@
 mod audit;
 pub mod authority;
 mod clients;
+pub mod datagrams;
 pub mod dice;
 mod faulty;
 mod http;
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -4,6 +4,7 @@
 use crate::error::Error;
 use crate::exchange::Input;
 use crate::operator::{self, Operator};
+use crate::peers::{self, PeerWatch, Tier};
 use crate::region::{Own, RegionWatch, Regions};
 use crate::registry::{Bounds, Registry};
 use crate::seam::Subsystem;
@@ -103,7 +104,8 @@
     // Clients and backends share what the rest leaves; other callers take from the clients' part.
     let callers = operator.state.socket.as_ref().map_or(0, |_| operator.state.connections + 1)
         + if upgrades { OPERATORS } else { 0 }
-        + if operator.region.enabled { operator.region.descriptors() } else { 0 };
+        + if operator.region.enabled { operator.region.descriptors() } else { 0 }
+        + usize::from(operator.peers.enabled);
     let body_bytes = config.memory / BODY_PART;
     let bounds = |sockets: usize| {
         let (kept, left) = (sockets / server::KEPT_PART, sockets.saturating_sub(RESERVE));
@@ -192,6 +194,28 @@
         tokio::task::spawn_local(regions.clone().watch_keys());
         tokio::task::spawn_local(regions.clone().serve(server.clone(), gateway));
     }
+    let tier = operator.peers.enabled.then(|| {
+        let own = peers::Own {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            position: config.module.position,
+        };
+        Tier::new(&operator.peers, config.peers.clone(), own, server.rules.names.classes(), clock)
+    });
+    let tier = tier.transpose()?;
+    if let Some(tier) = &tier {
+        // The process before this one speaks for the place as long as it holds the address.
+        let socket = match replaces {
+            true => None,
+            false => Some(tier.bind().map_err(cannot_listen("peers.listen", tier.listen()))?),
+        };
+        let zones =
+            config.zones.iter().map(|z| beechworks::ZoneId(beechworks::settings::number(z))).collect();
+        let classes = config.module.classes.len();
+        subsystems.push(Box::new(PeerWatch::new(tier.clone(), registry.clone(), zones, classes)));
+        *registry.peers.borrow_mut() = Some(tier.clone());
+        tokio::task::spawn_local(tier.clone().run(socket));
+    }
     let driver = Driver::new(Parts {
         subsystems,
         clock,
@@ -231,7 +255,11 @@
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        asked.is_succeeded()
+        let succeeded = asked.is_succeeded();
+        if let Some(tier) = tier.filter(|_| !succeeded) {
+            tier.leave();
+        }
+        succeeded
     };
     tokio::pin!(stop);
     // Clients of the process before this one would wait here for backends that it does not know yet.
--- a/crates/gaugesaddle/src/cli.rs
+++ b/crates/gaugesaddle/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::operator::{self, Operator};
 use crate::{app, region, state};
 use clap::{Parser, Subcommand, ValueEnum};
+use serde::Serialize;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -28,7 +29,7 @@
     },
     /// Print the state of a running proxy: its requests, backends, connections and reasons.
     State {
-        /// Only that part, `regions`.
+        /// Only that part.
         part: Option<Part>,
         /// Its socket; by default `state.socket` of the operator's file.
         #[arg(long, value_name = "PATH")]
@@ -44,6 +45,8 @@
 enum Part {
     /// Other regions.
     Regions,
+    /// The other proxies of the tier.
+    Peers,
 }
 
 /// Runs the program.
@@ -64,7 +67,11 @@
     match arguments.command {
         None => app::run(file.clone(), operator()?),
         Some(Command::Check { file }) => {
-            region::check(&operator::load(&file)?.region)?;
+            let operator = operator::load(&file)?;
+            region::check(&operator.region)?;
+            if operator.peers.enabled {
+                operator.peers.secret()?;
+            }
             println!("{}: good", file.display());
             Ok(())
         }
@@ -76,18 +83,28 @@
                 ))?,
             };
             let state = state::ask(&socket)?;
-            if let Some(Part::Regions) = part {
-                let view = state.region.as_ref().ok_or(Error::Usage("this proxy has no other regions"))?;
-                match json {
-                    true => println!("{}", serde_json::to_string_pretty(view).unwrap_or_default()),
-                    false => print!("{}", state::render_regions(view, state.time_us)),
+            let now = state.time_us;
+            match part {
+                Some(Part::Regions) => {
+                    let view =
+                        state.region.as_ref().ok_or(Error::Usage("this proxy has no other regions"))?;
+                    print(json, view, || state::render_regions(view, now));
+                }
+                Some(Part::Peers) => {
+                    let view =
+                        state.peers.as_ref().ok_or(Error::Usage("this proxy knows no other proxies"))?;
+                    print(json, view, || state::render_peers(view, now));
                 }
-            } else if json {
-                println!("{}", serde_json::to_string_pretty(&state).unwrap_or_default());
-            } else {
-                print!("{}", state::render(&state));
+                None => print(json, &state, || state::render(&state)),
             }
             Ok(())
         }
     }
 }
+
+fn print<T: Serialize>(json: bool, document: &T, table: impl Fn() -> String) {
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(document).unwrap_or_default()),
+        false => print!("{}", table()),
+    }
+}
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::{self, List};
 use crate::error::Error;
+use crate::peers::Platform;
 use beechworks::settings::{self, Key, KeyError, Names};
 use beechworks::Micros;
 use serde_json::Value;
@@ -34,6 +35,11 @@
     pub max_retry_after: Option<Micros>,
     /// The longest time that a client waits.
     pub longest: Micros,
+    /// The zones' names, and the own one.
+    pub zones: Vec<String>,
+    pub zone: String,
+    /// The tier of proxies; `None` where the settings refuse words between them.
+    pub peers: Option<Platform>,
     /// The document as it was read.
     pub document: Value,
 }
@@ -94,6 +100,24 @@
     address(&Key::root(&told).get("BALANCER_ADMIN")).map(Some)
 }
 
+/// What is told of the other proxies, where the settings allow words with them.
+fn peers(root: &Key, limits: &Key) -> Result<Option<Platform>, KeyError> {
+    if limits.get("peers").value().and_then(Value::as_bool) != Some(true) {
+        return Ok(None);
+    }
+    let told = |key: &str| {
+        let key = root.get(key);
+        let some = key.value().is_some_and(|v| !v.is_null());
+        some.then(|| address(&key)).transpose()
+    };
+    let key = root.get("peers");
+    let addresses = match key.value().is_some_and(|v| !v.is_null()) {
+        true => key.list()?.iter().map(address).collect::<Result<_, _>>()?,
+        false => Vec::new(),
+    };
+    Ok(Some(Platform { listen: told("peer_listen")?, addresses, all: told("peers_all")? }))
+}
+
 fn parse(document: Value) -> Result<Config, Error> {
     let root = Key::root(&document);
     let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
@@ -106,6 +130,12 @@
     for class in settings.get("profiles").list()? {
         longest = longest.max(class.get("deadline_us").micros()?);
     }
+    let mut zones = Vec::new();
+    for zone in settings.get("zones").list()? {
+        zones.push(zone.text()?.into());
+    }
+    let zone = settings.get("my_zone").text()?.into();
+    let peers = peers(&root, &limits)?;
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
     Ok(Config {
         name: root.get("name").value().and_then(Value::as_str).unwrap_or_default().into(),
@@ -123,6 +153,9 @@
         dial_timeout: limits.get("dial_timeout_us").micros()?,
         max_retry_after: limits.get("max_retry_after_us").value().and_then(Value::as_u64).map(Micros),
         longest,
+        zones,
+        zone,
+        peers,
         document,
     })
 }
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -53,6 +53,9 @@
     /// The region's keys.
     #[error(transparent)]
     Keys(#[from] crate::region::KeyError),
+    /// The tier of proxies.
+    #[error(transparent)]
+    Peers(#[from] crate::peers::settings::PeersError),
     /// An address or a path can't be listened on.
     #[error("{key}: expected {expected}, got {at}: {source}")]
     Listen {
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -21,6 +21,7 @@
 mod form;
 pub mod operator;
 mod pacing;
+mod peers;
 mod region;
 pub mod registry;
 mod roster;
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -4,6 +4,7 @@
 //! `deploy/gaugesaddle.toml` lists every key with its unit, range, default and reason; a test holds it to this
 //! type. Each subsystem adds a section of its own.
 
+use crate::peers::settings::Peers;
 use crate::region::settings::Region;
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer};
@@ -28,6 +29,8 @@
     pub limits: Limits,
     /// Other regions as last resort.
     pub region: Region,
+    /// The other proxies of the tier.
+    pub peers: Peers,
 }
 
 /// `[limits]`. Wants a restart. What all proxies together may hold on one backend.
@@ -247,6 +250,7 @@
         return Err((None, "limits.most_per_backend".into(), what));
     }
     read.region.check().map_err(|(key, what)| (None, key, what))?;
+    read.peers.check().map_err(|(key, what)| (None, key, what))?;
     Ok(read)
 }
 
@@ -295,6 +299,9 @@
     if running.region != held {
         keys.push("region");
     }
+    if running.peers != newer.peers {
+        keys.push("peers");
+    }
     keys
 }
 
@@ -387,6 +394,42 @@
         }
     }
 
+    #[test]
+    fn each_flaw_of_the_peers_is_told_by_its_key() {
+        let list = |own: &str, rest: &str| {
+            format!("[peers]\nenabled = true\nlisten = \"{own}\"\naddresses = [\"127.0.0.1:7946\", \"127.0.0.2:7946\"]\n{rest}")
+        };
+        assert!(parse(&list("127.0.0.2:7946", "")).is_ok());
+        for (text, expected) in [
+            (list("127.0.0.3:7946", ""), "peers.addresses: expected a list with this proxy's own address"),
+            (
+                list("127.0.0.1:7946", "own = \"127.0.0.3:1\"\n"),
+                "peers.own: expected a list with this proxy's",
+            ),
+            (
+                list("0.0.0.0:7946", "own = \"127.0.0.1:7946\"\n"),
+                "peers.key: missing, expected the file of a key",
+            ),
+            (list("127.0.0.1:7946", "key = \"k\"\n"), "peers.key: expected an absolute path"),
+            (
+                list("127.0.0.1:7946", "answer_ms = 300\n"),
+                "peers.answer_ms: expected 10 to 5000, below probe_ms",
+            ),
+            (list("127.0.0.1:7946", "bytes_per_s = 10\n"), "peers.bytes_per_s: expected 1000 to 1000000"),
+            (list("127.0.0.1:7946", "probes = 1\n"), "line 5: peers.probes: unknown field `probes`"),
+            (list("127.0.0.1:7946", "probe_ms = -1\n"), "line 5: peers.probe_ms: invalid value"),
+            (list("127.0.0.1", ""), "line 3: peers.listen: invalid socket address"),
+            (
+                list("127.0.0.1:7946", "").replace(".2:", ".1:"),
+                "peers.addresses.1: expected each address once",
+            ),
+            ("[peers]\nenabled = true\naddresses = [\"127.0.0.1:1\"]\n".into(), "peers.listen: missing"),
+        ] {
+            let told = flaw(&text);
+            assert!(told.starts_with(expected), "{told}\nfor {expected}");
+        }
+    }
+
     #[test]
     fn the_file_that_is_shipped_says_the_defaults_and_every_key() {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gaugesaddle.toml");
@@ -403,6 +446,7 @@
         let all = parse(&all.join("\n")).expect("every key is known");
         assert!(all.state.socket.is_some());
         assert_eq!(all.region.other.len(), 1);
+        assert_eq!(all.peers.addresses.len(), 3);
         for key in [
             "level",
             "socket",
@@ -427,6 +471,18 @@
             "return_ms",
             "send",
             "take",
+            "addresses",
+            "own",
+            "all",
+            "probe_ms",
+            "answer_ms",
+            "indirect",
+            "suspect_least_ms",
+            "suspect_most_ms",
+            "publish_ms",
+            "bytes_per_s",
+            "retry_ms",
+            "forget_s",
         ] {
             assert!(
                 text.lines().any(|l| l.trim_start_matches('#').starts_with(&format!("{key} ="))),
--- /dev/null
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -0,0 +1,320 @@
+//! The tier that this proxy belongs to, in the running proxy: the socket, the timer and the file beside the driver. Who
+//! lives is `gaugesaddle_peers`' to say; here it is told what arrives and when, and its datagrams are sent.
+
+pub mod settings;
+mod watch;
+
+use crate::clock::Clock;
+use crate::registry::{PeerRow, PeersView, Totalled};
+use beechworks::{Micros, Time};
+use gaugesaddle_peers::{Boot, Counts, Output, Seal, Shape, Told, Totals, DATAGRAM_BYTES};
+use rand_core::{OsRng, TryRngCore};
+use settings::PeersError;
+use socket2::{Domain, Socket, Type};
+use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+pub use watch::PeerWatch;
+
+/// Datagrams that are read before the next turn: more than a socket's buffer holds, so that a proxy that has slept
+/// reads what came meanwhile before it judges anybody.
+const READS: usize = 1024;
+/// The system is asked for a buffer of so much: a tier of 300 that answers at once.
+const BUFFER_BYTES: usize = 1 << 20;
+/// While the process before this one holds the address, it is tried this often.
+const BIND_AGAIN: Duration = Duration::from_millis(50);
+/// Records older than this many of their publishing times are told as old.
+const OLD: u64 = 8;
+
+/// What the platform tells of the tier, where its settings allow words between proxies.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Platform {
+    /// `peer_listen`.
+    pub listen: Option<SocketAddr>,
+    /// `peers`.
+    pub addresses: Vec<SocketAddr>,
+    /// `peers_all`.
+    pub all: Option<SocketAddr>,
+}
+
+/// What a proxy tells of itself.
+pub struct Own {
+    pub name: String,
+    pub zone: String,
+    /// Its number in the platform's settings.
+    pub position: u32,
+}
+
+/// One proxy's place in its tier.
+pub struct Tier {
+    clock: Clock,
+    listen: SocketAddr,
+    peers: RefCell<gaugesaddle_peers::Peers>,
+    publish: Micros,
+    /// What is published next.
+    record: RefCell<Vec<u8>>,
+    /// Once the address is held.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Datagrams that the system did not take.
+    unsent: Cell<u64>,
+    classes: Vec<String>,
+}
+
+fn key(key: &str, what: &str) -> PeersError {
+    PeersError::Key { key: key.into(), what: what.into() }
+}
+
+impl Tier {
+    /// Reads the key and checks what was told. `platform`: `None` where its settings refuse words between proxies.
+    pub fn new(
+        section: &settings::Peers, platform: Option<Platform>, own: Own, classes: &[String], clock: Clock,
+    ) -> Result<Rc<Tier>, PeersError> {
+        let by_file = !section.addresses.is_empty();
+        let platform = platform.filter(|_| !by_file).unwrap_or_default();
+        let (addresses, all) = match by_file {
+            true => (section.addresses.clone(), section.all),
+            false => (platform.addresses, section.all.or(platform.all)),
+        };
+        if addresses.is_empty() {
+            return Err(key(
+                "peers.addresses",
+                "missing, and the platform tells none or its settings refuse words \
+                                               between proxies: expected the address of each proxy",
+            ));
+        }
+        let listen = section.listen.or(platform.listen);
+        let listen = listen.ok_or_else(|| key("peers.listen", "missing, expected an address"))?;
+        let place = match by_file {
+            true => addresses.iter().position(|a| *a == section.own.unwrap_or(listen)),
+            false => Some(own.position as usize),
+        };
+        let place = place.filter(|p| *p < addresses.len());
+        let place =
+            place.ok_or_else(|| key("peers.addresses", "expected a list with this proxy's own address"))?;
+        let secret = section.secret()?;
+        let seal = match &secret {
+            Some(secret) => Seal::keyed(secret).ok_or_else(|| key("peers.key", "expected a longer key"))?,
+            None => Seal::open(),
+        };
+        if !seal.is_keyed() && !listen.ip().is_loopback() {
+            return Err(key(
+                "peers.key",
+                "missing, expected a key where peers.listen is no loopback address",
+            ));
+        }
+        // As it is written here and there; a name that can't travel is none.
+        let sound =
+            |n: String| Some(n).filter(|n| n.bytes().all(|b| b.is_ascii_graphic())).unwrap_or_default();
+        let cut = |n: String| n.chars().take(gaugesaddle_peers::NAME_BYTES).collect::<String>();
+        let (name, zone) = (cut(sound(own.name)), cut(sound(own.zone)));
+        let told = Told { addresses, own: place as u16, all, name, zone };
+        let drawn = || {
+            OsRng.try_next_u64().map_err(|e| key("peers.enabled", &format!("expected random numbers: {e}")))
+        };
+        let boot = Boot((drawn()? as u32).max(1));
+        let settings = section.settings();
+        let publish = settings.publish;
+        let peers = gaugesaddle_peers::Peers::new(settings, seal, told, boot, drawn()?, clock.now());
+        let peers = peers.map_err(|e| key("peers.addresses", &e.to_string()))?;
+        let (record, socket, unsent) = (RefCell::default(), RefCell::default(), Cell::default());
+        let (peers, classes) = (RefCell::new(peers), classes.to_vec());
+        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes }))
+    }
+
+    /// Takes the address.
+    pub fn bind(&self) -> io::Result<UdpSocket> {
+        let socket = Socket::new(Domain::for_address(self.listen), Type::DGRAM, None)?;
+        socket.set_nonblocking(true)?;
+        // What the system grants is enough; what it refuses is dropped when it overflows.
+        let _ = socket.set_recv_buffer_size(BUFFER_BYTES);
+        socket.bind(&self.listen.into())?;
+        UdpSocket::from_std(socket.into())
+    }
+
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Speaks and listens for ever. Without a socket yet it waits for the process before this one to let go.
+    pub async fn run(self: Rc<Tier>, socket: Option<UdpSocket>) {
+        let socket = match socket {
+            Some(socket) => socket,
+            None => self.bound().await,
+        };
+        let socket = Rc::new(socket);
+        *self.socket.borrow_mut() = Some(socket.clone());
+        let (places, boot) =
+            (self.peers.borrow().view(self.clock.now()).told, self.peers.borrow().own().boot.0);
+        let place = self.peers.borrow().place();
+        tracing::info!("peers: this is {place} of {places}, boot {boot:08x}, at {}", self.listen);
+        let (mut out, mut publish) = (Vec::new(), self.clock.now());
+        // A byte more than is allowed: what is longer shows as such.
+        let mut buffer = [0; DATAGRAM_BYTES + 1];
+        loop {
+            let wake = self.peers.borrow().wake().min(publish);
+            tokio::select! {
+                ready = socket.readable() => if ready.is_err() {
+                    return; // the runtime ends
+                },
+                () = tokio::time::sleep_until(self.clock.instant(wake)) => {}
+            }
+            self.step(&socket, &mut buffer, &mut publish, &mut out);
+            // What is read without an end must not keep the runtime from everything else.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// All that has come, then the turn: a process that has slept must not judge before it has listened.
+    fn step(&self, socket: &UdpSocket, buffer: &mut [u8], publish: &mut Time, out: &mut Vec<Output>) {
+        let mut peers = self.peers.borrow_mut();
+        for _ in 0..READS {
+            match socket.try_recv_from(buffer) {
+                Ok((n, from)) => peers.datagram(self.clock.now(), from, &buffer[..n], out),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => {} // somebody was not there: silence says so as well
+            }
+        }
+        let now = self.clock.now();
+        if now >= *publish {
+            *publish = now + self.publish;
+            let record = self.record.borrow();
+            if !record.is_empty() {
+                peers.publish(now, &record);
+            }
+        }
+        peers.turn(now, out);
+        drop(peers);
+        self.carry_out(socket, out);
+    }
+
+    async fn bound(&self) -> UdpSocket {
+        let mut told = false;
+        loop {
+            match self.bind() {
+                Ok(socket) => return socket,
+                Err(e) => {
+                    if !std::mem::replace(&mut told, true) {
+                        tracing::info!("peers: {} is not free yet: {e}", self.listen);
+                    }
+                    tokio::time::sleep(BIND_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    fn carry_out(&self, socket: &UdpSocket, out: &mut Vec<Output>) {
+        for output in out.drain(..) {
+            match output {
+                Output::Send { to, bytes } => {
+                    if socket.try_send_to(&bytes, to).is_err() {
+                        self.unsent.set(self.unsent.get() + 1); // as good as lost on its way
+                    }
+                }
+                Output::Moved(t) => tracing::info!(
+                    "peers: {} is {} after {}, boot {:08x}, incarnation {}: {}",
+                    t.place,
+                    t.to.name(),
+                    t.from.name(),
+                    t.boot.0,
+                    t.incarnation,
+                    t.why
+                ),
+                Output::Contested { place } => {
+                    tracing::warn!("peers: two processes claim place {place}");
+                }
+                Output::Namesake { places } => {
+                    tracing::warn!("peers: {} and {} have one name", places.0, places.1);
+                }
+                Output::Stalled { span } => {
+                    tracing::warn!("peers: this process slept for {:.1} s", span.secs());
+                }
+            }
+        }
+    }
+
+    /// The last word to all others; not where a successor has the place.
+    pub fn leave(&self) {
+        let mut out = Vec::new();
+        self.peers.borrow_mut().leave(&mut out);
+        if let Some(socket) = &*self.socket.borrow() {
+            self.carry_out(socket, &mut out);
+        }
+    }
+
+    /// The next record.
+    fn publish(&self, body: Vec<u8>) {
+        *self.record.borrow_mut() = body;
+    }
+
+    /// What is published so often, at most.
+    fn every(&self) -> Micros {
+        self.publish
+    }
+
+    /// What can be read of the tier.
+    pub fn view(&self, now: Time) -> PeersView {
+        let peers = self.peers.borrow();
+        let view = peers.view(now);
+        let stale = Micros(self.publish.0 * OLD);
+        let totals = Totals::of(now, stale, peers.living().into_iter().map(|p| peers.record(p)));
+        let c: Counts = peers.counts();
+        let row = |p: gaugesaddle_peers::PeerView| PeerRow {
+            place: p.place,
+            address: p.address.to_string(),
+            name: p.name,
+            zone: p.zone,
+            own: p.place == peers.place(),
+            state: p.standing.name().into(),
+            since_us: p.since.0,
+            boot: p.boot.map(|b| format!("{:08x}", b.0)),
+            incarnation: p.incarnation,
+            heard_us: p.heard.map(|a| a.0),
+            record_age_us: p.record_age.map(|a| a.0),
+            contested: p.contested,
+        };
+        PeersView {
+            place: peers.place(),
+            boot: format!("{:08x}", peers.own().boot.0),
+            told: view.told,
+            living: view.living,
+            suspect: view.suspect,
+            dead: view.dead,
+            left: view.left,
+            unseen: view.unseen,
+            shape: view.shape().name().into(),
+            more_than_half: view.shape() == Shape::Most,
+            unchanged_us: view.unchanged.0,
+            answered_us: view.answered.0,
+            awake_us: view.awake.0,
+            health: view.health,
+            totals: Totalled {
+                told: totals.told,
+                older: totals.older,
+                older_than_us: stale.0,
+                oldest_us: totals.oldest.0,
+                arrivals_per_s: self.classes.iter().cloned().zip(totals.arrivals.iter().copied()).collect(),
+                held: totals.held,
+                given_up_per_s: totals.given_up,
+            },
+            sent: c.sent,
+            sent_bytes: c.sent_bytes,
+            unsent: self.unsent.get(),
+            came: c.came,
+            garbled: c.garbled,
+            foreign: c.foreign,
+            forged: c.forged,
+            replayed: c.replayed,
+            unproven: c.unproven,
+            over: c.over,
+            asked: c.asked,
+            silent: c.silent,
+            refuted: c.refuted,
+            stalls: c.stalls,
+            peers: peers.all(now).into_iter().map(row).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/peers/watch.rs
@@ -0,0 +1,118 @@
+//! What this proxy tells the others of itself: counted by the seam, looked at in the module, published by the tier.
+
+use super::Tier;
+use crate::exchange::Arrived;
+use crate::registry::{End, Registry};
+use crate::seam::Subsystem;
+use beechworks::{Arrival, Balancer, ClassId, Event, Time, ZoneId};
+use gaugesaddle_peers::{Signals, ZoneSignal};
+use std::rc::Rc;
+
+/// Rates are means over some of the last looks, the newest of them a quarter: with a look each half second they follow
+/// a jump within two seconds, and chance among some ten requests a second is a fifth.
+const NEWEST: f64 = 0.25;
+
+/// A rate, kept as a mean.
+#[derive(Clone, Copy, Default)]
+struct Rate {
+    count: u32,
+    per_s: Option<f64>,
+}
+
+impl Rate {
+    fn look(&mut self, secs: f64) -> f64 {
+        let now = f64::from(std::mem::take(&mut self.count)) / secs;
+        let mean = self.per_s.map_or(now, |mean| mean + NEWEST * (now - mean));
+        *self.per_s.insert(mean)
+    }
+}
+
+pub struct PeerWatch {
+    tier: Rc<Tier>,
+    registry: Rc<Registry>,
+    /// By number in the settings.
+    zones: Vec<ZoneId>,
+    /// Since when some backends of the zone have been ill.
+    ill_since: Vec<Option<Time>>,
+    arrivals: Vec<Rate>,
+    given_up: Rate,
+    looked: Option<Time>,
+    next: Time,
+}
+
+impl PeerWatch {
+    pub fn new(tier: Rc<Tier>, registry: Rc<Registry>, zones: Vec<ZoneId>, classes: usize) -> PeerWatch {
+        let (ill_since, arrivals) = (vec![None; zones.len()], vec![Rate::default(); classes]);
+        let (given_up, looked, next) = (Rate::default(), None, Time(0));
+        PeerWatch { tier, registry, zones, ill_since, arrivals, given_up, looked, next }
+    }
+
+    fn signals(&mut self, now: Time, secs: f64, module: &Balancer) -> Signals {
+        let seen = module.zones();
+        let zone = |(id, since): (&ZoneId, &mut Option<Time>)| {
+            let found = seen.get(id).copied().unwrap_or_default();
+            *since = if found.ill > 0 { since.or(Some(now)) } else { None };
+            ZoneSignal {
+                backends: f64::from(found.backends),
+                ill: f64::from(found.ill),
+                // Before any was served nothing is known of it.
+                can_per_s: if found.able.is_finite() { found.able } else { 0.0 },
+                ill_for_s: since.map_or(0.0, |at| (now - at).secs()),
+            }
+        };
+        let zones = self.zones.iter().zip(&mut self.ill_since).map(zone).collect();
+        let arrivals = self.arrivals.iter_mut().map(|r| r.look(secs)).collect();
+        let given_up = self.given_up.look(secs);
+        Signals { arrivals, held: self.registry.open() as f64, given_up, zones }
+    }
+}
+
+impl Subsystem for PeerWatch {
+    fn turn(&mut self, now: Time, module: &Balancer, _: &mut Vec<Event>) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + self.tier.every();
+        // The first look only begins to count.
+        if let Some(last) = self.looked.replace(now) {
+            let secs = (now - last).secs().max(1e-3);
+            let signals = self.signals(now, secs, module);
+            self.tier.publish(signals.encode());
+        }
+    }
+
+    fn arrived(&mut self, _: Time, new: &Arrived, _: &mut Arrival) {
+        if let Some(rate) = self.arrivals.get_mut(new.class.0) {
+            rate.count = rate.count.saturating_add(1);
+        }
+    }
+
+    fn answered(&mut self, _: ClassId, end: End) {
+        if end.gave_up() {
+            self.given_up.count = self.given_up.count.saturating_add(1);
+        }
+    }
+
+    fn wake(&self) -> Time {
+        self.next
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rate_follows_a_jump_and_smooths_chance() {
+        let mut rate = Rate { count: 5, per_s: None };
+        assert_eq!(rate.look(0.5), 10.0);
+        let after: Vec<f64> = (0..8)
+            .map(|_| {
+                rate.count = 10;
+                rate.look(0.5)
+            })
+            .collect();
+        assert_eq!(after[0], 12.5);
+        assert!(after[3] > 16.0 && after[7] > 18.5 && after[7] < 20.0, "{after:?}");
+    }
+}
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -38,6 +38,13 @@
     Left,
 }
 
+impl End {
+    /// The proxy did not serve it.
+    pub fn gave_up(self) -> bool {
+        !matches!(self, End::InAim | End::Late | End::Left)
+    }
+}
+
 const ENDS: usize = End::Left as usize + 1;
 
 #[derive(Default)]
@@ -153,6 +160,8 @@
     pub(crate) storm_seen: RefCell<Option<StormState>>,
     /// Other regions, where there are some.
     pub(crate) region: RefCell<Option<RegionView>>,
+    /// The tier of proxies, where it is known: read when it is asked for.
+    pub(crate) peers: RefCell<Option<Rc<crate::peers::Tier>>>,
     pub(crate) connections: Cell<usize>,
     pub(crate) upstream_sockets: Cell<usize>,
     /// What one process may hold alone, and while two share it.
@@ -189,6 +198,7 @@
             storm: Cell::new(gaugesaddle_storm::State::Calm),
             storm_seen: RefCell::default(),
             region: RefCell::default(),
+            peers: RefCell::default(),
             connections: Cell::default(),
             upstream_sockets: Cell::default(),
             bounds,
@@ -233,6 +243,11 @@
         self.serving.get() && self.is_ready()
     }
 
+    /// Requests that are owed an answer.
+    pub(crate) fn open(&self) -> usize {
+        self.open.get()
+    }
+
     pub(crate) fn taken(&self, class: ClassId) {
         self.open.set(self.open.get() + 1);
         if let Some((_, row)) = self.classes.get(class.0) {
@@ -326,6 +341,7 @@
             connects: self.connects.get(),
             storm: self.storm_seen.borrow().clone(),
             region: self.region.borrow().clone(),
+            peers: self.peers.borrow().as_ref().map(|tier| tier.view(now)),
         }
     }
 }
@@ -441,6 +457,124 @@
     /// Other regions, where there are some.
     #[serde(default)]
     pub region: Option<RegionView>,
+    /// The tier of proxies, where it is known.
+    #[serde(default)]
+    pub peers: Option<PeersView>,
+}
+
+/// What this proxy sees of its tier. This proxy counts among the living.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PeersView {
+    /// This proxy's place in the told list.
+    pub place: u16,
+    /// Its process, in hex.
+    pub boot: String,
+    /// Places of the told list.
+    pub told: usize,
+    /// Those that live, suspects too.
+    pub living: usize,
+    /// Of these those that somebody found silent.
+    pub suspect: usize,
+    /// Met, and dead.
+    pub dead: usize,
+    /// Said that they leave.
+    pub left: usize,
+    /// Never met.
+    pub unseen: usize,
+    /// `most`: more than half of the told tier lives; `small`: fewer were ever met, nobody is missing; `torn`: half or
+    /// more of those that were met are lost.
+    pub shape: String,
+    /// More than half of the told tier lives.
+    pub more_than_half: bool,
+    /// So long nobody came to the living or went from them.
+    pub unchanged_us: u64,
+    /// So long ago anybody answered this proxy.
+    pub answered_us: u64,
+    /// So long ago this process last came back from a stall.
+    pub awake_us: u64,
+    /// How far this proxy stretches its own waits, 1 to 4.
+    pub health: u32,
+    /// The sum over the living.
+    pub totals: Totalled,
+    /// Datagrams sent, their bytes, and those that the system did not take.
+    pub sent: u64,
+    /// See `sent`.
+    pub sent_bytes: u64,
+    /// See `sent`.
+    pub unsent: u64,
+    /// Datagrams that came; of these not of the form, from no place of the list, without a good tag, here before, and
+    /// of processes that had not proven that they live.
+    pub came: u64,
+    /// See `came`.
+    pub garbled: u64,
+    /// See `came`.
+    pub foreign: u64,
+    /// See `came`.
+    pub forged: u64,
+    /// See `came`.
+    pub replayed: u64,
+    /// See `came`.
+    pub unproven: u64,
+    /// Questions not answered, for more came than is answered in a second.
+    pub over: u64,
+    /// Questions asked, and those that nobody answered.
+    pub asked: u64,
+    /// See `asked`.
+    pub silent: u64,
+    /// Times that this proxy was found silent and objected.
+    pub refuted: u64,
+    /// Times that this process slept.
+    pub stalls: u64,
+    /// By place.
+    pub peers: Vec<PeerRow>,
+}
+
+/// The sum of what the living say of themselves.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Totalled {
+    /// Living proxies whose record is held.
+    pub told: usize,
+    /// Of these so many are older than `older_than_us`.
+    pub older: usize,
+    /// See `older`.
+    pub older_than_us: u64,
+    /// The oldest.
+    pub oldest_us: u64,
+    /// Arrivals a second, by class.
+    pub arrivals_per_s: Vec<(String, f64)>,
+    /// Requests that are open.
+    pub held: f64,
+    /// Requests a second that are refused or failed.
+    pub given_up_per_s: f64,
+}
+
+/// One proxy of the tier.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PeerRow {
+    /// Its place in the told list.
+    pub place: u16,
+    /// Where it is reached.
+    pub address: String,
+    /// Its name, once it was told.
+    pub name: String,
+    /// Its zone, once it was told.
+    pub zone: String,
+    /// It is this one.
+    pub own: bool,
+    /// `unseen`, `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// Since when.
+    pub since_us: u64,
+    /// Its process, once it was met, in hex.
+    pub boot: Option<String>,
+    /// That process's incarnation.
+    pub incarnation: u32,
+    /// So long ago it was heard directly.
+    pub heard_us: Option<u64>,
+    /// How old its record is.
+    pub record_age_us: Option<u64>,
+    /// Two living processes claim the place.
+    pub contested: bool,
 }
 
 /// What is seen of storms, a few times a second.
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::error::Error;
 use crate::operator::State;
-use crate::registry::{RegionView, Registry, Snapshot};
+use crate::registry::{PeersView, RegionView, Registry, Snapshot};
 use crate::{clock::Clock, table};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
@@ -225,6 +225,82 @@
     text
 }
 
+/// What this proxy sees of its tier, for people to read.
+pub fn render_peers(view: &PeersView, now_us: u64) -> String {
+    let seconds = |us: u64| format!("{:.1} s", us as f64 / 1e6);
+    let meaning = match view.shape.as_str() {
+        "most" => "more than half of the told tier lives",
+        "small" => "few were ever met, nobody is missing",
+        _ => "half or more of those that were met are lost: this side may be the smaller one",
+    };
+    let t = &view.totals;
+    let mut text = format!(
+        "peers: {} of {} live ({} suspect), {} dead, {} left, {} never met; {}: {meaning}\n\
+         unchanged for {}, last answered {} ago, awake for {}, own waits stretched {} times\n\
+         records of {} held, {} of them older than {}, the oldest {}\n\
+         the living together:{} a second; {:.0} open, {:.1}/s given up\n\
+         sent {} ({} bytes, {} not taken), came {}: garbled {}, foreign {}, forged {}, replayed {}, unproven {}, over {}\n\
+         asked {}, no answer {}, objected {}, slept {} times\n\n",
+        view.living,
+        view.told,
+        view.suspect,
+        view.dead,
+        view.left,
+        view.unseen,
+        view.shape,
+        seconds(view.unchanged_us),
+        seconds(view.answered_us),
+        seconds(view.awake_us),
+        view.health,
+        t.told,
+        t.older,
+        seconds(t.older_than_us),
+        seconds(t.oldest_us),
+        t.arrivals_per_s.iter().map(|(class, rate)| format!(" {class} {rate:.1}")).collect::<String>(),
+        t.held,
+        t.given_up_per_s,
+        view.sent,
+        view.sent_bytes,
+        view.unsent,
+        view.came,
+        view.garbled,
+        view.foreign,
+        view.forged,
+        view.replayed,
+        view.unproven,
+        view.over,
+        view.asked,
+        view.silent,
+        view.refuted,
+        view.stalls,
+    );
+    let or = |text: &str| if text.is_empty() { "-".to_string() } else { text.to_string() };
+    let rows = view.peers.iter().map(|p| {
+        let mark = match (p.own, p.contested) {
+            (_, true) => "claimed twice",
+            (true, false) => "this one",
+            _ => "",
+        };
+        vec![
+            p.place.to_string(),
+            p.address.clone(),
+            or(&p.name),
+            or(&p.zone),
+            p.state.clone(),
+            seconds(now_us.saturating_sub(p.since_us)),
+            p.boot.clone().unwrap_or("-".into()),
+            p.incarnation.to_string(),
+            p.heard_us.map_or("-".into(), seconds),
+            p.record_age_us.map_or("-".into(), seconds),
+            mark.into(),
+        ]
+    });
+    let head =
+        ["place", "address", "name", "zone", "state", "for", "boot", "incarnation", "heard", "record", ""];
+    text += &table::render(&head, rows);
+    text
+}
+
 /// The state for people to read.
 pub fn render(state: &Snapshot) -> String {
     let seconds = |us: u64| format!("{:.1} s", us as f64 / 1e6);
@@ -271,6 +347,9 @@
         text += &render_regions(view, state.time_us);
         text.push('\n');
     }
+    if let Some(p) = &state.peers {
+        text += &format!("peers: {} of {} live, {}; `state peers` tells more\n\n", p.living, p.told, p.shape);
+    }
     let head = [
         "class",
         "taken",
