--- a/crates/gaugesaddle-model/src/tier.rs
+++ b/crates/gaugesaddle-model/src/tier.rs
@@ -11,6 +11,7 @@
 use gaugesaddle_peers::{Boot, Output, Peers, Seal, Settings, Signals, Told};
 pub use gaugesaddle_testbed::datagrams::Links;
 use gaugesaddle_testbed::dice::{mix, Dice};
+pub use gaugesaddle_testbed::tier::Fact;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -37,6 +38,10 @@
     fn leave(&mut self, now: u64, out: &mut Sent);
     /// The process that it holds to live at a place.
     fn sees(&self, place: usize) -> Option<u32>;
+    /// What it has written to its log since it was last asked.
+    fn log(&mut self) -> Vec<String> {
+        Vec::new()
+    }
     /// Boot and version of the record that it holds of a place.
     fn record(&self, _place: usize) -> Option<(u32, u32)> {
         None
@@ -88,6 +93,10 @@
     pub sent: Vec<(u64, u64)>,
     /// The most bytes that one process sent in one second.
     pub most_bytes_in_a_second: u64,
+    /// What happened, for those who judge by logs.
+    pub facts: Vec<(u64, Fact)>,
+    /// By place, what its processes wrote.
+    pub logs: Vec<Vec<(u64, String)>>,
 }
 
 struct Running {
@@ -167,7 +176,7 @@
         changed: 0,
         second: 0,
         in_second: vec![0; places],
-        report: Report { sent: vec![(0, 0); places], ..Report::default() },
+        report: Report { sent: vec![(0, 0); places], logs: vec![Vec::new(); places], ..Report::default() },
     };
     for (i, (at, _)) in script.iter().enumerate() {
         tier.at(*at, What::Step(i));
@@ -210,6 +219,7 @@
                 let mut out = Vec::new();
                 if let Some(r) = &mut self.running[*place] {
                     r.process.leave(self.now + r.clock, &mut out);
+                    self.report.facts.push((self.now, Fact::Terminated(*place)));
                 }
                 self.carry(*place, out);
                 self.end(*place);
@@ -217,11 +227,13 @@
             Step::Pause(place) => {
                 if let Some(r) = &mut self.running[*place] {
                     r.paused = true;
+                    self.report.facts.push((self.now, Fact::Stopped(*place)));
                 }
                 self.due(|i, j| i == *place || j == *place);
             }
             Step::Resume(place) => {
                 let Some(r) = self.running[*place].as_mut().filter(|r| r.paused) else { return };
+                self.report.facts.push((self.now, Fact::Continued(*place)));
                 (r.paused, r.wake) = (false, u64::MAX);
                 let (now, mut out) = (self.now + r.clock, Vec::new());
                 // As a host does: all that has come, then the turn.
@@ -234,6 +246,7 @@
             }
             Step::Links(links) => {
                 self.links = links.clone();
+                self.report.facts.push((self.now, Fact::Links(links.clone())));
                 self.due(|_, _| true);
             }
         }
@@ -244,6 +257,7 @@
             return;
         }
         self.starts += 1;
+        self.report.facts.push((self.now, Fact::Up(place)));
         // Numbers that say nothing of their order.
         let boot = (mix(self.seed, u64::from(self.starts)) as u32).max(1);
         self.boots.insert(boot, u64::from(self.starts));
@@ -263,6 +277,7 @@
 
     fn end(&mut self, place: usize) {
         let Some(gone) = self.running[place].take() else { return };
+        self.report.facts.push((self.now, Fact::Ended(place)));
         let knew = |i: &usize| {
             let there = self.running[*i].as_ref().filter(|r| !r.paused);
             there.is_some_and(|r| r.process.sees(place) == Some(gone.boot))
@@ -338,6 +353,7 @@
             }
         }
         let Some(r) = self.running[from].as_mut() else { return };
+        self.report.logs[from].extend(r.process.log().into_iter().map(|line| (self.now, line)));
         // Timers of real hosts are right to a millisecond.
         let wake = r.process.wake().saturating_sub(r.clock).max(self.now) + 500;
         if wake < r.wake {
@@ -465,6 +481,7 @@
     publish: u64,
     next: u64,
     outputs: Vec<Output>,
+    log: Vec<String>,
 }
 
 /// Where a place is reached; in a simulation only its number counts.
@@ -492,15 +509,18 @@
         let peers = Peers::new(self.settings.clone(), seal, told, Boot(boot), seed, Time(now));
         let peers = peers.expect("a sound tier");
         let publish = self.settings.publish.0;
-        Box::new(KnownProcess { peers, publish, next: now, outputs: Vec::new() })
+        let log = vec![format!("peers: this is {place} of {places}, boot {boot:08x}, at {}", address(place))];
+        Box::new(KnownProcess { peers, publish, next: now, outputs: Vec::new(), log })
     }
 }
 
 impl KnownProcess {
     fn carry(&mut self, out: &mut Sent) {
         for output in self.outputs.drain(..) {
-            if let Output::Send { to, bytes } = output {
-                out.push((place(to), bytes));
+            match output {
+                Output::Send { to, bytes } => out.push((place(to), bytes)),
+                Output::Moved(transition) => self.log.push(format!("peers: {transition}")),
+                _ => {}
             }
         }
     }
@@ -537,6 +557,10 @@
         self.peers.living_boot(place as u16).map(|b| b.0)
     }
 
+    fn log(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
+    }
+
     fn record(&self, place: usize) -> Option<(u32, u32)> {
         self.peers.record(place as u16).map(|r| (r.boot.0, r.version))
     }
--- a/crates/gaugesaddle-peers/src/hearing.rs
+++ b/crates/gaugesaddle-peers/src/hearing.rs
@@ -13,6 +13,12 @@
         if self.gone {
             return;
         }
+        self.read(now, from, bytes, out);
+        // What was read may have put off the next turn: to be called later than that is no sleep.
+        self.due = self.wake().max(now);
+    }
+
+    fn read(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
         self.counts.came += 1;
         let Ok(header) = wire::header(bytes) else {
             self.counts.garbled += 1;
--- a/crates/gaugesaddle-peers/src/peers.rs
+++ b/crates/gaugesaddle-peers/src/peers.rs
@@ -153,6 +153,15 @@
     Forgotten,
 }
 
+/// As logs write it; who reads logs can rely on the form.
+impl std::fmt::Display for Transition {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Transition { place, from, to, boot, incarnation, why } = self;
+        let (from, to) = (from.name(), to.name());
+        write!(f, "{place} is {to} after {from}, boot {:08x}, incarnation {incarnation}: {why}", boot.0)
+    }
+}
+
 impl std::fmt::Display for Why {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
--- a/crates/gaugesaddle-testbed/src/audit.rs
+++ b/crates/gaugesaddle-testbed/src/audit.rs
@@ -133,6 +133,8 @@
     pub regions: Vec<RegionFigures>,
     /// Attempts that came whole.
     pub attempts: u64,
+    /// The part of the answered ones that stayed in their proxy's hall.
+    pub near: f64,
     /// Keys of keyed and unsafe requests that took effect more than once, whoever asked again.
     pub double_effects: u64,
     /// Nodes that fell.
@@ -169,8 +171,9 @@
         }
         writeln!(
             f,
-            "G {:.3}, worst 10 s {:.3}; {} attempts, {} double effects, {} fallen nodes, {} closed unread, {} strange",
-            self.g, self.worst_10s, self.attempts, self.double_effects, self.fallen, self.closed_unread, self.strange
+            "G {:.3}, worst 10 s {:.3}; {} attempts, {:.2} of the answered near, {} double effects, {} fallen nodes, \
+             {} closed unread, {} strange",
+            self.g, self.worst_10s, self.attempts, self.near, self.double_effects, self.fallen, self.closed_unread, self.strange
         )?;
         for c in &self.classes {
             let part = c.in_time as f64 / c.asked.max(1) as f64;
@@ -240,6 +243,7 @@
     auditor.drains();
     auditor.cold();
     auditor.regions();
+    auditor.near();
     auditor.figures();
     auditor.evidence(dropped);
     auditor.verdict
@@ -307,7 +311,10 @@
                 let text = format!("proxy {proxy} ended by itself or had to be killed");
                 self.found(Broken::Crash, text, vec![record]);
             }
-            Event::ProxyEnded { .. } | Event::ProxyTerminated { .. } | Event::NodeDown { .. } => {}
+            Event::ProxyEnded { .. }
+            | Event::ProxyTerminated { .. }
+            | Event::Network { .. }
+            | Event::NodeDown { .. } => {}
             Event::NodeUp { boot, hall, speed, cold_from, ramp_us } => {
                 let (hall, speed, cold_from, ramp_us) = (*hall, *speed, *cold_from, *ramp_us as f64);
                 self.nodes.insert(*boot, NodeFacts { up: at, hall, speed, cold_from, ramp_us });
@@ -654,6 +661,14 @@
         }
     }
 
+    /// The part of what was served that did not cross halls.
+    fn near(&mut self) {
+        let replied = || self.attempts.values().filter(|a| a.replied);
+        let near = |a: &&Attempt| self.nodes.get(&a.boot).is_some_and(|n| n.hall == a.proxy % self.s.halls);
+        let (near, all) = (replied().filter(near).count(), replied().count());
+        self.verdict.near = near as f64 / all.max(1) as f64;
+    }
+
     fn figures(&mut self) {
         /// A request with all its tries.
         #[derive(Default)]
--- a/crates/gaugesaddle-testbed/src/clients.rs
+++ b/crates/gaugesaddle-testbed/src/clients.rs
@@ -51,6 +51,9 @@
     regions: usize,
     most: usize,
     marks: bool,
+    /// See [`crate::scenario::Clients::uneven`].
+    uneven: Vec<f64>,
+    moves_every_us: u64,
     kept: RefCell<Vec<(usize, Reader<TcpStream>)>>,
 }
 
@@ -79,6 +82,8 @@
             regions: s.regions.count,
             most: s.clients.connections,
             marks: s.clients.mark_retries,
+            uneven: s.clients.uneven.clone(),
+            moves_every_us: (s.clients.moves_every_s * 1e6) as u64,
             kept: RefCell::default(),
         })
     }
@@ -109,10 +114,16 @@
         let own = |i: &usize| doors[*i].hall % self.regions == ask.hall % self.regions;
         let mut order: Vec<usize> = (0..doors.len()).filter(own).collect();
         let deal = |i: usize| mix(ask.id, (u64::from(number) << 32) + i as u64);
-        order.sort_by_key(|i| {
-            let door = &doors[*i];
-            (door.out_until.is_some_and(|until| until > now), door.hall != ask.hall, deal(*i))
-        });
+        let out = |i: usize| doors[i].out_until.is_some_and(|until| until > now);
+        if self.uneven.is_empty() {
+            order.sort_by_key(|i| (out(*i), doors[*i].hall != ask.hall, deal(*i)));
+            return order;
+        }
+        let moved = ask.at_us.checked_div(self.moves_every_us).unwrap_or(0) as usize;
+        let part = |i: usize| self.uneven[(i + moved) % self.uneven.len()];
+        // Of exponential draws with these rates each is the least as often as its part says.
+        let draw = |i: usize| -(1.0 - (deal(i) >> 11) as f64 / (1u64 << 53) as f64).ln() / part(i);
+        order.sort_by(|a, b| out(*a).cmp(&out(*b)).then(draw(*a).total_cmp(&draw(*b))));
         order
     }
 
--- /dev/null
+++ b/crates/gaugesaddle-testbed/src/hunt.rs
@@ -0,0 +1,250 @@
+//! The hunt: combinations of faults drawn from a seed, played over 6 to 30 proxies that know one another, and what breaks
+//! a rule made small enough to be read.
+//!
+//! Each run ends with [`CALM_S`] without faults, so that both checkers (of the four rules, and of the tier) have a state
+//! that must be right. A finding is played again before it counts, faults are left out one by one as long as it still
+//! shows, and the rest is saved as a scenario that `gaugesaddle-testbed run` replays.
+
+use crate::datagrams::Links;
+use crate::dice::{mix, Dice};
+use crate::scenario::{Clients, Planned, Scenario, What};
+use crate::world::{run, Cast};
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// At the end of each run nothing goes wrong for so long: longer than a death may take to be known.
+pub const CALM_S: f64 = 8.0;
+/// Faults come within this time from the start.
+const FAULTS_S: f64 = 10.0;
+/// Before the first fault all have met.
+const QUIET_S: f64 = 2.0;
+/// A finding is played so often again: one that shows in none of these is told, and not made smaller.
+const AGAIN: usize = 2;
+
+/// What came of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hunted {
+    /// Runs, and proxies in them.
+    pub runs: u64,
+    /// See `runs`.
+    pub proxies: u64,
+    /// Faults in them.
+    pub faults: u64,
+    /// Times that a living process was wrongly held dead for a while.
+    pub false_deaths: u64,
+    /// Findings that did not show again.
+    pub once: Vec<String>,
+    /// Scenarios of those that did.
+    pub saved: Vec<PathBuf>,
+}
+
+impl fmt::Display for Hunted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.once.iter().try_for_each(|what| writeln!(f, "seen once, not again: {what}"))?;
+        self.saved.iter().try_for_each(|path| writeln!(f, "FOUND: {}", path.display()))?;
+        write!(
+            f,
+            "{} runs with {} proxies and {} faults: {} findings, {} not seen again; {} times one was held dead for a while",
+            self.runs,
+            self.proxies,
+            self.faults,
+            self.saved.len(),
+            self.once.len(),
+            self.false_deaths
+        )
+    }
+}
+
+/// A combination of faults.
+pub fn draw(seed: u64) -> Scenario {
+    let mut dice = Dice::new(seed, "hunt");
+    let proxies = 6 + dice.below(25);
+    let defaults = Scenario::default();
+    let mut s = Scenario {
+        name: format!("hunt-{seed:x}"),
+        seed,
+        seconds: FAULTS_S + CALM_S,
+        proxies,
+        peers: true,
+        clients: Clients {
+            per_s: 40.0,
+            // Some get three times the mean, and which ones moves.
+            uneven: if dice.chance(0.5) { vec![3.0, 1.0, 0.5, 0.5, 0.5] } else { Vec::new() },
+            moves_every_s: 4.0,
+            ..defaults.clients.clone()
+        },
+        ..defaults
+    };
+    // Each proxy has one fault of its own at most: what two of them would do to one another is no fault of its.
+    let mut free: Vec<usize> = (0..proxies).collect();
+    let mut network_free = QUIET_S;
+    for _ in 0..2 + dice.below(5) {
+        let at = QUIET_S + dice.unit() * (FAULTS_S - QUIET_S - 1.0);
+        let for_s = 0.5 + dice.unit() * (FAULTS_S - at - 0.5);
+        let kind = dice.below(9);
+        if kind >= 6 {
+            let (at, for_s) = (network_free, (FAULTS_S - network_free).min(0.5 + dice.unit() * 5.0));
+            if for_s < 0.4 {
+                continue;
+            }
+            network_free = at + for_s + 0.5;
+            let (links, halls) = network(&mut dice, proxies, s.halls);
+            s.events.push(Planned { at_s: at, what: What::Network { links, halls, for_s } });
+            continue;
+        }
+        let several = if dice.chance(0.2) { proxies / 2 } else { 1 };
+        for _ in 0..several.min(free.len().saturating_sub(1)) {
+            let proxy = free.swap_remove(dice.below(free.len()));
+            let what = match kind {
+                0 => What::KillProxy { proxy, back_after_s: 0.05 + for_s * dice.unit() },
+                1 => What::LoseProxy { proxy },
+                2 => What::StopProxy { proxy, for_s },
+                3 => What::RestartProxy { proxy },
+                4 => What::LeaveProxy { proxy },
+                _ => What::JoinProxy { proxy },
+            };
+            s.events.push(Planned { at_s: at, what });
+        }
+    }
+    s.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    s
+}
+
+/// A network that fails, and the halls that are cut with it.
+fn network(dice: &mut Dice, proxies: usize, halls: usize) -> (Links, Vec<u8>) {
+    let (mut links, mut cut) = (Links::default(), Vec::new());
+    let any = |dice: &mut Dice| dice.below(proxies);
+    match dice.below(7) {
+        0 => {
+            let parts = 2 + dice.below(2);
+            links.parts = (0..proxies).map(|_| dice.below(parts) as u8).collect();
+        }
+        // A hall is cut off with its proxies.
+        1 => {
+            let lost = dice.below(halls);
+            links.parts = (0..proxies).map(|p| u8::from(p % halls == lost)).collect();
+            cut = (0..halls).map(|h| u8::from(h == lost)).collect();
+        }
+        2 => links.one_way = (0..1 + any(dice)).map(|_| (any(dice), any(dice))).collect(),
+        3 => links.unheard = vec![any(dice)],
+        4 => links.loss = dice.within([0.05, 0.5]),
+        5 => (links.slow, links.slow_us) = (vec![any(dice), any(dice)], 150_000),
+        _ => (links.doubled, links.way_us) = (0.5, [100, 20_000]),
+    }
+    (links, cut)
+}
+
+/// The fewest events of a scenario for which it still fails: each is left out in its turn, until none can be.
+pub fn shrink(mut s: Scenario, mut fails: impl FnMut(&Scenario) -> bool) -> Scenario {
+    let mut at = 0;
+    while at < s.events.len() {
+        let mut fewer = s.clone();
+        fewer.events.remove(at);
+        if fails(&fewer) {
+            // What stood before it may go now, too.
+            (s, at) = (fewer, 0);
+        } else {
+            at += 1;
+        }
+    }
+    s
+}
+
+/// What is wrong with a run, in a line; `None` where nothing is.
+fn wrong(s: &Scenario, cast: &Cast, count: &Mutex<Hunted>) -> io::Result<Option<String>> {
+    let outcome = run(s, cast, &mut |_| {})?;
+    let mut count = count.lock().unwrap_or_else(PoisonError::into_inner);
+    count.runs += 1;
+    count.proxies += s.proxies as u64;
+    count.faults += s.events.len() as u64;
+    count.false_deaths += outcome.tier.as_ref().map_or(0, |t| t.false_deaths);
+    if outcome.is_clean() {
+        return Ok(None);
+    }
+    let tier = outcome.tier.as_ref().map(ToString::to_string).unwrap_or_default();
+    let text = if outcome.verdict.is_clean() { tier } else { outcome.verdict.to_string() };
+    let first = text.lines().map(str::trim).find(|l| !l.is_empty()).unwrap_or("no reason").to_string();
+    Ok(Some(first))
+}
+
+/// Plays combinations from a seed on, so many side by side, until the time is up; what is found goes into a folder.
+pub fn hunt(
+    cast: &Cast, seed: u64, within: Duration, lanes: usize, into: &Path, tell: &(dyn Fn(&str) + Sync),
+) -> io::Result<Hunted> {
+    let (hunted, next, end) = (Mutex::new(Hunted::default()), AtomicU64::new(0), Instant::now() + within);
+    let lane = || -> io::Result<()> {
+        while Instant::now() < end {
+            let s = draw(mix(seed, next.fetch_add(1, Ordering::Relaxed)));
+            let Some(first) = wrong(&s, cast, &hunted)? else { continue };
+            tell(&format!("{}: {first}", s.name));
+            let again = |s: &Scenario| (0..AGAIN).any(|_| matches!(wrong(s, cast, &hunted), Ok(Some(_))));
+            if !again(&s) {
+                let mut hunted = hunted.lock().unwrap_or_else(PoisonError::into_inner);
+                hunted.once.push(format!("{}: {first}", s.name));
+                continue;
+            }
+            // Made smaller for as long again at most: the time is the caller's.
+            let small = shrink(s, |s| Instant::now() < end + within && again(s));
+            let path = into.join(format!("{}.toml", small.name));
+            std::fs::write(&path, toml::to_string(&small).map_err(io::Error::other)?)?;
+            tell(&format!("{}: {} faults are enough", path.display(), small.events.len()));
+            hunted.lock().unwrap_or_else(PoisonError::into_inner).saved.push(path);
+        }
+        Ok(())
+    };
+    std::thread::scope(|scope| {
+        let lanes: Vec<_> = (0..lanes).map(|_| scope.spawn(lane)).collect();
+        lanes
+            .into_iter()
+            .try_for_each(|l| l.join().unwrap_or_else(|_| Err(io::Error::other("a lane panicked"))))
+    })?;
+    Ok(hunted.into_inner().unwrap_or_else(PoisonError::into_inner))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_drawn_can_be_played_saved_and_differs() {
+        let drawn: Vec<Scenario> = (0..500).map(|n| draw(mix(7, n))).collect();
+        for s in &drawn {
+            assert!(s.check().is_ok(), "{s:?}");
+            let text = toml::to_string(s).expect("as text");
+            assert_eq!(&Scenario::parse(&text).expect("sound"), s);
+            let ends = |e: &Planned| match &e.what {
+                What::Network { for_s, .. } | What::StopProxy { for_s, .. } => e.at_s + for_s,
+                What::KillProxy { back_after_s, .. } => e.at_s + back_after_s,
+                _ => e.at_s,
+            };
+            assert!(s.events.iter().all(|e| ends(e) <= FAULTS_S + 0.01), "{s:?}");
+        }
+        let faults =
+            |kind: fn(&What) -> bool| drawn.iter().flat_map(|s| &s.events).filter(|e| kind(&e.what)).count();
+        assert!(faults(|w| matches!(w, What::LoseProxy { .. })) > 50);
+        assert!(faults(|w| matches!(w, What::JoinProxy { .. })) > 50);
+        assert!(faults(|w| matches!(w, What::Network { halls, .. } if !halls.is_empty())) > 20);
+        assert_eq!(drawn[3], draw(mix(7, 3)), "a seed means the same");
+    }
+
+    #[test]
+    fn the_fewest_faults_that_still_show_it_are_left() {
+        let s = draw(mix(7, 1));
+        let extra = (0..8).fold(s, |s, proxy| s.event(3.0, What::StopProxy { proxy, for_s: 1.0 }));
+        let (first, last) =
+            (What::StopProxy { proxy: 2, for_s: 1.0 }, What::StopProxy { proxy: 6, for_s: 1.0 });
+        let mut plays = 0;
+        let small = shrink(extra, |s| {
+            plays += 1;
+            let has = |what: &What| s.events.iter().any(|e| &e.what == what);
+            has(&first) && has(&last)
+        });
+        let left: Vec<What> = small.events.into_iter().map(|e| e.what).collect();
+        assert_eq!(left, [first, last]);
+        assert!(plays < 200, "{plays}");
+    }
+}
--- a/crates/gaugesaddle-testbed/src/lib.rs
+++ b/crates/gaugesaddle-testbed/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dice;
 mod faulty;
 mod http;
+pub mod hunt;
 pub mod lease;
 mod node;
 pub mod plan;
@@ -31,6 +32,7 @@
 pub mod relay;
 pub mod scenario;
 pub mod scripted;
+pub mod tier;
 mod world;
 
 pub use audit::{audit, Broken, ClassFigures, Finding, RegionFigures, Verdict};
--- a/crates/gaugesaddle-testbed/src/main.rs
+++ b/crates/gaugesaddle-testbed/src/main.rs
@@ -3,7 +3,7 @@
 mod demo;
 
 use clap::{Parser, Subcommand};
-use gaugesaddle_testbed::{audit, program, run, Cast, Fault, Outcome, Program, Record, Scenario};
+use gaugesaddle_testbed::{audit, hunt, program, run, Cast, Fault, Outcome, Program, Record, Scenario};
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -53,6 +53,22 @@
         #[arg(long, value_parser = fault)]
         fault: Option<Fault>,
     },
+    /// Draw combinations of faults over 6 to 30 proxies that know one another, play them side by side, and save the
+    /// fewest faults that still break a rule as a scenario for `run`. Exit 0 where nothing was found, 1 where not.
+    Hunt {
+        /// Everything is drawn from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// No new run begins after so many seconds.
+        #[arg(long, default_value_t = 120.0, value_parser = seconds)]
+        seconds: f64,
+        /// Runs side by side; each takes about a core.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=64))]
+        lanes: u8,
+        /// Findings are saved here.
+        #[arg(long, default_value = ".")]
+        into: PathBuf,
+    },
     /// Judge records that `run --records` has kept.
     Audit {
         /// The scenario that was played.
@@ -104,6 +120,7 @@
             };
             cast.and_then(|cast| play(&file, seed, records.as_deref(), logs, &cast))
         }
+        Command::Hunt { seed, seconds, lanes, into } => hunt(seed, seconds, lanes, &into),
         Command::Audit { scenario, records } => judge(&scenario, &records),
         Command::Example => example(),
     };
@@ -140,7 +157,17 @@
         lines.iter().for_each(|line| println!("p{proxy}: {line}"));
     }
     print!("{}", outcome.verdict);
-    Ok(outcome.verdict.is_clean())
+    outcome.tier.iter().for_each(|tier| print!("{tier}"));
+    Ok(outcome.is_clean())
+}
+
+fn hunt(seed: u64, seconds: f64, lanes: u8, into: &Path) -> io::Result<bool> {
+    let cast = Cast::Program(Program { path: program::built("gaugesaddle")?, arguments: Vec::new() });
+    let within = std::time::Duration::from_secs_f64(seconds);
+    let told = |line: &str| println!("{line}");
+    let hunted = hunt::hunt(&cast, seed, within, usize::from(lanes), into, &told)?;
+    println!("{hunted}");
+    Ok(hunted.saved.is_empty())
 }
 
 fn keep(path: &Path, outcome: &Outcome) -> io::Result<()> {
--- a/crates/gaugesaddle-testbed/src/plan.rs
+++ b/crates/gaugesaddle-testbed/src/plan.rs
@@ -1,6 +1,7 @@
 //! A scenario drawn ahead: every request with its work, every retry's wait, every step of the fleet. Nothing here
 //! looks at a clock, so that a seed means the same on every machine, however fast.
 
+use crate::datagrams::Links;
 use crate::dice::{mix, Dice};
 use crate::scenario::{Effect, Scenario, What};
 
@@ -84,6 +85,10 @@
     ProxyStop(usize, bool),
     /// A proxy ends as planned and starts again.
     ProxyRestart(usize),
+    /// A proxy ends as planned.
+    ProxyLeave(usize),
+    /// The network between proxies is like this.
+    Network(Links),
 }
 
 /// A whole run.
@@ -205,7 +210,7 @@
     for event in &s.events {
         let at = event.at_s;
         let mut add = |at_s: f64, step: Step| steps.push(((at_s * 1e6) as u64, step));
-        match event.what {
+        match event.what.clone() {
             What::Crash { node, back_after_s } => {
                 add(at, Step::NodeCrash(node));
                 if let Some(after) = back_after_s {
@@ -278,6 +283,26 @@
                 add(at + for_s, Step::ProxyStop(proxy, false));
             }
             What::RestartProxy { proxy } => add(at, Step::ProxyRestart(proxy)),
+            What::LoseProxy { proxy } => add(at, Step::ProxyKill(proxy)),
+            What::LeaveProxy { proxy } => add(at, Step::ProxyLeave(proxy)),
+            What::JoinProxy { proxy } => add(at, Step::ProxyStart(proxy)),
+            What::RollProxies { group, every_s } => {
+                for proxy in 0..s.proxies {
+                    add(at + (proxy / group) as f64 * every_s, Step::ProxyRestart(proxy));
+                }
+            }
+            What::Network { links, halls, for_s } => {
+                let parts = links.parts.clone();
+                add(at, Step::Network(links));
+                add(at + for_s, Step::Network(Links::default()));
+                let cut =
+                    |proxy: usize, node: usize| halls.get(node % s.halls).is_some_and(|h| *h != parts[proxy]);
+                let pairs = (0..s.proxies).flat_map(|p| (0..nodes).map(move |n| (p, n)));
+                for (proxy, node) in pairs.filter(|(p, n)| cut(*p, *n)) {
+                    add(at, Step::LinkCut(proxy, node, true));
+                    add(at + for_s, Step::LinkCut(proxy, node, false));
+                }
+            }
             What::RegionDelay { by_ms, for_s } => {
                 add(at, Step::RegionDelay((by_ms * 1e3) as u64));
                 add(at + for_s, Step::RegionDelay(0));
--- a/crates/gaugesaddle-testbed/src/record.rs
+++ b/crates/gaugesaddle-testbed/src/record.rs
@@ -1,6 +1,7 @@
 //! What stand-ins write down. All of them run in one process and stamp with one monotonic clock, so records of
 //! different peers are in the order in which things happened there.
 
+use crate::datagrams::Links;
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -56,6 +57,11 @@
         /// Which.
         proxy: usize,
     },
+    /// The network between proxies is like this from now on.
+    Network {
+        /// How.
+        links: Links,
+    },
     /// It was told to end (SIGTERM).
     ProxyTerminated {
         /// Which.
@@ -248,6 +254,11 @@
         (self.unix_us + at) / 1000
     }
 
+    /// The start of the run as Unix time, in microseconds.
+    pub fn start_unix_us(&self) -> u64 {
+        self.unix_us
+    }
+
     /// The instant of a moment.
     pub fn instant(&self, at: Moment) -> Instant {
         self.start + std::time::Duration::from_micros(at)
--- a/crates/gaugesaddle-testbed/src/regions.rs
+++ b/crates/gaugesaddle-testbed/src/regions.rs
@@ -69,8 +69,8 @@
         self.gates.iter().for_each(|(_, _, relay)| relay.silence(cut));
     }
 
-    /// The operator's file of a proxy.
-    pub fn file(&self, proxy: usize) -> io::Result<PathBuf> {
+    /// What a proxy's operator's file says of them.
+    pub fn section(&self, proxy: usize) -> String {
         let (region, gate, _) = &self.gates[proxy];
         let (Regions { per_s, in_flight, hops, way_ms, .. }, files) = (&self.s, self.files(*region));
         let mut text = format!(
@@ -90,8 +90,6 @@
                 addresses.join(", ")
             );
         }
-        let file = self.folder.join(format!("p{proxy}.toml"));
-        std::fs::write(&file, text)?;
-        Ok(file)
+        text
     }
 }
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -1,6 +1,7 @@
 //! What a run is: a fleet, its clients and what goes wrong, from a TOML file or built in Rust on the defaults.
 //! One seed draws everything ahead, see `plan`.
 
+use crate::datagrams::Links;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
@@ -20,6 +21,10 @@
     pub halls: usize,
     /// Regions; halls belong to them by turns, and with them their nodes and proxies.
     pub regions: Regions,
+    /// The proxies know one another.
+    pub peers: bool,
+    /// What it costs the goal when every request crosses zones once, as the proxies are told.
+    pub cross_zone: f64,
     /// What a proxy is told that it may use.
     pub limits: Limits,
     /// The nodes at the start.
@@ -162,6 +167,11 @@
     pub asking_once: f64,
     /// Connections that clients hold to one proxy at most.
     pub connections: usize,
+    /// By proxy (and again from the first), its part of the traffic beside the others'; none: all alike, and clients
+    /// go to the proxies of their hall first.
+    pub uneven: Vec<f64>,
+    /// The parts move on by one proxy each time; 0: they stay.
+    pub moves_every_s: f64,
 }
 
 /// How news of nodes travels.
@@ -345,6 +355,38 @@
         /// Which.
         proxy: usize,
     },
+    /// A proxy is killed outright and stays away.
+    LoseProxy {
+        /// Which.
+        proxy: usize,
+    },
+    /// A proxy is told to end (SIGTERM) and stays away.
+    LeaveProxy {
+        /// Which.
+        proxy: usize,
+    },
+    /// A proxy starts that did not run before.
+    JoinProxy {
+        /// Which.
+        proxy: usize,
+    },
+    /// All proxies are told to end and start again, one group after the other.
+    RollProxies {
+        /// At once.
+        group: usize,
+        /// From group to group.
+        every_s: f64,
+    },
+    /// The network between proxies that know one another is like this for a while.
+    Network {
+        /// How.
+        links: Links,
+        /// By hall, its part: proxies reach no nodes in halls of another. Empty: they reach all.
+        #[serde(default)]
+        halls: Vec<u8>,
+        /// For so long.
+        for_s: f64,
+    },
     /// Clients that all reconnect at once, each from an address and on connections of its own, and ask until they are
     /// served or have tried so often.
     Crowd {
@@ -440,6 +482,8 @@
             slow_reading: 0.0,
             asking_once: 0.02,
             connections: 300,
+            uneven: Vec::new(),
+            moves_every_s: 0.0,
         }
     }
 }
@@ -494,6 +538,8 @@
             proxies: 3,
             regions: Regions::default(),
             halls: 3,
+            peers: false,
+            cross_zone: 0.0,
             limits: Limits::default(),
             kinds: vec![kind("fast", 4, 1.8), kind("slow", 8, 0.9)],
             classes: vec![read, vote, pay],
@@ -577,8 +623,16 @@
             What::Deploy { nodes: n, group, every_s } => n <= nodes && group > 0 && above(every_s),
             What::Shrink { nodes: n, .. } => n < nodes,
             What::HallOut { hall, .. } => hall < self.halls,
-            What::KillProxy { proxy, .. } | What::StopProxy { proxy, .. } | What::RestartProxy { proxy } => {
-                proxy < self.proxies
+            What::KillProxy { proxy, .. }
+            | What::StopProxy { proxy, .. }
+            | What::RestartProxy { proxy }
+            | What::LoseProxy { proxy }
+            | What::LeaveProxy { proxy }
+            | What::JoinProxy { proxy } => proxy < self.proxies,
+            What::RollProxies { group, every_s } => group > 0 && above(every_s),
+            What::Network { ref links, ref halls, .. } => {
+                let parts = halls.is_empty() || (halls.len() == self.halls && !links.parts.is_empty());
+                self.peers && parts && links.check(self.proxies).is_ok()
             }
             What::Burst { factor, .. } => above(factor),
             What::Crowd { clients, tries, wait_ms, honour, .. } => {
@@ -619,6 +673,12 @@
                 "clients",
                 "parts from 0 to 1",
             ),
+            (
+                c.uneven.iter().all(|w| above(*w)) && range([0.0, c.moves_every_s]),
+                "clients.uneven",
+                "parts above 0, and a time",
+            ),
+            (range([0.0, self.cross_zone]), "cross_zone", "0 or more"),
             (range(c.backoff_ms) && range(c.patience), "clients", "ranges from the less to the more"),
             (
                 self.events.iter().all(known),
@@ -651,7 +711,7 @@
         let cold = self.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min);
         json!({
             "blend": {"whole": 0.6, "worst_class": 0.3, "worst_window": 0.1},
-            "costs": {"cross_zone": 0.0},
+            "costs": {"cross_zone": self.cross_zone},
             "customers": [],
             "discovery": if self.discovery.asked { "subscribe" } else { "automatic" },
             "granularity_us": 4000,
@@ -700,5 +760,13 @@
         assert!(told("[[events]]\nat_s = 1.0\ndo = \"crash\"\nnode = 99\n").starts_with("events: expected"));
         assert!(told("[[events]]\nat_s = 1.0\ndo = \"explode\"\n").contains("explode"));
         assert!(told("[clients]\nhonour = 2.0\n").starts_with("clients: expected"));
+        assert!(told("[clients]\nuneven = [0.0]\n").starts_with("clients.uneven: expected"));
+        let network =
+            "[[events]]\nat_s = 1.0\ndo = \"network\"\nfor_s = 2.0\nlinks = { parts = [0, 1, 1] }\n";
+        assert!(told(network).starts_with("events: expected"), "they know nothing of one another");
+        let sound = Scenario::parse(&format!("peers = true\n{network}")).expect("sound");
+        assert!(matches!(&sound.events[0].what, What::Network { links, .. } if links.parts == [0, 1, 1]));
+        let text = toml::to_string(&sound).expect("as text");
+        assert_eq!(Scenario::parse(&text).expect("sound"), sound, "what is saved replays");
     }
 }
--- a/crates/gaugesaddle-testbed/src/world.rs
+++ b/crates/gaugesaddle-testbed/src/world.rs
@@ -3,6 +3,7 @@
 use crate::agent::{Agent, Line};
 use crate::audit::{audit, mean_work_us, Verdict};
 use crate::clients::Clients;
+use crate::datagrams::Datagrams;
 use crate::dice::{mix, Dice};
 use crate::faulty::{Fault, Faulty};
 use crate::lease::Lease;
@@ -12,10 +13,11 @@
 use crate::record::{Boot, Event, Journal, Record, Standing};
 use crate::regions::Joined;
 use crate::relay::Relay;
-use crate::scenario::{hall, Kind, Scenario};
+use crate::scenario::{hall, Kind, Scenario, What};
+use crate::tier::{self, TierVerdict};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -31,6 +33,9 @@
 /// The fleet is looked at this often, for those who watch.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// Where a proxy takes the others' datagrams, on its address.
+const PEER_PORT: u16 = 7946;
+
 /// What stands where the proxies stand.
 #[derive(Clone, Debug)]
 pub enum Cast {
@@ -51,6 +56,17 @@
     /// 99 in 100 first tries began no later than this after their planned time, in microseconds: how late this
     /// process itself was.
     pub late_p99_us: u64,
+    /// What the proxies held of one another, where they know one another.
+    pub tier: Option<TierVerdict>,
+    /// Datagrams and bytes that each proxy sent to the others.
+    pub datagrams: Vec<(u64, u64)>,
+}
+
+impl Outcome {
+    /// No rule of either kind was broken, and there was enough to see it by.
+    pub fn is_clean(&self) -> bool {
+        self.verdict.is_clean() && self.tier.as_ref().is_none_or(TierVerdict::is_clean)
+    }
 }
 
 /// A look at a run under way.
@@ -71,12 +87,31 @@
     s.check().map_err(io::Error::other)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    let (records, dropped, logs, late_p99_us) = local.block_on(&runtime, async {
+    let played = local.block_on(&runtime, async {
         let world = World::build(s, cast).await?;
         world.play(look).await
     })?;
+    let Played { records, dropped, logs, late_p99_us, start, end, datagrams } = played;
     let verdict = audit(s, &records, dropped);
-    Ok(Outcome { records, verdict, logs, late_p99_us })
+    let tier = s.peers.then(|| {
+        let timed = |lines: &Vec<String>| lines.iter().filter_map(|l| tier::timed(l, start)).collect();
+        let logs: Vec<Vec<(u64, String)>> = logs.iter().map(timed).collect();
+        tier::judge(s.proxies, &tier::facts(&records), &logs, end)
+    });
+    Ok(Outcome { records, verdict, logs, late_p99_us, tier, datagrams })
+}
+
+/// What a run leaves behind.
+struct Played {
+    records: Vec<Record>,
+    dropped: u64,
+    logs: Vec<Vec<String>>,
+    late_p99_us: u64,
+    /// In Unix microseconds.
+    start: u64,
+    /// From the start, before the proxies were told to end.
+    end: u64,
+    datagrams: Vec<(u64, u64)>,
 }
 
 enum Actor {
@@ -114,6 +149,8 @@
     logs: RefCell<Vec<Vec<String>>>,
     /// Where there are regions that know one another.
     joined: Option<Joined>,
+    /// Where there are proxies that do.
+    datagrams: Option<Datagrams>,
 }
 
 impl Drop for World {
@@ -163,8 +200,11 @@
             true => Some(Joined::new(s, &lease, &folder).await?),
             false => None,
         };
+        let listens: Vec<SocketAddr> = (0..s.proxies).map(|p| peer_listen(&lease, p)).collect();
+        let datagrams = s.peers.then(|| Datagrams::start(&listens, lease.peer().ip(), s.seed)).transpose()?;
         let world = Rc::new(World {
             joined,
+            datagrams,
             cast: cast.clone(),
             plan,
             journal,
@@ -186,11 +226,13 @@
         for place in 0..count {
             world.start_node(place, false).await?;
         }
-        for proxy in 0..world.s.proxies {
-            world.start_proxy(proxy).await?;
+        let joins = |p: &usize| s.events.iter().any(|e| e.what == What::JoinProxy { proxy: *p });
+        let first: Vec<usize> = (0..s.proxies).filter(|p| !joins(p)).collect();
+        for proxy in &first {
+            world.start_proxy(*proxy).await?;
         }
-        for proxy in 0..world.s.proxies {
-            world.until_ready(proxy).await?;
+        for proxy in &first {
+            world.until_ready(*proxy).await?;
         }
         Ok(world)
     }
@@ -275,7 +317,31 @@
         })
     }
 
+    /// The operator's file of a proxy, where anything is to be said.
+    fn file(&self, proxy: usize) -> io::Result<Option<PathBuf>> {
+        let mut text = self.joined.as_ref().map(|j| j.section(proxy)).unwrap_or_default();
+        if let Some(datagrams) = &self.datagrams {
+            let addresses = datagrams.addresses();
+            let all: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
+            text += &format!(
+                "[peers]\nenabled = true\nlisten = \"{}\"\nown = \"{}\"\naddresses = [{}]\n",
+                peer_listen(&self.lease, proxy),
+                addresses[proxy],
+                all.join(", ")
+            );
+        }
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let file = self.folder.join(format!("p{proxy}.toml"));
+        std::fs::write(&file, text)?;
+        Ok(Some(file))
+    }
+
     async fn start_proxy(&self, proxy: usize) -> io::Result<()> {
+        if self.proxies.borrow()[proxy].is_some() {
+            return Ok(()); // it runs
+        }
         self.starts.set(self.starts.get() + 1);
         self.journal.put(Event::ProxyUp { proxy });
         let agent = &self.agents[proxy];
@@ -283,8 +349,8 @@
             Cast::Program(program) => {
                 let config = self.config(proxy, &agent.known());
                 let mut program = program.clone();
-                if let Some(joined) = &self.joined {
-                    program.arguments.extend(["--config".into(), joined.file(proxy)?.display().to_string()]);
+                if let Some(file) = self.file(proxy)? {
+                    program.arguments.extend(["--config".into(), file.display().to_string()]);
                 }
                 Actor::Process(Process::start(&program, &self.folder, &format!("p{proxy}"), &config)?)
             }
@@ -321,9 +387,7 @@
         Err(io::Error::other(format!("proxy {proxy} did not become ready: {log}")))
     }
 
-    async fn play(
-        self: Rc<Self>, look: &mut dyn FnMut(&Live),
-    ) -> io::Result<(Vec<Record>, u64, Vec<Vec<String>>, u64)> {
+    async fn play(self: Rc<Self>, look: &mut dyn FnMut(&Live)) -> io::Result<Played> {
         let addresses: Vec<SocketAddr> = (0..self.s.proxies).map(|p| self.lease.proxy(p)).collect();
         let fleet = self.fleet.clone();
         let tell = move |id: u64, ask: &Ask| {
@@ -369,12 +433,15 @@
         // What was sent late would come now; and the auditor wants to see that nothing does.
         tokio::time::sleep(Duration::from_millis(1200)).await;
         look(&self.live(start, &mut seen));
+        let end = self.journal.now();
+        let datagrams = self.datagrams.as_ref().map(Datagrams::sent).unwrap_or_default();
         self.end().await;
         let (records, dropped) = self.journal.take();
         let mut late = late.take();
         late.sort_unstable();
-        let late_p99 = late.get(late.len() * 99 / 100).copied().unwrap_or(0);
-        Ok((records, dropped, self.logs.take(), late_p99))
+        let late_p99_us = late.get(late.len() * 99 / 100).copied().unwrap_or(0);
+        let (logs, start) = (self.logs.take(), self.journal.start_unix_us());
+        Ok(Played { records, dropped, logs, late_p99_us, start, end, datagrams })
     }
 
     fn live(&self, start: u64, seen: &mut usize) -> Live {
@@ -510,6 +577,20 @@
                     self.states.borrow_mut()[proxy] = if stop { "stopped" } else { "up" };
                 }
             }
+            Step::ProxyLeave(proxy) => {
+                tokio::task::spawn_local(async move { self.end_proxy(proxy).await });
+            }
+            Step::Network(links) => {
+                // Written down before it is so where it gets worse, and after where it gets better.
+                let worse = !links.calm();
+                if worse {
+                    self.journal.put(Event::Network { links: links.clone() });
+                }
+                self.datagrams.iter().for_each(|d| d.set(links.clone()));
+                if !worse {
+                    self.journal.put(Event::Network { links });
+                }
+            }
             Step::ProxyRestart(proxy) => {
                 tokio::task::spawn_local(async move {
                     self.end_proxy(proxy).await;
@@ -554,6 +635,9 @@
 
     /// SIGTERM, time to finish, and SIGKILL where that was not enough.
     async fn end_proxy(&self, proxy: usize) {
+        if self.proxies.borrow()[proxy].is_none() {
+            return;
+        }
         self.states.borrow_mut()[proxy] = "ending";
         self.journal.put(Event::ProxyTerminated { proxy });
         match &self.proxies.borrow()[proxy] {
@@ -585,20 +669,26 @@
         self.states.borrow_mut()[proxy] = "down";
     }
 
-    async fn end(&self) {
-        let up: HashSet<usize> =
-            (0..self.s.proxies).filter(|p| self.proxies.borrow()[*p].is_some()).collect();
+    async fn end(self: &Rc<Self>) {
+        let up: Vec<usize> = (0..self.s.proxies).filter(|p| self.proxies.borrow()[*p].is_some()).collect();
+        let mut ending = tokio::task::JoinSet::new();
         for proxy in up {
-            let stopped = self.states.borrow()[proxy] == "stopped";
-            if stopped {
+            if self.states.borrow()[proxy] == "stopped" {
                 self.kill_proxy(proxy);
             } else {
-                self.end_proxy(proxy).await;
+                let world = self.clone();
+                ending.spawn_local(async move { world.end_proxy(proxy).await });
             }
         }
+        while ending.join_next().await.is_some() {}
     }
 }
 
+/// Where a proxy takes the others' datagrams.
+fn peer_listen(lease: &Lease, proxy: usize) -> SocketAddr {
+    SocketAddr::new(lease.proxy(proxy).ip(), PEER_PORT)
+}
+
 /// Whether a proxy says that it is ready.
 async fn ready(address: SocketAddr) -> bool {
     let ask = async {
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -214,15 +214,7 @@
                         self.unsent.set(self.unsent.get() + 1); // as good as lost on its way
                     }
                 }
-                Output::Moved(t) => tracing::info!(
-                    "peers: {} is {} after {}, boot {:08x}, incarnation {}: {}",
-                    t.place,
-                    t.to.name(),
-                    t.from.name(),
-                    t.boot.0,
-                    t.incarnation,
-                    t.why
-                ),
+                Output::Moved(transition) => tracing::info!("peers: {transition}"),
                 Output::Contested { place } => {
                     tracing::warn!("peers: two processes claim place {place}");
                 }
