Meet a newcomer through others where the way to it is cut, and don't bury whom one still hears

Change: a question out of turn that stayed unanswered is put through another as well; a death by hearsay of one heard within the least suspicion is a suspicion.

--- a/crates/gaugesaddle-peers/src/asking.rs
+++ b/crates/gaugesaddle-peers/src/asking.rs
@@ -60,13 +60,38 @@
         nonce
     }
 
-    /// Asks out of turn: a boot that was not met, or one that may object. Not more often than answers take.
+    /// Asks out of turn: a boot that was not met, or one that may object. Not more often than answers take. Where an
+    /// earlier question has had no answer somebody else is asked to ask, too: the way there or back may be cut.
     pub(crate) fn challenge(&mut self, now: Time, place: u16, out: &mut Vec<Output>) {
-        if self.members[usize::from(place)].asked.is_none_or(|at| now - at >= self.settings.answer) {
-            self.ask(now, place, &[], out);
+        let member = &self.members[usize::from(place)];
+        if member.asked.is_some_and(|at| now - at < self.settings.answer) {
+            return;
+        }
+        let unanswered = !member.open.is_empty();
+        let nonce = self.ask(now, place, &[], out);
+        if unanswered {
+            self.plead_with(now, 1, place, nonce, out);
         }
     }
 
+    /// Asks some others to ask one; how many.
+    fn plead_with(
+        &mut self, now: Time, most: usize, target: u16, nonce: u32, out: &mut Vec<Output>,
+    ) -> usize {
+        let mut helpers = self.others(|s| s == Standing::Alive);
+        helpers.retain(|p| *p != target);
+        self.shuffle(&mut helpers);
+        helpers.truncate(most);
+        let claim = self.members[usize::from(target)].held.claim();
+        for helper in &helpers {
+            let mut draft = self.draft(*helper);
+            draft.push(&Section::AskFor { target, nonce, claim });
+            self.add_rumors(now, &mut draft);
+            self.send(*helper, draft, out);
+        }
+        helpers.len()
+    }
+
     /// A fresh answer to one of the open questions, directly or through another.
     pub(crate) fn answered(&mut self, now: Time, place: u16, nonce: u32) -> bool {
         if !self.member(place).answers(nonce) {
@@ -87,20 +112,9 @@
         else {
             return;
         };
-        let mut helpers = self.others(|s| s == Standing::Alive);
-        helpers.retain(|p| *p != target);
-        self.shuffle(&mut helpers);
-        helpers.truncate(self.settings.indirect as usize);
-        let claim = self.members[usize::from(target)].held.claim();
+        let helpers = self.plead_with(now, self.settings.indirect as usize, target, nonce, out);
         if let Some(probe) = &mut self.probe {
-            probe.pleaded = true;
-            probe.helpers = helpers.len();
-        }
-        for helper in helpers {
-            let mut draft = self.draft(helper);
-            draft.push(&Section::AskFor { target, nonce, claim });
-            self.add_rumors(now, &mut draft);
-            self.send(helper, draft, out);
+            (probe.pleaded, probe.helpers) = (true, helpers);
         }
         self.put_again(target, nonce, out);
     }
--- a/crates/gaugesaddle-peers/src/hearing.rs
+++ b/crates/gaugesaddle-peers/src/hearing.rs
@@ -170,7 +170,15 @@
         if !self.other(subject) {
             return;
         }
-        let held = self.members[usize::from(subject)].held.claim();
+        let member = &self.members[usize::from(subject)];
+        // Who was heard here since it can have been found dead there was cut off from them, not dead: it is asked.
+        let since = self.settings.suspect_least;
+        let here = member.held.boot() == Some(claim.boot) && member.heard.is_some_and(|at| now - at < since);
+        let claim = match claim.standing {
+            Standing::Dead if here => Claim { standing: Standing::Suspect, ..claim },
+            _ => claim,
+        };
+        let held = member.held.claim();
         if held == Some(claim) && claim.standing == Standing::Suspect {
             return self.confirm(subject, claim, by);
         }
--- a/crates/gaugesaddle-testbed/src/hunt.rs
+++ b/crates/gaugesaddle-testbed/src/hunt.rs
@@ -24,6 +24,8 @@
 const QUIET_S: f64 = 2.0;
 /// A finding is played so often again: one that shows in none of these is told, and not made smaller.
 const AGAIN: usize = 2;
+/// Runs whose first mistake is told.
+const SHOWN: usize = 20;
 
 /// What came of it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,6 +38,8 @@
     pub faults: u64,
     /// Times that a living process was wrongly held dead for a while.
     pub false_deaths: u64,
+    /// The first of each run with such.
+    pub mistakes: Vec<String>,
     /// Findings that did not show again.
     pub once: Vec<String>,
     /// Scenarios of those that did.
@@ -44,6 +48,7 @@
 
 impl fmt::Display for Hunted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.mistakes.iter().try_for_each(|what| writeln!(f, "held dead for a while: {what}"))?;
         self.once.iter().try_for_each(|what| writeln!(f, "seen once, not again: {what}"))?;
         self.saved.iter().try_for_each(|path| writeln!(f, "FOUND: {}", path.display()))?;
         write!(
@@ -161,7 +166,15 @@
     count.runs += 1;
     count.proxies += s.proxies as u64;
     count.faults += s.events.len() as u64;
-    count.false_deaths += outcome.tier.as_ref().map_or(0, |t| t.false_deaths);
+    if let Some(tier) = &outcome.tier {
+        count.false_deaths += tier.false_deaths;
+        if let Some(m) = tier.mistakes.first().filter(|_| count.mistakes.len() < SHOWN) {
+            let ((viewer, of), at) = (m.pair, m.at as f64 / 1e6);
+            let text =
+                format!("{}: {} times, at {at:.2} s {viewer} of {of}: {}", s.name, tier.false_deaths, m.what);
+            count.mistakes.push(text);
+        }
+    }
     if outcome.is_clean() {
         return Ok(None);
     }
--- a/crates/gaugesaddle-testbed/src/tier.rs
+++ b/crates/gaugesaddle-testbed/src/tier.rs
@@ -20,6 +20,8 @@
 pub const KNOWN_US: u64 = 6_000_000;
 /// What a real process takes for a turn, and its log for a line, on a machine that does other things as well.
 pub const SLACK_US: u64 = 500_000;
+/// See [`TierVerdict::false_deaths`].
+const LATELY_US: u64 = 1_000_000;
 /// Findings that are kept; the rest only counts.
 const SHOWN: usize = 50;
 
@@ -83,8 +85,10 @@
     pub start_known: Vec<u64>,
     /// From each change after which all can be reached to the last one's holding all alive; heals and wakes.
     pub agreed: Vec<u64>,
-    /// Times that one was called dead who lived and could be reached.
+    /// Times that one was called dead who lived and could be reached all the last second.
     pub false_deaths: u64,
+    /// The first of them: when, who, of whom, and why.
+    pub mistakes: Vec<Found>,
     /// Pairs that were judged at all, in seconds.
     pub judged_s: f64,
 }
@@ -120,6 +124,10 @@
                 found.what
             )?;
         }
+        for m in self.mistakes.iter().take(5) {
+            let (viewer, of) = m.pair;
+            writeln!(f, "{:9.3} s  for a while {viewer} held {of} dead: {}", m.at as f64 / 1e6, m.what)?;
+        }
         let total: usize = self.counts.values().sum();
         if total > 5 {
             writeln!(f, "... and {} findings more", total - 5)?;
@@ -164,6 +172,7 @@
     place: usize,
     state: String,
     boot: u32,
+    why: String,
 }
 
 fn number(hex: &str) -> Option<u32> {
@@ -185,7 +194,9 @@
     let mut words = rest.split(' ');
     let place = words.next()?.parse().ok()?;
     let state = words.nth(1).filter(|_| rest.contains(" is "))?.to_string();
-    Some(Said { at, place, state, boot: number(rest.split("boot ").nth(1)?.split(' ').next()?)? })
+    let boot = number(rest.split("boot ").nth(1)?.split(' ').next()?)?;
+    let why = rest.rsplit_once(": ").map_or("", |r| r.1).to_string();
+    Some(Said { at, place, state, boot, why })
 }
 
 struct Judge {
@@ -277,6 +288,14 @@
         sure && links.connected(a, b, |k| self.runs(k, at), self.places)
     }
 
+    /// Both run, and reached each other all the last second: what was thought of one while it was cut off, and is said
+    /// as the cut heals, was right when it was thought.
+    fn reached_for(&self, a: usize, b: usize, at: u64) -> bool {
+        let since = at.saturating_sub(LATELY_US);
+        let changes = self.moments.iter().copied().filter(|m| (since..=at).contains(m));
+        changes.chain([since]).all(|at| self.runs(a, at) && self.runs(b, at) && self.reach(a, b, at))
+    }
+
     /// The one has a network at all that tells it of deaths.
     fn informed(&self, place: usize, at: u64) -> bool {
         self.runs(place, at) && self.links(at).calm()
@@ -360,10 +379,13 @@
         views.push((s.at, lives.then_some(s.boot)));
         views.sort_by_key(|v| v.0);
         let there = judge.life(place, s.at).filter(|l| l.boot == s.boot);
-        let reached =
-            judge.runs(viewer, s.at) && !judge.paused(place, s.at) && judge.reach(viewer, place, s.at);
+        let reached = judge.reached_for(viewer, place, s.at);
         if s.state == "dead" && before.is_some() && there.is_some() && reached {
             verdict.false_deaths += 1;
+            if verdict.mistakes.len() < SHOWN {
+                let what = s.why.clone();
+                verdict.mistakes.push(Found { wrong: Wrong::NotSeen, at: s.at, pair: who, what });
+            }
         }
     }
     seen(judge, who, &views, verdict);
