--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -10,6 +10,7 @@
 mod region;
 mod relay;
 mod rig;
+mod tier;
 
 use clap::{Parser, Subcommand};
 use serde_json::Value;
@@ -72,6 +73,25 @@
         #[arg(long, default_value_t = 1)]
         lanes: usize,
     },
+    /// Proxies that know one another: times to know of deaths, returns and heals, false deaths, what it costs, a hunt for
+    /// combinations of faults; as processes, and in virtual time beside the library foca.
+    Tier {
+        /// Kills in each tier of 3, 10 and 30 processes.
+        #[arg(long, default_value_t = 30)]
+        kills: usize,
+        /// Minutes in which nobody dies, idle and loaded.
+        #[arg(long, default_value_t = 10.0)]
+        minutes: f64,
+        /// Seconds of the hunt.
+        #[arg(long, default_value_t = 120.0)]
+        hunt: f64,
+        /// Pairs of runs with and without peers.
+        #[arg(long, default_value_t = 5)]
+        pairs: usize,
+        /// Runs of the hunt side by side.
+        #[arg(long, default_value_t = 2)]
+        lanes: usize,
+    },
     /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
     Testbed,
     /// The bare relay itself, as a process of its own; `relay` starts it.
@@ -94,6 +114,13 @@
         Command::Region { seeds, scenarios, keys, lanes } => {
             region::measure(seeds, scenarios, keys, lanes.max(1))
         }
+        Command::Tier { kills, minutes, hunt, pairs, lanes } => tier::measure(&tier::Extent {
+            kills: kills.max(1),
+            minutes: minutes.clamp(0.1, 60.0),
+            hunt_s: hunt.clamp(1.0, 3600.0),
+            pairs: pairs.max(1),
+            lanes: lanes.clamp(1, 64),
+        }),
         Command::Testbed => rig::measure(),
         Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
     };
--- /dev/null
+++ b/crates/gaugesaddle-measure/src/tier/mod.rs
@@ -0,0 +1,284 @@
+//! Proxies that know one another: how soon they know of a death, of a return, and agree after a heal; whom they wrongly
+//! hold dead; what it costs; whether combinations of faults or strange datagrams break it. Processes and virtual time,
+//! the latter beside the library foca under the same scripts and draws.
+
+mod foca;
+
+use crate::proc::children_cpu_seconds;
+use gaugesaddle_model::strange::strange;
+use gaugesaddle_model::tier::{play, Kind, Known, Links, Report, Step};
+use gaugesaddle_testbed::scenario::{Clients, Kind as Nodes};
+use gaugesaddle_testbed::tier::quantile;
+use gaugesaddle_testbed::{hunt, program, run, Cast, Event, Outcome, Program, Scenario, What};
+use serde_json::{json, Value};
+use std::io;
+use std::time::Duration;
+
+const S: u64 = 1_000_000;
+/// Bounds of the issue: a death is known within these (95%, all), all agree after a heal within that.
+const KNOWN_S: f64 = 3.0;
+const KNOWN_WORST_S: f64 = 6.0;
+const AGREED_S: f64 = 3.0;
+/// What a proxy of 300 sends, in bytes a second.
+const BYTES_AT_300: u64 = 16_000;
+/// p99 of votes with peers on against off.
+const VOTES: f64 = 1.1;
+/// Datagrams of any content.
+const STRANGE: u64 = 100_000;
+
+/// What is asked for.
+pub struct Extent {
+    pub kills: usize,
+    pub minutes: f64,
+    pub hunt_s: f64,
+    pub pairs: usize,
+    pub lanes: usize,
+}
+
+fn secs(us: u64) -> f64 {
+    (us as f64 / 1e4).round() / 100.0
+}
+
+fn times(all: &[u64]) -> Value {
+    json!({"n": all.len(), "p50_s": secs(quantile(all, 0.5)), "p95_s": secs(quantile(all, 0.95)),
+           "worst_s": secs(quantile(all, 1.0))})
+}
+
+fn in_time(all: &[u64]) -> bool {
+    !all.is_empty() && secs(quantile(all, 0.95)) <= KNOWN_S && secs(quantile(all, 1.0)) <= KNOWN_WORST_S
+}
+
+fn started(places: usize, rest: Vec<(u64, Step)>) -> Vec<(u64, Step)> {
+    let mut script: Vec<_> = (0..places).map(|p| (p as u64 * S / places as u64, Step::Start(p))).collect();
+    script.extend(rest);
+    script
+}
+
+/// A case of virtual time: its name, what happens after the start, and until when.
+type Case = (&'static str, Vec<(u64, Step)>, u64);
+
+fn cases(n: usize) -> Vec<Case> {
+    let kills = n.min(30) / 3 * 2;
+    let one_by_one = (0..kills).map(|k| (5 * S + k as u64 * S / 10, Step::Kill(k * n / kills))).collect();
+    let half = (0..n / 2).map(|p| (5 * S, Step::Kill(p))).collect();
+    let parts = |k: usize| Links { parts: (0..n).map(|p| (p % k) as u8).collect(), ..Links::default() };
+    let healed = (15 * S, Step::Links(Links::default()));
+    let loss = |part: f64| Links { loss: part, ..Links::default() };
+    vec![
+        ("killed one by one", one_by_one, 13 * S),
+        ("half killed at once", half, 12 * S),
+        ("halves, healed", vec![(5 * S, Step::Links(parts(2))), healed.clone()], 20 * S),
+        ("30% lost", vec![(5 * S, Step::Links(loss(0.3))), healed.clone()], 20 * S),
+        ("50% lost", vec![(5 * S, Step::Links(loss(0.5))), healed.clone()], 20 * S),
+        ("stopped 4 s", vec![(5 * S, Step::Pause(1)), (9 * S, Step::Resume(1))], 14 * S),
+    ]
+}
+
+fn told(report: &Report, settles: bool) -> Value {
+    json!({"death_known": times(&report.death_known), "start_known": times(&report.start_known),
+           "settled_after_s": settles.then(|| secs(report.settled_after)), "false_deaths": report.false_deaths,
+           "longest_false_s": secs(report.longest_false), "unsettled": report.unsettled.len(),
+           "went_back": report.went_back.len()})
+}
+
+/// Bytes and datagrams a second of each process when nothing happens: the most of any.
+fn peace(kind: &dyn Kind, n: usize) -> (u64, u64) {
+    let end = |s: u64| play(kind, n, &started(n, Vec::new()), s * S, 1).sent;
+    let (early, late) = (end(5), end(8));
+    let most = early.iter().zip(&late).map(|(a, b)| ((b.1 - a.1) / 3, (b.0 - a.0) / 3));
+    most.fold((0, 0), |m, x| (m.0.max(x.0), m.1.max(x.1)))
+}
+
+fn virtual_time() -> (Value, bool) {
+    let (mut figures, mut held) = (serde_json::Map::new(), true);
+    for n in [30, 300] {
+        let mut of = serde_json::Map::new();
+        for (name, script, end) in cases(n) {
+            let script = started(n, script);
+            let report = play(&Known::default(), n, &script, end, 1);
+            let deaths = report.death_known.is_empty() || in_time(&report.death_known);
+            held &= deaths && report.went_back.is_empty() && report.unsettled.is_empty();
+            held &= report.settled_after as f64 <= AGREED_S * S as f64 || !report.death_known.is_empty();
+            held &= name.contains("lost") || report.false_deaths == 0;
+            let theirs: Vec<Value> = [800, 2400]
+                .into_iter()
+                .map(|ms| {
+                    let library = foca::Library::new(Duration::from_millis(ms));
+                    let report = play(&library, n, &script, end, 1);
+                    json!({"suspect_ms": ms, "figures": told(&report, true)})
+                })
+                .collect();
+            println!("{n} in virtual time, {name}: {}", told(&report, true));
+            theirs.iter().for_each(|t| println!("    foca: {t}"));
+            of.insert(name.into(), json!({"peers": told(&report, true), "foca": theirs}));
+        }
+        let ((bytes, datagrams), library) =
+            (peace(&Known::default(), n), peace(&foca::Library::new(Duration::from_millis(2400)), n));
+        held &= n != 300 || bytes < BYTES_AT_300;
+        println!("{n} at peace: {bytes} bytes and {datagrams} datagrams a second with records; foca {library:?} without");
+        of.insert(
+            "peace".into(),
+            json!({"bytes_per_s": bytes, "datagrams_per_s": datagrams, "foca_bytes_per_s": library.0}),
+        );
+        figures.insert(n.to_string(), Value::Object(of));
+    }
+    let kills = (0..10).map(|k| (4 * S, Step::Kill(k * 97))).collect();
+    let report = play(&Known::default(), 1000, &started(1000, kills), 10 * S, 1);
+    held &= in_time(&report.death_known) && report.false_deaths == 0 && report.went_back.is_empty();
+    println!("1000 in virtual time, ten killed at once: {}", told(&report, true));
+    figures.insert("1000".into(), told(&report, true));
+    (Value::Object(figures), held)
+}
+
+fn play_real(s: &Scenario) -> io::Result<Outcome> {
+    let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
+    run(s, &Cast::Program(program), &mut |_| {})
+}
+
+fn base(proxies: usize, per_s: f64, seconds: f64) -> Scenario {
+    let clients = Clients { per_s, leaving: 0.0, asking_once: 0.0, ..Clients::default() };
+    Scenario { proxies, peers: true, seconds, clients, ..Scenario::default() }
+}
+
+/// Kills with returns, then cuts with heals.
+fn deaths(proxies: usize, kills: usize) -> Scenario {
+    let (each, heals) = (6.0, 5);
+    let end = 3.0 + each * kills as f64;
+    let s = base(proxies, 5.0, end + 8.0 * f64::from(heals) + 8.0).named(&format!("{proxies} proxies"));
+    let s = (0..kills).fold(s, |s, k| {
+        s.event(3.0 + each * k as f64, What::KillProxy { proxy: k % proxies, back_after_s: 3.0 })
+    });
+    (0..heals).fold(s, |s, n| {
+        let links = Links { parts: (0..proxies).map(|p| (p % 2) as u8).collect(), ..Links::default() };
+        s.event(end + 8.0 * f64::from(n), What::Network { links, halls: Vec::new(), for_s: 4.0 })
+    })
+}
+
+fn side_by_side(all: &[Scenario]) -> io::Result<Vec<Outcome>> {
+    std::thread::scope(|scope| {
+        let runs: Vec<_> = all.iter().map(|s| scope.spawn(move || play_real(s))).collect();
+        let joined = |r: std::thread::ScopedJoinHandle<'_, io::Result<Outcome>>| {
+            r.join().unwrap_or_else(|_| Err(io::Error::other("a run panicked")))
+        };
+        runs.into_iter().map(joined).collect()
+    })
+}
+
+fn processes(kills: usize) -> io::Result<(Value, bool)> {
+    let all = [3, 10, 30].map(|n| deaths(n, kills));
+    let (mut figures, mut held) = (serde_json::Map::new(), true);
+    for (s, outcome) in all.iter().zip(side_by_side(&all)?) {
+        let Some(tier) = &outcome.tier else { continue };
+        let agreed = quantile(&tier.agreed, 1.0);
+        let sound = outcome.is_clean() && in_time(&tier.death_known) && secs(agreed) <= AGREED_S;
+        held &= sound && tier.false_deaths == 0;
+        let told = json!({"death_known": times(&tier.death_known), "return_known": times(&tier.start_known),
+            "agreed_after_heal": times(&tier.agreed), "false_deaths": tier.false_deaths, "clean": outcome.is_clean()});
+        println!("{} as processes: {told}", s.name);
+        if !outcome.is_clean() {
+            println!("{}{tier}", outcome.verdict);
+        }
+        figures.insert(s.proxies.to_string(), told);
+    }
+    Ok((Value::Object(figures), held))
+}
+
+/// Nobody dies for so long: with few requests, and near all that the nodes can do.
+fn peaceful(minutes: f64) -> io::Result<(Value, bool)> {
+    let seconds = minutes * 60.0;
+    let all = [base(10, 5.0, seconds).named("idle"), base(10, 260.0, seconds).named("loaded")];
+    let (mut figures, mut held) = (serde_json::Map::new(), true);
+    for (s, outcome) in all.iter().zip(side_by_side(&all)?) {
+        let Some(tier) = &outcome.tier else { continue };
+        let per_s = |pick: fn(&(u64, u64)) -> u64| {
+            outcome.datagrams.iter().map(pick).max().unwrap_or(0) as f64 / (s.seconds + 3.0)
+        };
+        held &= outcome.is_clean() && tier.false_deaths == 0;
+        let told = json!({"minutes": minutes, "false_deaths": tier.false_deaths, "clean": outcome.is_clean(),
+            "datagrams_per_s": per_s(|d| d.0).round(), "bytes_per_s": per_s(|d| d.1).round(), "g": outcome.verdict.g});
+        println!("10 proxies, {}: {told}", s.name);
+        if !outcome.is_clean() || tier.false_deaths > 0 {
+            println!("{}{tier}", outcome.verdict);
+        }
+        figures.insert(s.name.clone(), told);
+    }
+    Ok((Value::Object(figures), held))
+}
+
+/// CPU of a proxy of 30 for its peers, in thousandths of a core: the same run with and without them.
+fn cpu() -> io::Result<Value> {
+    let spent = |peers: bool| -> io::Result<f64> {
+        let before = children_cpu_seconds()?;
+        play_real(&Scenario { peers, ..base(30, 5.0, 20.0) })?;
+        Ok(children_cpu_seconds()? - before)
+    };
+    let (off, on) = (spent(false)?, spent(true)?);
+    let each = (on - off) / 30.0 / 20.0 * 1000.0;
+    println!("30 proxies for 20 s: {off:.2} s of CPU without peers, {on:.2} s with: {each:.2} thousandths of a core each");
+    Ok(
+        json!({"off_cpu_s": off, "on_cpu_s": on, "thousandths_of_a_core_each": (each * 100.0).round() / 100.0}),
+    )
+}
+
+fn votes_p99(outcome: &Outcome, class: usize) -> u64 {
+    let mut asked = std::collections::HashMap::new();
+    let mut took = Vec::new();
+    for r in &outcome.records {
+        match &r.event {
+            Event::Asked { id, class: c, .. } if *c == class => _ = asked.insert(*id, r.at),
+            Event::Answered { id, status: 200, .. } => took.extend(asked.remove(id).map(|at| r.at - at)),
+            _ => {}
+        }
+    }
+    quantile(&took, 0.99)
+}
+
+fn votes(pairs: usize) -> io::Result<(Value, bool)> {
+    let mut p99 = [Vec::new(), Vec::new()];
+    for pair in 0..pairs {
+        for on in [pair % 2 == 0, pair % 2 == 1] {
+            let kinds = vec![Nodes { name: "n".into(), count: 12, speed: 1.5, ..Nodes::default() }];
+            let s = Scenario { peers: on, kinds, ..base(6, 250.0, 12.0) }.seed(50 + pair as u64);
+            let class = s.classes.iter().position(|c| c.name == "vote").unwrap_or(0);
+            p99[usize::from(on)].push(votes_p99(&play_real(&s)?, class));
+        }
+    }
+    let middle = |all: &[u64]| quantile(all, 0.5);
+    let (off, on) = (middle(&p99[0]), middle(&p99[1]));
+    let ratio = on as f64 / off.max(1) as f64;
+    println!("p99 of votes, middle of {pairs} runs: {off} us without peers, {on} us with: {ratio:.3}");
+    Ok((json!({"off_us": off, "on_us": on, "ratio": (ratio * 1000.0).round() / 1000.0}), ratio <= VOTES))
+}
+
+/// All of it.
+pub fn measure(extent: &Extent) -> io::Result<Value> {
+    let fuzz = strange(STRANGE, 1).map_err(io::Error::other);
+    let (strange, strange_held) = match &fuzz {
+        Ok(told) => (
+            json!({"tried": told.tried, "answered": told.answered, "garbled": told.counts.garbled,
+            "foreign": told.counts.foreign, "forged": told.counts.forged, "replayed": told.counts.replayed}),
+            true,
+        ),
+        Err(e) => (json!({"failed": e.to_string()}), false),
+    };
+    println!("strange datagrams: {strange}");
+    let (in_virtual, virtual_held) = virtual_time();
+    let (as_processes, processes_held) = processes(extent.kills)?;
+    let (votes, votes_held) = votes(extent.pairs)?;
+    let cpu = cpu()?;
+    let (peaceful, peaceful_held) = peaceful(extent.minutes)?;
+    let cast = Cast::Program(Program { path: program::built("gaugesaddle")?, arguments: Vec::new() });
+    let within = Duration::from_secs_f64(extent.hunt_s);
+    let hunted =
+        hunt::hunt(&cast, 11, within, extent.lanes, &std::env::temp_dir(), &|line| println!("{line}"))?;
+    println!("{hunted}");
+    let found = hunted.saved.len() + hunted.once.len();
+    let held = strange_held && virtual_held && processes_held && votes_held && peaceful_held && found == 0;
+    Ok(
+        json!({"virtual": in_virtual, "processes": as_processes, "votes_p99": votes, "cpu": cpu, "peace": peaceful,
+        "hunt": {"runs": hunted.runs, "proxies": hunted.proxies, "faults": hunted.faults, "findings": found,
+                 "false_deaths": hunted.false_deaths},
+        "strange": strange, "parts_held": {"strange": strange_held, "virtual": virtual_held,
+        "processes": processes_held, "votes": votes_held, "peace": peaceful_held, "hunt": found == 0}, "held": held}),
+    )
+}
--- a/crates/gaugesaddle-model/src/lib.rs
+++ b/crates/gaugesaddle-model/src/lib.rs
@@ -11,6 +11,7 @@
 //! end, crowds. Cold nodes never fall over here: the rules are the test bed's to judge. A hop takes [`HOP_US`].
 
 mod host;
+pub mod strange;
 pub mod tier;
 mod world;
 
--- /dev/null
+++ b/crates/gaugesaddle-model/tests/strange.rs
@@ -0,0 +1,13 @@
+//! Datagrams of any content come: nothing panics, nobody is believed without the key, and the good ones go on.
+
+use gaugesaddle_model::strange::strange;
+
+#[test]
+fn strange_datagrams_are_counted_and_change_nothing() {
+    for seed in 1..=3 {
+        let told = strange(6000, seed).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        assert_eq!(told.tried, 6000);
+        let c = told.counts;
+        assert!(c.garbled > 100 && c.foreign > 100 && c.forged > 100 && c.replayed > 50, "{c:?}");
+    }
+}
