--- a/crates/gaugesaddle-testbed/src/program.rs
+++ b/crates/gaugesaddle-testbed/src/program.rs
@@ -23,11 +23,17 @@
     folder.join(format!("{name}{}", std::env::consts::EXE_SUFFIX))
 }
 
-/// The same, brought up to date by cargo where this program was itself started by `cargo run`.
+/// The same, brought up to date by cargo where this program was itself started by `cargo run`. Cargo builds a package by
+/// itself with other features of the libraries than two together: who builds both before builds once.
 pub fn built(name: &str) -> std::io::Result<PathBuf> {
+    static BUILT: std::sync::Once = std::sync::Once::new();
+    if std::env::var_os("CARGO").is_some() {
+        let both = "cargo build --release -p gaugesaddle -p gaugesaddle-testbed";
+        BUILT.call_once(|| eprintln!("{name} is brought up to date by cargo; to build once: {both}"));
+    }
     if let Some(cargo) = std::env::var_os("CARGO") {
         let mut build = Command::new(cargo);
-        build.args(["build", "--quiet", "--locked", "--package", name]);
+        build.args(["build", "--locked", "--package", name]);
         if !cfg!(debug_assertions) {
             build.arg("--release");
         }
