--- /dev/null
+++ b/crates/gaugesaddle-shares/src/escrow.rs
@@ -0,0 +1,370 @@
+//! The hard law: an even part for each place, and loans of what is not needed.
+//!
+//! ```text
+//!  lender      set aside ------------------------------------- until -- rest -- its own again
+//!                 |  Grant                          Return -> (rest) -> its own again, sooner
+//!  borrower  Ask -+----> received -- rest -- usable ------- until
+//!             ^ the borrower's time counts from here, so that it is over first
+//! ```
+//!
+//! The borrower counts the term from its question, which lies before the grant, and less by a margin for clocks of
+//! unlike rates; so its time is over before the lender's. Between two owners lies a rest: the longest that a use lasts
+//! (for what is held), or the window over which a rate is counted. A process that starts has lent what its former one
+//! lent: it waits for a term and a rest. What is never lent it waits for a rest only.
+
+use beechworks::{Micros, Time};
+
+/// Loans that a process has given, and as many that it has taken.
+pub const MOST_LOANS: usize = 64;
+/// Clocks of two machines may differ in rate by one in so many; quartz does by one in ten thousand.
+const DRIFT: u64 = 64;
+
+/// A loan's name: the borrower's process and a number of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LoanId {
+    /// The borrower's process.
+    pub boot: u32,
+    /// New with each question of that process.
+    pub number: u32,
+}
+
+/// What is said of loans.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Word {
+    /// Please lend so many.
+    Ask {
+        /// Under this name.
+        id: LoanId,
+        /// How many.
+        units: u32,
+    },
+    /// So many are lent.
+    Grant {
+        /// The question's.
+        id: LoanId,
+        /// How many; none: not now.
+        units: u32,
+    },
+    /// They are not used any more.
+    Return {
+        /// Which.
+        id: LoanId,
+    },
+}
+
+/// A hard quantity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// What all places together may use.
+    pub whole: u32,
+    /// Places of the told list.
+    pub places: u16,
+    /// Of each even part so many hundredths are never lent.
+    pub kept_percent: u32,
+    /// A loan's time.
+    pub term: Micros,
+    /// Between two owners: how long a use lasts at most, or the window of a rate.
+    pub rest: Micros,
+}
+
+/// Terms that can't be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: expected {expected}")]
+pub struct Unsound {
+    /// Which.
+    pub field: &'static str,
+    /// What was expected.
+    pub expected: &'static str,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Given {
+    to: u16,
+    id: LoanId,
+    units: u32,
+    /// From then on they are the lender's own again, the rest included.
+    back: Time,
+    /// The name is known until then, so that a question that comes again is no new one.
+    known: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Taken {
+    from: u16,
+    id: LoanId,
+    units: u32,
+    since: Time,
+    until: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Asked {
+    to: u16,
+    id: LoanId,
+    at: Time,
+}
+
+/// One process's hold on a hard quantity.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Escrow {
+    terms: Terms,
+    place: u16,
+    boot: u32,
+    started: Time,
+    next: u32,
+    given: Vec<Given>,
+    taken: Vec<Taken>,
+    asked: Vec<Asked>,
+}
+
+impl Terms {
+    /// The first term that can't be.
+    pub fn check(&self) -> Result<(), Unsound> {
+        let tests = [
+            (self.places > 0, "places", "at least one"),
+            (self.kept_percent <= 100, "kept_percent", "0 to 100"),
+            (self.term.0 >= DRIFT, "term", "time for a loan"),
+        ];
+        match tests.into_iter().find(|t| !t.0) {
+            Some((_, field, expected)) => Err(Unsound { field, expected }),
+            None => Ok(()),
+        }
+    }
+
+    /// What a place is entitled to; all of them are the whole.
+    pub fn even(&self, place: u16) -> u32 {
+        let (places, place) = (u32::from(self.places), u32::from(place));
+        self.whole / places + u32::from(place < self.whole % places)
+    }
+
+    /// What of it is never lent.
+    pub fn kept(&self, place: u16) -> u32 {
+        (u64::from(self.even(place)) * u64::from(self.kept_percent)).div_ceil(100) as u32
+    }
+
+    /// The borrower's time: shorter than the lender's by what clocks may differ.
+    fn borrowed(&self) -> Micros {
+        Micros(self.term.0 - self.term.0.div_ceil(DRIFT))
+    }
+
+    /// A wait that is surely as long by another clock.
+    fn surely(&self, span: Micros) -> Micros {
+        Micros(span.0 + span.0.div_ceil(DRIFT))
+    }
+}
+
+impl Escrow {
+    /// A process that has just started at a place.
+    ///
+    /// # Errors
+    /// The first term that can't be.
+    pub fn new(terms: Terms, place: u16, boot: u32, now: Time) -> Result<Escrow, Unsound> {
+        terms.check()?;
+        if place >= terms.places {
+            return Err(Unsound { field: "place", expected: "one of the places" });
+        }
+        let (given, taken, asked) = (Vec::new(), Vec::new(), Vec::new());
+        Ok(Escrow { terms, place, boot, started: now, next: 0, given, taken, asked })
+    }
+
+    /// What may be used now, all of it at once.
+    pub fn usable(&self, now: Time) -> u32 {
+        let taken = self.taken.iter().filter(|t| t.since <= now && now < t.until);
+        self.own(now) + taken.map(|t| t.units).sum::<u32>()
+    }
+
+    /// What of its own even part is its own now.
+    fn own(&self, now: Time) -> u32 {
+        let (even, kept) = (self.terms.even(self.place), self.terms.kept(self.place));
+        if now < self.started + self.terms.surely(self.terms.rest) {
+            return 0; // a former process may still be at it
+        }
+        if now < self.started + self.terms.term + self.terms.surely(self.terms.rest) {
+            return kept; // a former process may have lent the rest of it
+        }
+        even - self.lent(now)
+    }
+
+    fn lent(&self, now: Time) -> u32 {
+        self.given.iter().filter(|g| now < g.back).map(|g| g.units).sum()
+    }
+
+    /// What is lent to others.
+    pub fn given(&self, now: Time) -> u32 {
+        self.lent(now)
+    }
+
+    /// What is borrowed and can be used now or soon, and the earliest end of it.
+    pub fn taken(&self, now: Time) -> (u32, Option<Time>) {
+        let live = self.taken.iter().filter(|t| now < t.until);
+        (live.clone().map(|t| t.units).sum(), live.map(|t| t.until).min())
+    }
+
+    /// Asks another place for some; `None` where too many loans are open already.
+    pub fn ask(&mut self, now: Time, to: u16, units: u32) -> Option<Word> {
+        self.tidy(now);
+        let open = self.taken.len() + self.asked.len();
+        if open >= MOST_LOANS || to == self.place || to >= self.terms.places || units == 0 {
+            return None;
+        }
+        let id = LoanId { boot: self.boot, number: self.next };
+        self.next = self.next.checked_add(1)?;
+        self.asked.push(Asked { to, id, at: now });
+        Some(Word::Ask { id, units })
+    }
+
+    /// Gives back what was borrowed of a place first: it is not used from here on.
+    pub fn give_back(&mut self, now: Time, from: u16) -> Option<Word> {
+        self.tidy(now);
+        let at = self.taken.iter().position(|t| t.from == from)?;
+        Some(Word::Return { id: self.taken.remove(at).id })
+    }
+
+    /// A word of another place has come; the answer to it, if there is one. `spare`: what may be lent, by whoever knows
+    /// the own need.
+    pub fn hear(&mut self, now: Time, from: u16, word: Word, spare: u32) -> Option<Word> {
+        self.tidy(now);
+        if from == self.place || from >= self.terms.places {
+            return None;
+        }
+        match word {
+            Word::Ask { id, units } => Some(self.lend(now, from, id, units.min(spare))),
+            Word::Grant { id, units } => {
+                self.granted(now, from, id, units);
+                None
+            }
+            Word::Return { id } => {
+                if let Some(given) = self.given.iter_mut().find(|g| g.to == from && g.id == id) {
+                    // Not its own at once: what was begun with it may last for a rest.
+                    given.back = given.back.min(now + self.terms.surely(self.terms.rest));
+                }
+                None
+            }
+        }
+    }
+
+    fn lend(&mut self, now: Time, to: u16, id: LoanId, units: u32) -> Word {
+        if let Some(given) = self.given.iter().find(|g| g.to == to && g.id == id) {
+            // The same question again: the same answer. Given back meanwhile, or its time nearly over, the borrower
+            // counts from its question and uses nothing that is not its.
+            return Word::Grant { id, units: given.units };
+        }
+        let kept = self.terms.kept(self.place);
+        let free = self.own(now).saturating_sub(kept);
+        let units = if self.given.len() < MOST_LOANS { units.min(free) } else { 0 };
+        if units > 0 {
+            let back = now + self.terms.term + self.terms.surely(self.terms.rest);
+            self.given.push(Given { to, id, units, back, known: back });
+        }
+        Word::Grant { id, units }
+    }
+
+    fn granted(&mut self, now: Time, from: u16, id: LoanId, units: u32) {
+        let Some(at) = self.asked.iter().position(|a| a.to == from && a.id == id) else { return };
+        let asked = self.asked.remove(at);
+        let (since, until) = (now + self.terms.surely(self.terms.rest), asked.at + self.terms.borrowed());
+        if units > 0 && since < until {
+            self.taken.push(Taken { from, id, units, since, until });
+        }
+    }
+
+    fn tidy(&mut self, now: Time) {
+        self.given.retain(|g| now < g.known);
+        self.taken.retain(|t| now < t.until);
+        let term = self.terms.term;
+        self.asked.retain(|a| now < a.at + term);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: u64 = 1_000_000;
+
+    fn terms() -> Terms {
+        Terms { whole: 10, places: 3, kept_percent: 25, term: Micros(2 * S), rest: Micros(S / 10) }
+    }
+
+    fn settled(place: u16) -> Escrow {
+        Escrow::new(terms(), place, 100 + u32::from(place), Time(0)).expect("sound")
+    }
+
+    #[test]
+    fn even_parts_are_the_whole_and_come_after_what_a_former_process_may_do() {
+        assert_eq!((0..3).map(|p| terms().even(p)).collect::<Vec<_>>(), [4, 3, 3]);
+        let one = settled(0);
+        assert_eq!(one.usable(Time(S / 10)), 0);
+        assert_eq!(one.usable(Time(S / 9)), 1, "what is never lent, after a rest");
+        assert_eq!(one.usable(Time(3 * S)), 4);
+        let flaw = |t: Terms| t.check().expect_err("unsound").to_string();
+        assert_eq!(flaw(Terms { places: 0, ..terms() }), "places: expected at least one");
+        assert_eq!(flaw(Terms { kept_percent: 101, ..terms() }), "kept_percent: expected 0 to 100");
+        assert_eq!(flaw(Terms { term: Micros(0), ..terms() }), "term: expected time for a loan");
+        assert!(Escrow::new(terms(), 3, 1, Time(0)).is_err());
+    }
+
+    #[test]
+    fn a_loan_moves_units_with_a_rest_between_and_ends_with_the_borrower_first() {
+        let (mut lender, mut borrower) = (settled(0), settled(1));
+        let now = Time(5 * S);
+        let ask = borrower.ask(now, 0, 9).expect("room");
+        let grant = lender.hear(now, 1, ask, 9).expect("an answer");
+        let Word::Grant { units: 3, .. } = grant else { panic!("all but what is kept: {grant:?}") };
+        assert_eq!(lender.usable(now), 1, "set aside at once");
+        assert_eq!(lender.hear(now, 1, ask, 9), Some(grant), "the same question lends nothing more");
+        borrower.hear(now, 0, grant, 0);
+        borrower.hear(now, 0, grant, 0);
+        assert_eq!(borrower.usable(now), 3, "not before the rest");
+        assert_eq!(borrower.usable(now + Micros(S / 9)), 6, "once, though granted twice");
+        let ends = (0..400).map(|n| now + Micros(n * S / 100));
+        let both = |t: Time| lender.usable(t) + borrower.usable(t);
+        assert!(ends.clone().all(|t| both(t) <= 7), "never more than the two are entitled to");
+        assert_eq!(both(now + Micros(3 * S)), 7, "all of it again");
+    }
+
+    #[test]
+    fn what_is_given_back_is_the_lenders_after_a_rest_and_a_late_question_lends_nothing_usable() {
+        let (mut lender, mut borrower) = (settled(0), settled(1));
+        let now = Time(5 * S);
+        let ask = borrower.ask(now, 0, 2).expect("room");
+        let grant = lender.hear(now, 1, ask, 9).expect("an answer");
+        borrower.hear(now, 0, grant, 0);
+        let later = now + Micros(S / 2);
+        let back = borrower.give_back(later, 0).expect("a loan");
+        assert_eq!(borrower.usable(later), 3);
+        assert_eq!(borrower.give_back(later, 0), None);
+        lender.hear(later, 1, back, 0);
+        assert_eq!((lender.usable(later), lender.usable(later + Micros(S / 9))), (2, 4));
+        lender.hear(later, 2, back, 0);
+        // The grant comes again, long after: the borrower has no such question open.
+        borrower.hear(later, 0, grant, 0);
+        assert_eq!(borrower.usable(later + Micros(S / 9)), 3);
+        let mut slow = settled(2);
+        let ask = slow.ask(now, 0, 2).expect("room");
+        let grant = lender.hear(now + Micros(3 * S), 2, ask, 9).expect("an answer");
+        slow.hear(now + Micros(3 * S), 0, grant, 0);
+        assert_eq!(slow.usable(now + Micros(4 * S)), 3, "its time is over by its own count");
+    }
+
+    #[test]
+    fn tables_are_bounded_and_nonsense_is_refused() {
+        let mut borrower = settled(1);
+        let now = Time(5 * S);
+        assert!((0..MOST_LOANS).all(|_| borrower.ask(now, 0, 1).is_some()));
+        assert_eq!(borrower.ask(now, 0, 1), None);
+        assert!(borrower.ask(now + Micros(3 * S), 0, 1).is_some(), "questions without an answer go");
+        assert_eq!(borrower.ask(now, 1, 1), None, "of itself");
+        assert_eq!(borrower.ask(now, 7, 1), None);
+        let mut lender = Escrow::new(Terms { whole: 1000, ..terms() }, 0, 1, Time(0)).expect("sound");
+        let ask = |number: u32| Word::Ask { id: LoanId { boot: 7, number }, units: 1 };
+        for number in 0..200 {
+            lender.hear(now, 1, ask(number), 1000);
+        }
+        assert_eq!(lender.given(now), MOST_LOANS as u32);
+        assert_eq!(lender.hear(now, 9, ask(0), 1000), None, "no such place");
+        let stranger = Word::Grant { id: LoanId { boot: 9, number: 0 }, units: 1000 };
+        lender.hear(now, 1, stranger, 0);
+        assert_eq!(lender.usable(now + Micros(S)), 334 - 64);
+    }
+}
