Choose each proxy's backends by its part: weighted rendezvous, evened by weights

Need: a busy proxy should use more backends, and one proxy more or less should move only its own links; rounds by told position move all.

Change: gaugesaddle-shares: uses. Not wired in yet.

--- a/crates/gaugesaddle-shares/src/lib.rs
+++ b/crates/gaugesaddle-shares/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`parts`] is the soft law, for what should sum to the whole and is better a little off than idle: every proxy
 //!   computes the same parts from the same view. [`Glide`] moves a part, so that it does not chase noise.
+//! - [`uses`] says which backends each proxy uses, by its part: the more traffic, the more backends.
 //! - [`Escrow`] is the hard law, for what the sum may never exceed: each place is entitled to an even part, and lends
 //!   what it does not need for a time. What is lent is nobody's but the borrower's until the time is surely over.
 //!
@@ -20,6 +21,8 @@
 
 mod escrow;
 mod need;
+mod subset;
 
 pub use escrow::{Escrow, LoanId, Terms, Unsound, Word, MOST_LOANS};
 pub use need::{parts, Glide, Law};
+pub use subset::{uses, Member, Server, Uses};
