Let the module go by who lives and by need: Event::Tier, [shares], state shares

Need: with 32 of 48 proxies killed the rest go on with 48th parts of what they may hold.

Change: the module takes the tier as an event in place of the told number (room, turns, pool, quotas, rate); what may never be exceeded keeps the told number. Off by default; without the event the module is as before.

--- a/crates/beechworks/src/interface.rs
+++ b/crates/beechworks/src/interface.rs
@@ -439,6 +439,30 @@
     pub demand: Vec<f64>,
 }
 
+/// The proxies that share the traffic, as they are seen now. Told nothing, a proxy goes by the told number and an even
+/// part. What may never be exceeded by all together goes by the told number in any case.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tier {
+    /// How many live, this one included.
+    pub proxies: u32,
+    /// Which of them this one is, from 0, in an order that all share.
+    pub position: u32,
+    /// Its part of the traffic beside an even one.
+    pub weight: f64,
+}
+
+impl Tier {
+    /// This proxy's part of all traffic.
+    pub fn share(&self) -> f64 {
+        self.weight / f64::from(self.proxies)
+    }
+
+    /// What can be: others are kept out.
+    pub(crate) fn is_sound(&self) -> bool {
+        self.position < self.proxies && (0.01..=100.0).contains(&self.weight)
+    }
+}
+
 /// What the backends of one zone are to this proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ZoneCapacity {
@@ -501,6 +525,8 @@
     Pressure(Pressure),
     /// What may leave for another region has changed.
     Offer(Offer),
+    /// The proxies that live, or their parts, have changed.
+    Tier(Tier),
     /// The client left; no answer is owed.
     ClientGone {
         /// The request.
--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -128,6 +128,11 @@
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::Pressure(pressure) => self.press(now, pressure),
             Event::Offer(offer) => self.offer = offer,
+            Event::Tier(tier) if tier.is_sound() && tier != self.tier => {
+                self.tier = tier;
+                self.choose();
+            }
+            Event::Tier(_) => {}
             Event::ClientGone { request } => self.close(request, None),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = None,
@@ -181,8 +186,8 @@
             s.asked += (f64::from(i == new.class.0) - s.asked) / KIND_SAMPLES;
         }
         let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(self.buckets.get_mut(t.0)));
-        let proxies = f64::from(self.cfg.proxies);
-        let over_quota = tenant.is_some_and(|(t, bucket)| !bucket.take(now, t.quota_per_s / proxies));
+        let share = self.tier.share();
+        let over_quota = tenant.is_some_and(|(t, bucket)| !bucket.take(now, t.quota_per_s * share));
         let aim = c.aim.0 + new.work_hint.unwrap_or_default().times(c.aim_stretch).0;
         let (aim, deadline) = (now + Micros(aim).min(new.time_left), now + new.time_left);
         // A client that comes again waited for its first try: what is left to earn is mostly the late worth,
@@ -431,8 +436,8 @@
     fn choose(&mut self) {
         let ready = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
         let listed: Vec<_> = ready.map(|p| (p.entry.id, p.entry.kind, p.entry.zone)).collect();
-        self.groups = subset::groups(self.cfg.proxies, listed.len());
-        let own = subset::chosen(self.cfg.position, self.cfg.proxies, &listed);
+        self.groups = subset::groups(self.tier.proxies, listed.len());
+        let own = subset::chosen(self.tier.position, self.tier.proxies, &listed);
         self.peers.iter_mut().for_each(|(id, p)| p.used = own.contains(id));
     }
 
@@ -443,7 +448,12 @@
 
     /// Proxies that use a backend.
     fn users(&self) -> f64 {
-        f64::from(self.cfg.proxies) / self.groups as f64
+        f64::from(self.tier.proxies) / self.groups as f64
+    }
+
+    /// The most that there can be, whatever each sees of the others.
+    fn users_at_most(&self) -> f64 {
+        self.users().max(f64::from(self.cfg.proxies) / self.groups as f64)
     }
 
     /// Readiness of every backend, speed and share of every kind.
@@ -486,7 +496,7 @@
             self.learn_limits(now);
         }
         self.rate.add(now, 0.0);
-        let rate = self.rate.per_s().map(|r| r * f64::from(self.cfg.proxies));
+        let rate = self.rate.per_s().map(|r| r / self.tier.share());
         self.estimate_speeds(passed, rate);
         let table: Vec<(f64, f64)> = self.kinds.values().map(|k| (k.ready, k.speed)).collect();
         let shares = halb_shares(&table, rate.filter(|_| self.overall.count > 0.0));
@@ -516,7 +526,8 @@
         self.kinds.values_mut().for_each(|k| (k.pull, k.line) = (0.0, Vec::with_capacity(k.line.len())));
         let length = self.turn;
         let cold: Vec<f64> = self.peers.values().map(|p| self.fall_part(now, p)).collect();
-        let (round, many) = (u64::from(self.cfg.position) / self.groups, self.many());
+        let (round, many) = (u64::from(self.tier.position) / self.groups, self.many());
+        let own_part = self.tier.weight / users;
         for ((&id, p), most) in self.peers.iter_mut().zip(cold).filter(|(p, _)| p.1.used) {
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
@@ -532,8 +543,8 @@
                 (p.limiter.own(s.limit(turn(now, id, length).1)), p.limiter.own(s.found()))
             });
             (p.limit, mine) =
-                (self.cfg.limits.hold(all), mine + self.cfg.limits.hold(mean) / users * p.ready);
-            (p.part, p.coin) = ((0.5 + 0.5 * bias) / users * p.ready, coin);
+                (self.cfg.limits.hold(all), mine + self.cfg.limits.hold(mean) * own_part * p.ready);
+            (p.part, p.coin) = ((0.5 + 0.5 * bias) * own_part * p.ready, coin);
             p.room = p.room_of(p.limit, !many);
             if p.ready > 0.5 {
                 let all = warm.entry(p.entry.kind).or_default();
@@ -562,7 +573,7 @@
     fn learn_limits(&mut self, now: Time) {
         for (&id, p) in &mut self.peers {
             let k = self.kinds.entry(p.entry.kind).or_default();
-            p.note(now, turn(now, id, self.turn), self.cfg.proxies, &mut k.search);
+            p.note(now, turn(now, id, self.turn), self.tier.share(), &mut k.search);
         }
         let mut moved = Vec::new();
         for (kind, k) in &mut self.kinds {
@@ -580,21 +591,21 @@
     fn hold_changes(&mut self, now: Time, id: BackendId) {
         let Some(p) = self.peers.get_mut(&id).filter(|_| self.cfg.limits.learned) else { return };
         let k = self.kinds.entry(p.entry.kind).or_default();
-        p.note(now, turn(now, id, self.turn), self.cfg.proxies, &mut k.search);
+        p.note(now, turn(now, id, self.turn), self.tier.share(), &mut k.search);
     }
 
     /// The greatest part of the traffic whose random count stays some spreads under the fall limit.
     fn fall_part(&self, now: Time, p: &Peer) -> f64 {
         let root =
             ((FALL_SPREADS * FALL_SPREADS + 4.0 * self.fall_limit(now, p)).sqrt() - FALL_SPREADS) / 2.0;
-        let rate = self.rate.per_s().unwrap_or(0.0) * self.users();
+        let rate = self.rate.per_s().unwrap_or(0.0) * self.users_at_most();
         root * root / (rate * self.cfg.fall_window.secs()).max(1e-9)
     }
 
     /// Work that this proxy may still send to a cold backend inside the present fall window.
     fn budget(&self, now: Time, p: &Peer) -> f64 {
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        (self.fall_limit(now, p) / self.users() * FALL_MARGIN).max(FALL_FLOOR) - spent
+        (self.fall_limit(now, p) / self.users_at_most() * FALL_MARGIN).max(FALL_FLOOR) - spent
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
@@ -726,7 +737,7 @@
                 self.classes[r.class].extra -= f64::from(extra);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
                 r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
-                let others = f64::from(self.cfg.proxies - 1) * self.out as f64 / self.ready.max(1.0);
+                let others = f64::from(self.tier.proxies - 1) * self.out as f64 / self.ready.max(1.0);
                 let (class, sent, late) = (r.class, now, false);
                 let first = self.kinds.entry(p.entry.kind).or_default().unloaded.sent(now, class);
                 let alone = first || (p.out == 0 && others < IDLE);
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -255,9 +255,9 @@
     }
 
     /// Ahead of a change in what it holds, and now and then: tells the search what it held since.
-    pub fn note(&mut self, now: Time, turn: (u64, Turn, bool), proxies: u32, search: &mut Search) {
+    pub fn note(&mut self, now: Time, turn: (u64, Turn, bool), share: f64, search: &mut Search) {
         if let Some((turn, area, secs)) = self.limiter.pass(now, turn, self.out) {
-            search.held(turn, area * f64::from(proxies), secs);
+            search.held(turn, area / share, secs);
         }
     }
 }
@@ -362,6 +362,8 @@
     pub(crate) let_in: Bucket,
     pub(crate) pressure: Pressure,
     pub(crate) offer: Offer,
+    /// Who shares the traffic; by the settings until it is told.
+    pub(crate) tier: Tier,
     /// Backends' turns last so long.
     pub(crate) turn: Micros,
     /// The shares are solved this often, and when.
@@ -408,6 +410,7 @@
             let_in: Bucket::default(),
             pressure: Pressure { let_in_per_s: None, copies: true, retry_ratio: RETRY_RATIO },
             offer: Offer::default(),
+            tier: Tier { proxies: cfg.proxies, position: cfg.position, weight: 1.0 },
             turn: turn_length(&cfg),
             // No answer is told late by less than an aim: estimates move no faster.
             period: cfg.classes.iter().map(|c| c.aim).min().unwrap_or_default(),
@@ -521,7 +524,7 @@
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
-        let fair = self.rate.per_s().unwrap_or(1.0) * f64::from(self.cfg.proxies) / self.peers.len() as f64;
+        let fair = self.rate.per_s().unwrap_or(1.0) / self.tier.share() / self.peers.len() as f64;
         // Beside few ready backends the flow overshoots; one that holds no more than its limit is no faster than this.
         let hold = |k: &Kind| if k.limit > 0.0 { k.limit } else { HOLD };
         let known = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + hold(k)) / t));
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -23,6 +23,8 @@
     pub regions: Regions,
     /// The proxies know one another.
     pub peers: bool,
+    /// Their parts go by need.
+    pub shares: bool,
     /// What it costs the goal when every request crosses zones once, as the proxies are told.
     pub cross_zone: f64,
     /// What a proxy is told that it may use.
@@ -539,6 +541,7 @@
             regions: Regions::default(),
             halls: 3,
             peers: false,
+            shares: false,
             cross_zone: 0.0,
             limits: Limits::default(),
             kinds: vec![kind("fast", 4, 1.8), kind("slow", 8, 0.9)],
@@ -678,6 +681,7 @@
                 "clients.uneven",
                 "parts above 0, and a time",
             ),
+            (self.peers || !self.shares, "shares", "peers beside it"),
             (range([0.0, self.cross_zone]), "cross_zone", "0 or more"),
             (range(c.backoff_ms) && range(c.patience), "clients", "ranges from the less to the more"),
             (
--- a/crates/gaugesaddle-testbed/src/world.rs
+++ b/crates/gaugesaddle-testbed/src/world.rs
@@ -330,6 +330,9 @@
                 all.join(", ")
             );
         }
+        if self.s.shares {
+            text += "[shares]\nenabled = true\n";
+        }
         if text.is_empty() {
             return Ok(None);
         }
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -8,6 +8,7 @@
 use crate::region::{Own, RegionWatch, Regions};
 use crate::registry::{Bounds, Registry};
 use crate::seam::Subsystem;
+use crate::shares::ShareWatch;
 use crate::storm::StormWatch;
 use crate::succession::Succession;
 use crate::{admin, clock, config, discovery, form, pacing, server, state, upstream};
@@ -214,6 +215,9 @@
         let classes = config.module.classes.len();
         subsystems.push(Box::new(PeerWatch::new(tier.clone(), registry.clone(), zones, classes)));
         *registry.peers.borrow_mut() = Some(tier.clone());
+        if operator.shares.enabled {
+            subsystems.push(Box::new(ShareWatch::new(operator.shares, tier.clone(), registry.clone())));
+        }
         tokio::task::spawn_local(tier.clone().run(socket));
     }
     let driver = Driver::new(Parts {
--- a/crates/gaugesaddle/src/cli.rs
+++ b/crates/gaugesaddle/src/cli.rs
@@ -47,6 +47,8 @@
     Regions,
     /// The other proxies of the tier.
     Peers,
+    /// This proxy's part of what all of them may do.
+    Shares,
 }
 
 /// Runs the program.
@@ -95,6 +97,10 @@
                         state.peers.as_ref().ok_or(Error::Usage("this proxy knows no other proxies"))?;
                     print(json, view, || state::render_peers(view, now));
                 }
+                Some(Part::Shares) => {
+                    let view = state.shares.as_ref().ok_or(Error::Usage("this proxy goes by even parts"))?;
+                    print(json, view, || state::render_shares(view));
+                }
                 None => print(json, &state, || state::render(&state)),
             }
             Ok(())
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -27,6 +27,7 @@
 mod roster;
 mod seam;
 mod server;
+mod shares;
 pub mod state;
 mod storm;
 mod succession;
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -6,6 +6,7 @@
 
 use crate::peers::settings::Peers;
 use crate::region::settings::Region;
+use crate::shares::Shares;
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer};
 use std::path::{Path, PathBuf};
@@ -31,6 +32,8 @@
     pub region: Region,
     /// The other proxies of the tier.
     pub peers: Peers,
+    /// Parts by need.
+    pub shares: Shares,
 }
 
 /// `[limits]`. Wants a restart. What all proxies together may hold on one backend.
@@ -251,6 +254,7 @@
     }
     read.region.check().map_err(|(key, what)| (None, key, what))?;
     read.peers.check().map_err(|(key, what)| (None, key, what))?;
+    read.shares.check(read.peers.enabled).map_err(|(key, what)| (None, key, what))?;
     Ok(read)
 }
 
@@ -302,6 +306,9 @@
     if running.peers != newer.peers {
         keys.push("peers");
     }
+    if running.shares != newer.shares {
+        keys.push("shares");
+    }
     keys
 }
 
@@ -423,6 +430,10 @@
                 list("127.0.0.1:7946", "").replace(".2:", ".1:"),
                 "peers.addresses.1: expected each address once",
             ),
+            ("[shares]\nenabled = true\n".into(), "shares.enabled: expected peers.enabled = true"),
+            ("[shares]\nfloor_percent = 101\n".into(), "shares.floor_percent: expected 0 to 100, got 101"),
+            ("[shares]\nmost_times = 0\n".into(), "shares.most_times: expected 1 to 1000, got 0"),
+            ("[shares]\nover_ms = 5\n".into(), "shares.over_ms: expected 100 to 60000, got 5"),
             ("[peers]\nenabled = true\naddresses = [\"127.0.0.1:1\"]\n".into(), "peers.listen: missing"),
         ] {
             let told = flaw(&text);
@@ -483,6 +494,10 @@
             "bytes_per_s",
             "retry_ms",
             "forget_s",
+            "floor_percent",
+            "most_times",
+            "least_percent",
+            "over_ms",
         ] {
             assert!(
                 text.lines().any(|l| l.trim_start_matches('#').starts_with(&format!("{key} ="))),
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -7,7 +7,7 @@
 use crate::clock::Clock;
 use crate::registry::{PeerRow, PeersView, Totalled};
 use beechworks::{Micros, Time};
-use gaugesaddle_peers::{Boot, Counts, Output, Seal, Shape, Told, Totals, DATAGRAM_BYTES};
+use gaugesaddle_peers::{Boot, Counts, Output, Seal, Shape, Signals, Told, Totals, DATAGRAM_BYTES};
 use rand_core::{OsRng, TryRngCore};
 use settings::PeersError;
 use socket2::{Domain, Socket, Type};
@@ -49,6 +49,18 @@
     pub position: u32,
 }
 
+/// What all that live need, in an order that all share.
+pub struct Needs {
+    /// Places of the told list.
+    pub told: usize,
+    /// So long this process has been awake.
+    pub awake: Micros,
+    /// Which of them this proxy is.
+    pub own: usize,
+    /// Arrivals a second; `None`: not told yet.
+    pub needs: Vec<Option<f64>>,
+}
+
 /// One proxy's place in its tier.
 pub struct Tier {
     clock: Clock,
@@ -247,6 +259,18 @@
         self.publish
     }
 
+    /// Who lives, in the order of places, and what comes to each.
+    pub fn needs(&self, now: Time) -> Needs {
+        let peers = self.peers.borrow();
+        let (living, view) = (peers.living(), peers.view(now));
+        let need = |place: &u16| {
+            let signals = Signals::decode(&peers.record(*place)?.body)?;
+            Some(signals.arrivals.iter().sum())
+        };
+        let own = living.iter().position(|p| *p == peers.place()).unwrap_or(0);
+        Needs { told: view.told, awake: view.awake, own, needs: living.iter().map(need).collect() }
+    }
+
     /// What can be read of the tier.
     pub fn view(&self, now: Time) -> PeersView {
         let peers = self.peers.borrow();
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -162,6 +162,8 @@
     pub(crate) region: RefCell<Option<RegionView>>,
     /// The tier of proxies, where it is known: read when it is asked for.
     pub(crate) peers: RefCell<Option<Rc<crate::peers::Tier>>>,
+    /// This proxy's part, where parts go by need.
+    pub(crate) shares: RefCell<Option<SharesView>>,
     pub(crate) connections: Cell<usize>,
     pub(crate) upstream_sockets: Cell<usize>,
     /// What one process may hold alone, and while two share it.
@@ -199,6 +201,7 @@
             storm_seen: RefCell::default(),
             region: RefCell::default(),
             peers: RefCell::default(),
+            shares: RefCell::default(),
             connections: Cell::default(),
             upstream_sockets: Cell::default(),
             bounds,
@@ -342,6 +345,7 @@
             storm: self.storm_seen.borrow().clone(),
             region: self.region.borrow().clone(),
             peers: self.peers.borrow().as_ref().map(|tier| tier.view(now)),
+            shares: self.shares.borrow().clone(),
         }
     }
 }
@@ -460,6 +464,32 @@
     /// The tier of proxies, where it is known.
     #[serde(default)]
     pub peers: Option<PeersView>,
+    /// This proxy's part, where parts go by need.
+    #[serde(default)]
+    pub shares: Option<SharesView>,
+}
+
+/// This proxy's part of what all of them may do, twice a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SharesView {
+    /// `by need`; `waking`: it does not know yet who lives, and goes by what it was told or knew last.
+    pub state: String,
+    /// Places of the told list.
+    pub told: usize,
+    /// Those that live.
+    pub living: usize,
+    /// Which of them this one is, from 0.
+    pub position: usize,
+    /// Its part of what all of them may do.
+    pub part: f64,
+    /// The even part of those that live.
+    pub even: f64,
+    /// What comes to it, and to all of them, in requests a second.
+    pub need: f64,
+    /// See `need`.
+    pub needs: f64,
+    /// Of the living so many have not told theirs: they count as the mean.
+    pub unknown: usize,
 }
 
 /// What this proxy sees of its tier. This proxy counts among the living.
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::error::Error;
 use crate::operator::State;
-use crate::registry::{PeersView, RegionView, Registry, Snapshot};
+use crate::registry::{PeersView, RegionView, Registry, SharesView, Snapshot};
 use crate::{clock::Clock, table};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
@@ -301,6 +301,23 @@
     text
 }
 
+/// This proxy's part, for people to read.
+pub fn render_shares(view: &SharesView) -> String {
+    format!(
+        "shares: {}; {} of {} live, this is the {}. of them\n\
+         part {:.4} of the whole, an even one {:.4}; {:.1} of {:.1} requests a second come here, {} have not told theirs\n",
+        view.state,
+        view.living,
+        view.told,
+        view.position + 1,
+        view.part,
+        view.even,
+        view.need,
+        view.needs,
+        view.unknown,
+    )
+}
+
 /// The state for people to read.
 pub fn render(state: &Snapshot) -> String {
     let seconds = |us: u64| format!("{:.1} s", us as f64 / 1e6);
@@ -350,6 +367,10 @@
     if let Some(p) = &state.peers {
         text += &format!("peers: {} of {} live, {}; `state peers` tells more\n\n", p.living, p.told, p.shape);
     }
+    if let Some(view) = &state.shares {
+        text += &render_shares(view);
+        text.push('\n');
+    }
     let head = [
         "class",
         "taken",
