--- a/crates/gaugesaddle/tests/peers.rs
+++ b/crates/gaugesaddle/tests/peers.rs
@@ -1,167 +1,20 @@
 //! Proxies that know one another, as processes, and what happens between them: one killed, back, stopped for long, cut
 //! off, heard one way only, under loss, joining and leaving, lied to. What each holds is read from its state and log.
 
-use gaugesaddle::registry::{PeersView, Snapshot};
-use gaugesaddle_testbed::datagrams::{Datagrams, Links};
-use gaugesaddle_testbed::lease::Lease;
+mod tier;
+
+use gaugesaddle::registry::PeersView;
+use gaugesaddle_testbed::datagrams::Links;
 use gaugesaddle_testbed::scripted::*;
-use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
-use std::path::PathBuf;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tier::Tier;
 
 /// A death is known to all within this, by the process that is slowest to hear of it.
 const KNOWN: Duration = Duration::from_secs(6);
 /// After a heal all agree within this.
 const AGREED: Duration = Duration::from_secs(3);
 
-/// A tier on loopback, its proxies started and stopped by the test.
-struct Tier {
-    proxies: Vec<Option<Proxy>>,
-    ways: Datagrams,
-    discovery: Discovery,
-    backend: Backend,
-    listens: Vec<SocketAddr>,
-    folder: PathBuf,
-    lease: Lease,
-    keyed: bool,
-}
-
-impl Tier {
-    fn told(name: &str, places: usize, keyed: bool) -> Tier {
-        let lease = Lease::take().unwrap();
-        let folder = std::env::temp_dir().join(format!("gs-peers-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let listens: Vec<SocketAddr> =
-            (0..places).map(|p| SocketAddr::new(lease.proxy(p).ip(), 7946)).collect();
-        let ways = Datagrams::start(&listens, lease.peer().ip(), 1).unwrap();
-        let key = folder.join("key");
-        std::fs::write(&key, [7; 48]).unwrap();
-        std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).unwrap();
-        Tier {
-            proxies: (0..places).map(|_| None).collect(),
-            ways,
-            discovery: Discovery::start(),
-            backend: Backend::start(|_| ok("x")),
-            listens,
-            folder,
-            lease,
-            keyed,
-        }
-    }
-
-    /// All of them run and hold one another alive.
-    fn start(name: &str, places: usize) -> Tier {
-        let mut tier = Tier::told(name, places, true);
-        (0..places).for_each(|p| tier.run(p));
-        tier.agree("all know one another");
-        tier
-    }
-
-    fn socket(&self, place: usize) -> PathBuf {
-        self.folder.join(format!("{place}.sock"))
-    }
-
-    fn file(&self, place: usize) -> PathBuf {
-        let addresses: Vec<String> = self.ways.addresses().iter().map(|a| format!("\"{a}\"")).collect();
-        let key = if self.keyed { format!("key = {:?}\n", self.folder.join("key")) } else { String::new() };
-        let text = format!(
-            "[state]\nsocket = {:?}\n[peers]\nenabled = true\nlisten = \"{}\"\nown = {}\naddresses = [{}]\n{key}",
-            self.socket(place),
-            self.listens[place],
-            addresses[place],
-            addresses.join(", ")
-        );
-        let file = self.folder.join(format!("{place}.toml"));
-        std::fs::write(&file, text).unwrap();
-        file
-    }
-
-    fn run(&mut self, place: usize) {
-        let mut config = config(self.discovery.address, &[line("a", self.backend.address, "ready", 0)]);
-        config["name"] = format!("p{place}").into();
-        config["listen"] = self.lease.proxy(place).to_string().into();
-        config["seed"] = format!("{:x}", place + 1).into();
-        config["settings"]["group_size"] = self.listens.len().into();
-        config["settings"]["position"] = place.into();
-        let file = self.file(place);
-        let proxy = Proxy::spawn_with(&config, "unlimited", &["--config", file.to_str().unwrap()]);
-        self.proxies[place] = Some(proxy);
-        until("its state", || self.state(place).is_some());
-    }
-
-    fn kill(&mut self, place: usize) {
-        self.proxies[place] = None;
-    }
-
-    fn proxy(&self, place: usize) -> &Proxy {
-        self.proxies[place].as_ref().expect("runs")
-    }
-
-    fn running(&self) -> Vec<usize> {
-        (0..self.proxies.len()).filter(|p| self.proxies[*p].is_some()).collect()
-    }
-
-    fn state(&self, place: usize) -> Option<Snapshot> {
-        gaugesaddle::state::ask(&self.socket(place)).ok()
-    }
-
-    fn view(&self, place: usize) -> PeersView {
-        self.state(place).and_then(|s| s.peers).expect("its view")
-    }
-
-    fn row(&self, place: usize, of: usize) -> gaugesaddle::registry::PeerRow {
-        self.view(place).peers.swap_remove(of)
-    }
-
-    /// Each of these holds exactly the others of them for alive, in their present processes.
-    fn agrees(&self, places: &[usize]) -> bool {
-        let views: Vec<PeersView> = places.iter().map(|p| self.view(*p)).collect();
-        views.iter().all(|view| {
-            view.peers.iter().all(|row| {
-                let at = places.iter().position(|p| *p == usize::from(row.place));
-                match at {
-                    Some(at) => row.state == "alive" && row.boot.as_ref() == Some(&views[at].boot),
-                    None => row.state != "alive" && row.state != "suspect",
-                }
-            })
-        })
-    }
-
-    fn agree(&self, what: &str) {
-        let running = self.running();
-        until(what, || self.agrees(&running));
-    }
-
-    /// The same, and within a time.
-    fn agree_within(&self, what: &str, within: Duration) {
-        let begun = Instant::now();
-        self.agree(what);
-        assert!(begun.elapsed() < within, "{what}: only after {:?}", begun.elapsed());
-    }
-
-    /// Each of these has asked so many more questions: time for every fault to show.
-    fn asked(&self, places: &[usize], more: u64) {
-        let before: Vec<u64> = places.iter().map(|p| self.view(*p).asked).collect();
-        until("their questions", || {
-            places.iter().zip(&before).all(|(p, before)| self.view(*p).asked >= before + more)
-        });
-    }
-
-    /// Lines of a proxy's log in which it calls another dead.
-    fn deaths(&self, place: usize) -> Vec<String> {
-        let log = self.proxy(place).log();
-        log.lines().filter(|l| l.contains(" is dead after ")).map(String::from).collect()
-    }
-}
-
-impl Drop for Tier {
-    fn drop(&mut self) {
-        self.proxies.clear();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 #[test]
 fn one_killed_is_known_dead_by_all() {
     let mut tier = Tier::start("kill", 5);
--- /dev/null
+++ b/crates/gaugesaddle/tests/tier/mod.rs
@@ -0,0 +1,173 @@
+//! A tier on loopback, its proxies started and stopped by the test; what each holds is read from its state and log.
+
+// Each test file uses some of it.
+#![allow(dead_code)]
+
+use gaugesaddle::registry::{PeerRow, PeersView, Snapshot};
+use gaugesaddle_testbed::datagrams::Datagrams;
+use gaugesaddle_testbed::lease::Lease;
+use gaugesaddle_testbed::scripted::*;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// A tier on loopback, its proxies started and stopped by the test.
+pub struct Tier {
+    pub proxies: Vec<Option<Proxy>>,
+    pub ways: Datagrams,
+    pub discovery: Discovery,
+    pub backend: Backend,
+    pub listens: Vec<SocketAddr>,
+    pub folder: PathBuf,
+    pub lease: Lease,
+    keyed: bool,
+    /// Added to each operator's file.
+    more: String,
+}
+
+impl Tier {
+    pub fn told(name: &str, places: usize, keyed: bool) -> Tier {
+        let lease = Lease::take().unwrap();
+        let folder = std::env::temp_dir().join(format!("gs-peers-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let listens: Vec<SocketAddr> =
+            (0..places).map(|p| SocketAddr::new(lease.proxy(p).ip(), 7946)).collect();
+        let ways = Datagrams::start(&listens, lease.peer().ip(), 1).unwrap();
+        let key = folder.join("key");
+        std::fs::write(&key, [7; 48]).unwrap();
+        std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).unwrap();
+        Tier {
+            proxies: (0..places).map(|_| None).collect(),
+            ways,
+            discovery: Discovery::start(),
+            backend: Backend::start(|_| ok("x")),
+            listens,
+            folder,
+            lease,
+            keyed,
+            more: String::new(),
+        }
+    }
+
+    /// All of them run and hold one another alive.
+    pub fn start(name: &str, places: usize) -> Tier {
+        let mut tier = Tier::told(name, places, true);
+        (0..places).for_each(|p| tier.run(p));
+        tier.agree("all know one another");
+        tier
+    }
+
+    /// The same, with more in each operator's file.
+    pub fn start_with(name: &str, places: usize, more: &str) -> Tier {
+        let mut tier = Tier::told(name, places, true);
+        tier.more = more.into();
+        (0..places).for_each(|p| tier.run(p));
+        tier.agree("all know one another");
+        tier
+    }
+
+    pub fn socket(&self, place: usize) -> PathBuf {
+        self.folder.join(format!("{place}.sock"))
+    }
+
+    pub fn file(&self, place: usize) -> PathBuf {
+        let addresses: Vec<String> = self.ways.addresses().iter().map(|a| format!("\"{a}\"")).collect();
+        let key = if self.keyed { format!("key = {:?}\n", self.folder.join("key")) } else { String::new() };
+        let text = format!(
+            "[state]\nsocket = {:?}\n[peers]\nenabled = true\nlisten = \"{}\"\nown = {}\naddresses = [{}]\n{key}{}",
+            self.socket(place),
+            self.listens[place],
+            addresses[place],
+            addresses.join(", "),
+            self.more
+        );
+        let file = self.folder.join(format!("{place}.toml"));
+        std::fs::write(&file, text).unwrap();
+        file
+    }
+
+    pub fn run(&mut self, place: usize) {
+        let mut config = config(self.discovery.address, &[line("a", self.backend.address, "ready", 0)]);
+        config["name"] = format!("p{place}").into();
+        config["listen"] = self.lease.proxy(place).to_string().into();
+        config["seed"] = format!("{:x}", place + 1).into();
+        config["settings"]["group_size"] = self.listens.len().into();
+        config["settings"]["position"] = place.into();
+        let file = self.file(place);
+        let proxy = Proxy::spawn_with(&config, "unlimited", &["--config", file.to_str().unwrap()]);
+        self.proxies[place] = Some(proxy);
+        until("its state", || self.state(place).is_some());
+    }
+
+    pub fn kill(&mut self, place: usize) {
+        self.proxies[place] = None;
+    }
+
+    pub fn proxy(&self, place: usize) -> &Proxy {
+        self.proxies[place].as_ref().expect("runs")
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.proxies.len()).filter(|p| self.proxies[*p].is_some()).collect()
+    }
+
+    pub fn state(&self, place: usize) -> Option<Snapshot> {
+        gaugesaddle::state::ask(&self.socket(place)).ok()
+    }
+
+    pub fn view(&self, place: usize) -> PeersView {
+        self.state(place).and_then(|s| s.peers).expect("its view")
+    }
+
+    pub fn row(&self, place: usize, of: usize) -> PeerRow {
+        self.view(place).peers.swap_remove(of)
+    }
+
+    /// Each of these holds exactly the others of them for alive, in their present processes.
+    pub fn agrees(&self, places: &[usize]) -> bool {
+        let views: Vec<PeersView> = places.iter().map(|p| self.view(*p)).collect();
+        views.iter().all(|view| {
+            view.peers.iter().all(|row| {
+                let at = places.iter().position(|p| *p == usize::from(row.place));
+                match at {
+                    Some(at) => row.state == "alive" && row.boot.as_ref() == Some(&views[at].boot),
+                    None => row.state != "alive" && row.state != "suspect",
+                }
+            })
+        })
+    }
+
+    pub fn agree(&self, what: &str) {
+        let running = self.running();
+        until(what, || self.agrees(&running));
+    }
+
+    /// The same, and within a time.
+    pub fn agree_within(&self, what: &str, within: Duration) {
+        let begun = Instant::now();
+        self.agree(what);
+        assert!(begun.elapsed() < within, "{what}: only after {:?}", begun.elapsed());
+    }
+
+    /// Each of these has asked so many more questions: time for every fault to show.
+    pub fn asked(&self, places: &[usize], more: u64) {
+        let before: Vec<u64> = places.iter().map(|p| self.view(*p).asked).collect();
+        until("their questions", || {
+            places.iter().zip(&before).all(|(p, before)| self.view(*p).asked >= before + more)
+        });
+    }
+
+    /// Lines of a proxy's log in which it calls another dead.
+    pub fn deaths(&self, place: usize) -> Vec<String> {
+        let log = self.proxy(place).log();
+        log.lines().filter(|l| l.contains(" is dead after ")).map(String::from).collect()
+    }
+}
+
+impl Drop for Tier {
+    fn drop(&mut self) {
+        self.proxies.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
