Measure parts by need beside even parts: killed, uneven, growing

Need: parts by need had no measurement.

Change: measure shares (processes, each case with and without; the laws alone at 300 and 1,000).

--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -10,6 +10,7 @@
 mod region;
 mod relay;
 mod rig;
+mod shares;
 mod tier;
 
 use clap::{Parser, Subcommand};
@@ -92,6 +93,12 @@
         #[arg(long, default_value_t = 2)]
         lanes: usize,
     },
+    /// Parts by need beside even parts of the told number: proxies killed, uneven traffic, growth under load.
+    Shares {
+        /// Seeds of each case.
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+    },
     /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
     Testbed,
     /// The bare relay itself, as a process of its own; `relay` starts it.
@@ -121,6 +128,7 @@
             pairs: pairs.max(1),
             lanes: lanes.clamp(1, 64),
         }),
+        Command::Shares { seeds } => shares::measure(seeds.max(1)),
         Command::Testbed => rig::measure(),
         Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
     };
--- /dev/null
+++ b/crates/gaugesaddle-measure/src/shares.rs
@@ -0,0 +1,210 @@
+//! Parts by need beside today's even parts of the told number, as processes: proxies killed and not back, traffic as uneven
+//! as 1 to 5, a tier that grows and shrinks under load; and what is dealt out at 300 and 1,000 by the laws alone.
+
+use gaugesaddle_shares::{parts, uses, Law, Member, Server};
+use gaugesaddle_testbed::dice::mix;
+use gaugesaddle_testbed::scenario::Clients;
+use gaugesaddle_testbed::{program, run, Cast, Event, Outcome, Program, Scenario, What};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io;
+
+/// Worth in time with 32 of 48 killed, by need.
+const KILLED: f64 = 0.99;
+/// Uneven traffic may cost so much beside even traffic, and growth in any window.
+const UNEVEN: f64 = 0.01;
+const DIP: f64 = 0.02;
+/// Of the shares in time over proxies.
+const JAIN: f64 = 0.98;
+const WORST: f64 = 0.05;
+/// Load of a backend beside the mean.
+const LOAD: f64 = 1.15;
+const WINDOW_US: u64 = 5_000_000;
+
+fn play(s: &Scenario) -> io::Result<Outcome> {
+    let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
+    run(s, &Cast::Program(program), &mut |_| {})
+}
+
+/// Worth asked and worth in time, by first try: when, at which proxy it was first written.
+fn served(s: &Scenario, outcome: &Outcome) -> Vec<(u64, usize, f64, bool)> {
+    let mut firsts: HashMap<u64, (u64, usize, usize)> = HashMap::new();
+    let mut tries: HashMap<u64, u64> = HashMap::new();
+    let mut good: HashMap<u64, u64> = HashMap::new();
+    for r in &outcome.records {
+        match &r.event {
+            Event::Asked { proxy, id, first, class, .. } => {
+                firsts.entry(*first).or_insert((r.at, *proxy, *class));
+                tries.insert(*id, *first);
+            }
+            Event::Answered { id, status: 200, .. } => {
+                if let Some(first) = tries.get(id) {
+                    good.entry(*first).or_insert(r.at);
+                }
+            }
+            _ => {}
+        }
+    }
+    let one = |(first, (at, proxy, class)): (u64, (u64, usize, usize))| {
+        let aim = (s.classes[class].aim_ms * 1e3) as u64 + (s.rules.slack_ms * 1e3) as u64;
+        let in_time = good.get(&first).is_some_and(|done| *done <= at + aim);
+        (at, proxy, s.classes[class].worth, in_time)
+    };
+    firsts.into_iter().map(one).collect()
+}
+
+/// The least part of the worth that was in time in any window, and of any proxy; and Jain's index over proxies.
+fn spread(s: &Scenario, outcome: &Outcome) -> (f64, f64, f64) {
+    let (mut windows, mut proxies) = (HashMap::<u64, (f64, f64)>::new(), HashMap::<usize, (f64, f64)>::new());
+    for (at, proxy, worth, in_time) in served(s, outcome) {
+        let got = if in_time { worth } else { 0.0 };
+        for sums in [windows.entry(at / WINDOW_US).or_default(), proxies.entry(proxy).or_default()] {
+            *sums = (sums.0 + worth, sums.1 + got);
+        }
+    }
+    // A window or a proxy of a few requests is chance.
+    let shares = |sums: Vec<(f64, f64)>| -> Vec<f64> {
+        let most = sums.iter().fold(0.0, |m: f64, s| m.max(s.0));
+        sums.into_iter().filter(|s| s.0 > most / 20.0).map(|s| s.1 / s.0).collect()
+    };
+    let (windows, proxies) =
+        (shares(windows.into_values().collect()), shares(proxies.into_values().collect()));
+    let least = |all: &[f64]| all.iter().fold(1.0, |m: f64, x| m.min(*x));
+    let (sum, squares) = proxies.iter().fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
+    (least(&windows), least(&proxies), sum * sum / (proxies.len() as f64 * squares).max(1e-9))
+}
+
+fn base(seed: u64, by_need: bool, per_s: f64) -> Scenario {
+    let clients = Clients { per_s, leaving: 0.0, ..Clients::default() };
+    Scenario {
+        seed,
+        proxies: 48,
+        peers: by_need,
+        shares: by_need,
+        seconds: 20.0,
+        clients,
+        ..Scenario::default()
+    }
+}
+
+fn killed(seed: u64, by_need: bool) -> Scenario {
+    let lost = (0..48).filter(|p| p % 3 != 0);
+    lost.fold(base(seed, by_need, 400.0), |s, proxy| s.event(2.0, What::LoseProxy { proxy }))
+}
+
+fn uneven(seed: u64, by_need: bool, parts: &[f64]) -> Scenario {
+    let mut s = base(seed, by_need, 480.0);
+    s.clients.uneven = parts.to_vec();
+    s
+}
+
+/// From 3 to 30 proxies over nine seconds, and back to 3.
+fn growing(seed: u64, by_need: bool) -> Scenario {
+    let s = Scenario { proxies: 30, seconds: 32.0, ..base(seed, by_need, 250.0) };
+    let s = (3..30).fold(s, |s, proxy| s.event(5.0 + proxy as f64 / 3.0, What::JoinProxy { proxy }));
+    (3..30).fold(s, |s, proxy| s.event(18.0 + proxy as f64 / 3.0, What::LeaveProxy { proxy }))
+}
+
+/// Mean and half of its 95% interval by the normal law: a first look, wide where seeds are few.
+fn interval(all: &[f64]) -> Value {
+    let n = all.len() as f64;
+    let mean = all.iter().sum::<f64>() / n.max(1.0);
+    let spread = (all.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0)).sqrt();
+    json!({"mean": round(mean), "half": round(2.26 * spread / n.sqrt()), "n": all.len()})
+}
+
+fn round(x: f64) -> f64 {
+    (x * 10_000.0).round() / 10_000.0
+}
+
+fn mean(all: &[f64]) -> f64 {
+    all.iter().sum::<f64>() / all.len().max(1) as f64
+}
+
+/// The laws alone: the greatest load of a backend where needs are uneven as 1 to 5.
+fn laws(proxies: u64, backends: u64) -> f64 {
+    let needs: Vec<Option<f64>> =
+        (0..proxies).map(|n| Some(1.0 + (mix(9, n) % 1000) as f64 / 250.0)).collect();
+    let parts = parts(&Law::default(), &needs);
+    let members: Vec<Member> =
+        parts.iter().zip(0..).map(|(part, mark)| Member { mark, part: *part }).collect();
+    let servers: Vec<Server> = (0..backends).map(|mark| Server { mark, kind: mark % 2 }).collect();
+    let mut load = vec![0.0; servers.len()];
+    for (member, row) in members.iter().zip(&uses(&members, &servers, 20).rows) {
+        row.iter().for_each(|(s, weight)| load[*s] += member.part * weight);
+    }
+    // Each kind gets all of the traffic here, so that each has the same mean.
+    let mean = load.iter().sum::<f64>() / load.len() as f64;
+    load.iter().fold(0.0, |m: f64, l| m.max(l / mean))
+}
+
+/// All of it.
+pub fn measure(seeds: u64) -> io::Result<Value> {
+    let mut clean = true;
+    let mut all: HashMap<&str, Vec<(f64, f64, f64, f64)>> = HashMap::new();
+    let evenly = [1.0, 1.0];
+    let one_to_five = [1.0, 2.0, 3.0, 4.0, 5.0];
+    for seed in 1..=seeds {
+        for (name, s) in [
+            ("killed, even parts", killed(seed, false)),
+            ("killed, by need", killed(seed, true)),
+            ("even traffic, by need", uneven(seed, true, &evenly)),
+            ("uneven traffic, even parts", uneven(seed, false, &one_to_five)),
+            ("uneven traffic, by need", uneven(seed, true, &one_to_five)),
+            ("growing, even parts", growing(seed, false)),
+            ("growing, by need", growing(seed, true)),
+        ] {
+            let outcome = play(&s)?;
+            let (window, proxy, jain) = spread(&s, &outcome);
+            let g = outcome.verdict.g;
+            println!("seed {seed}, {name}: G {g:.4}, worst 5 s {window:.3}, worst proxy {proxy:.3}, Jain {jain:.4}");
+            if !outcome.is_clean() {
+                clean = false;
+                print!("{}", outcome.verdict);
+                outcome.tier.iter().for_each(|tier| print!("{tier}"));
+            }
+            all.entry(name).or_default().push((g, window, proxy, jain));
+        }
+    }
+    let of = |name: &str, pick: fn(&(f64, f64, f64, f64)) -> f64| -> Vec<f64> {
+        all.get(name).map(|runs| runs.iter().map(pick).collect()).unwrap_or_default()
+    };
+    let g = |name: &str| of(name, |r| r.0);
+    let (need, even) = ("uneven traffic, by need", "even traffic, by need");
+    let cost = mean(&g(even)) - mean(&g(need));
+    let behind = mean(&g(need)) - mean(&of(need, |r| r.2));
+    let dip = 1.0 - mean(&of("growing, by need", |r| r.1));
+    let jain = mean(&of(need, |r| r.3));
+    let loads = [
+        ("100 over 1000", laws(100, 1000)),
+        ("300 over 200", laws(300, 200)),
+        ("1000 over 1000", laws(1000, 1000)),
+    ];
+    let held = [
+        ("killed", mean(&g("killed, by need")) >= KILLED),
+        ("uneven", cost <= UNEVEN),
+        ("worst proxy", behind <= WORST),
+        ("growth", dip <= DIP),
+        ("fair", jain >= JAIN),
+        ("subset", loads.iter().all(|l| l.1 <= LOAD)),
+        ("rules", clean),
+    ];
+    let figures: serde_json::Map<String, Value> = all
+        .keys()
+        .map(|name| {
+            (
+                name.to_string(),
+                json!({"g": interval(&g(name)), "worst_5_s": round(mean(&of(name, |r| r.1))),
+            "worst_proxy": round(mean(&of(name, |r| r.2))), "jain": round(mean(&of(name, |r| r.3)))}),
+            )
+        })
+        .collect();
+    let loads: serde_json::Map<String, Value> =
+        loads.iter().map(|(n, l)| (n.to_string(), json!(round(*l)))).collect();
+    let parts_held: serde_json::Map<String, Value> =
+        held.iter().map(|(n, h)| (n.to_string(), json!(h))).collect();
+    Ok(
+        json!({"runs": figures, "uneven_costs": round(cost), "worst_proxy_behind": round(behind), "dip": round(dip),
+        "jain": round(jain), "greatest_load": loads, "parts_held": parts_held, "held": held.iter().all(|h| h.1)}),
+    )
+}
