Tell of two processes of one place by two answers to one question

Cause: a test of two living processes at one place showed that nobody told of them: each question was answered first by the same one, whose answer used up the question, and the claim that the other one heard was no higher than its own.

Change: a second answer to one question from another process is a sign, as is being asked for another process for three seconds; the line is told once while it lasts.

--- a/crates/gaugesaddle-peers/src/hearing.rs
+++ b/crates/gaugesaddle-peers/src/hearing.rs
@@ -42,8 +42,12 @@
         // Proof before all else: by it a boot becomes known.
         for section in &sections {
             if let Section::Ack { nonce } = section {
+                let answer = self.members[usize::from(place)].answer;
                 if self.answered(now, place, *nonce) {
+                    self.member(place).answer = Some((*nonce, header.boot));
                     self.prove(now, place, header.boot, header.incarnation, out);
+                } else if answer.is_some_and(|(asked, by)| asked == *nonce && by != header.boot) {
+                    self.contest(now, place, out); // one question, two answers
                 }
             }
         }
--- a/crates/gaugesaddle-peers/src/peers.rs
+++ b/crates/gaugesaddle-peers/src/peers.rs
@@ -26,6 +26,8 @@
 const CONTESTS: usize = 3;
 /// See [`CONTESTS`]; a process that crashes and starts again by itself takes longer for three rounds.
 const CONTEST: Micros = Micros(5_000_000);
+/// Others ask for another process at the own place for so long: they had the time to learn of this one.
+const RIVAL: Micros = Micros(3_000_000);
 /// Questions to one place that may still be answered.
 const OPEN_QUESTIONS: usize = 3;
 /// The dead are looked through for what can be forgotten this often.
@@ -222,8 +224,10 @@
     pub zone: String,
     /// It has our name.
     pub knows_us: bool,
-    /// When it last changed its process.
+    /// When it last changed its process, or two processes answered one question.
     pub boots: Vec<Time>,
+    /// The question that it last answered, and which of its processes did.
+    pub answer: Option<(u32, Boot)>,
 }
 
 /// One proxy's part of the tier.
@@ -277,7 +281,8 @@
     tidy: Time,
     begun: bool,
     pub(crate) gone: bool,
-    own_contests: Vec<Time>,
+    /// When others first and last asked for another process at this place.
+    rival: Option<(Time, Time)>,
 }
 
 impl Peers {
@@ -302,6 +307,7 @@
             zone: String::new(),
             knows_us: false,
             boots: Vec::new(),
+            answer: None,
         };
         Ok(Peers {
             members: (0..places).map(member).collect(),
@@ -342,7 +348,7 @@
             tidy: now + TIDY,
             begun: false,
             gone: false,
-            own_contests: Vec::new(),
+            rival: None,
         })
     }
 
@@ -526,35 +532,48 @@
             member.heard = None;
             member.knows_us = false;
             if before.boot().is_some() {
-                member.boots.push(now);
-                if member.boots.len() > CONTESTS {
-                    member.boots.remove(0);
-                }
-                if member.contested(now) {
-                    out.push(Output::Contested { place });
-                }
+                self.contest(now, place, out);
             }
             self.records.drop(place);
         }
         self.moved(now, place, before, Why::Answered, out);
     }
 
+    /// A sign that two processes live at a place; some of them soon after one another are more than a restart.
+    pub(crate) fn contest(&mut self, now: Time, place: u16, out: &mut Vec<Output>) {
+        let member = self.member(place);
+        let known = member.contested(now);
+        member.boots.push(now);
+        if member.boots.len() > CONTESTS {
+            member.boots.remove(0);
+        }
+        if member.contested(now) && !known {
+            out.push(Output::Contested { place });
+        }
+    }
+
+    /// Somebody asks for another process at this place: soon after a start that is the former one, later a rival.
+    fn rival(&mut self, now: Time, out: &mut Vec<Output>) {
+        let (first, _) = self.rival.filter(|(_, last)| now - *last < CONTEST).unwrap_or((now, now));
+        if now - first < RIVAL {
+            self.rival = Some((first, now));
+            return;
+        }
+        self.rival = None;
+        out.push(Output::Contested { place: self.told.own });
+    }
+
     /// Something wrong was said of this proxy. `true` where it objected.
     pub(crate) fn accused(&mut self, now: Time, claim: Claim, out: &mut Vec<Output>) -> bool {
+        if claim.boot != self.own.boot && claim.standing.lives() {
+            self.rival(now, out);
+        }
         if !self.own.accused(claim) {
             return false;
         }
         self.counts.refuted += 1;
         if claim.boot == self.own.boot {
             self.health.doubted();
-        } else {
-            self.own_contests.push(now);
-            if self.own_contests.len() > CONTESTS {
-                self.own_contests.remove(0);
-            }
-            if self.own_contests.len() == CONTESTS && now - self.own_contests[0] < CONTEST {
-                out.push(Output::Contested { place: self.told.own });
-            }
         }
         let (place, claim) = (self.told.own, self.own.claim());
         self.rumors.add(place, claim, place);
