Hold an operators' order in the successor though its list has not come

Looked for by reading what may lose a ban: an order that the old process takes is passed to its successor, and there it went the way of an operator's own call, which refuses a backend that no list has named (app.rs, obey; maintenance.rs, order). A successor whose first list is late thus forgot it.

Change: what the other process passes on counts as named there; it is told in the log.

--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -289,8 +289,10 @@
 /// What the operators ordered at the other process holds here as well.
 async fn obey(mut orders: mpsc::UnboundedReceiver<(String, Order)>, inputs: mpsc::UnboundedSender<Input>) {
     while let Some((name, order)) = orders.recv().await {
-        let (reply, _) = tokio::sync::oneshot::channel();
-        let _ = inputs.send(Input::Maintain(name.into(), order, reply));
+        let (reply, verdict) = tokio::sync::oneshot::channel();
+        let _ = inputs.send(Input::PassedOn(name.as_str().into(), order, reply));
+        let verdict = verdict.await;
+        tracing::info!(backend = %name, ?order, ?verdict, "maintenance, from the other process");
     }
 }
 
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -262,6 +262,10 @@
             Input::Maintain(name, order, reply) => {
                 let _ = reply.send(self.maintain(&name, order));
             }
+            Input::PassedOn(name, order, reply) => {
+                self.roster.passed_on(&name, order);
+                let _ = reply.send(self.maintain(&name, order));
+            }
             Input::TakeOver(names) => {
                 self.roster.take_over(self.clock.now(), &names);
             }
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -105,6 +105,8 @@
     TakeOver(Vec<String>),
     /// The operators take a backend, by its name, out or put it back.
     Maintain(Box<str>, Order, oneshot::Sender<Verdict>),
+    /// The same, taken by the other process of this proxy: it holds though no list has named the backend here yet.
+    PassedOn(Box<str>, Order, oneshot::Sender<Verdict>),
 }
 
 /// A future of the one thread that all of this runs on.
--- a/crates/gaugesaddle/src/roster.rs
+++ b/crates/gaugesaddle/src/roster.rs
@@ -42,6 +42,14 @@
         (verdict, seen.map(|line| self.view(line)))
     }
 
+    /// The other process has taken an order: a list has named the backend there. Out before it is listed here, it must be
+    /// out when it is.
+    pub fn passed_on(&mut self, name: &str, order: Order) {
+        if order == Order::Exclude {
+            self.maintenance.listed(BackendId(settings::number(name)));
+        }
+    }
+
     /// What the process before this one holds out.
     pub fn take_over(&mut self, now: Time, names: &[String]) {
         for name in names {
--- a/crates/gaugesaddle/tests/service.rs
+++ b/crates/gaugesaddle/tests/service.rs
@@ -190,3 +190,41 @@
     assert!(asked.iter().all(|n| *n > 10), "{asked:?}");
     drop(second);
 }
+
+/// An order that reaches the old process while the new one has no list yet holds in the new one, too.
+#[test]
+fn an_order_that_is_passed_on_before_the_first_list_holds() {
+    let folder = Folder::new("early");
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let (discovery, silent) = (Discovery::start(), Discovery::start());
+    let (mut config, admin) = with_admin(&discovery, &[("a", &a), ("b", &b)]);
+    // One that is put back counts as started now; nothing here is about what a cold one bears.
+    config["settings"]["rules"]["cold_from"] = json!(1.0);
+    let temporary = [("TMPDIR", folder.0.as_os_str())];
+    let mut first = Proxy::spawn_in(&config, &temporary);
+    until("ready", || first.ready() == 200);
+    let mut next = config.clone();
+    let admin_next = free_address();
+    next["admin"] = json!(admin_next.to_string());
+    next["discovery"] = json!(silent.address.to_string());
+    next["known"] = json!({"index": 0, "snapshot": true, "endpoints": []});
+    let second = Proxy::spawn_in(&next, &temporary);
+    until("the two have met", || first.log().contains("another process is to replace this one"));
+    assert_eq!(call(admin, "PUT /api/exclude?target=a"), 200);
+    until("it was passed on", || second.log().contains("from the other process"));
+    silent.tell(true, &[line("a", a.address, "ready", 0), line("b", b.address, "ready", 0)]);
+    until("the second is ready", || call(admin_next, "GET /api/ready") == 200);
+    first.terminate();
+    assert!(first.exit().success());
+    let before = (a.requests().len(), b.requests().len());
+    until("the second serves", || {
+        (0..5).for_each(|_| assert_eq!(ask(&second, &request("read", 7000)).status(), 200));
+        b.requests().len() > before.1 + 30
+    });
+    assert_eq!(a.requests().len(), before.0, "a stays out");
+    assert_eq!(call(admin_next, "PUT /api/include?target=a"), 200);
+    until("it is used again", || {
+        (0..5).for_each(|_| assert_eq!(ask(&second, &request("read", 7000)).status(), 200));
+        a.requests().len() > before.0
+    });
+}
