Take a predecessor's bans by the way of every order that is passed on

Need: an order of the other process had two ways into the driver: TakeOver for those held at the start, PassedOn for later ones; both mean that a list has named the backend there.

Maintenance::take_over decides, as before.

--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -161,7 +161,10 @@
     let replaces = before.is_some();
     if let Some((excluded, other)) = before {
         // Ahead of any list: what is out must not be used by the first of them.
-        let _ = sender.send(Input::TakeOver(excluded));
+        for name in excluded {
+            let (reply, _) = tokio::sync::oneshot::channel();
+            let _ = sender.send(Input::PassedOn(name.into(), Order::Exclude, reply));
+        }
         tokio::task::spawn_local(succession.clone().keep(other, listening.clone(), heard.clone()));
     }
     if let Some(known) = config.known {
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -260,14 +260,10 @@
             Input::Whole(request) => self.whole(request),
             Input::List { update, index, targets } => self.list(update, index, targets),
             Input::Maintain(name, order, reply) => {
-                let _ = reply.send(self.maintain(&name, order));
+                let _ = reply.send(self.maintain(&name, order, false));
             }
             Input::PassedOn(name, order, reply) => {
-                self.roster.passed_on(&name, order);
-                let _ = reply.send(self.maintain(&name, order));
-            }
-            Input::TakeOver(names) => {
-                self.roster.take_over(self.clock.now(), &names);
+                let _ = reply.send(self.maintain(&name, order, true));
             }
         }
     }
@@ -431,9 +427,10 @@
         self.deadlines.insert((r.deadline, request));
     }
 
-    /// Takes a backend out or puts it back: from here on nothing new goes to one that is out.
-    fn maintain(&mut self, name: &str, order: Order) -> Verdict {
-        let (verdict, changed) = self.roster.order(self.clock.now(), name, order);
+    /// Takes a backend out or puts it back: from here on nothing new goes to one that is out. `passed_on`: see
+    /// [`Roster::order`].
+    fn maintain(&mut self, name: &str, order: Order, passed_on: bool) -> Verdict {
+        let (verdict, changed) = self.roster.order(self.clock.now(), name, order, passed_on);
         if let Some(seen) = changed {
             if let Some(upstream) = self.backends.get(&seen.id) {
                 if seen.state == BackendState::Ready {
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -101,8 +101,6 @@
     },
     /// The last byte has come of a request that is passed on while it comes.
     Whole(RequestId),
-    /// What the process before this one holds out, by name.
-    TakeOver(Vec<String>),
     /// The operators take a backend, by its name, out or put it back.
     Maintain(Box<str>, Order, oneshot::Sender<Verdict>),
     /// The same, taken by the other process of this proxy: it holds though no list has named the backend here yet.
--- a/crates/gaugesaddle/src/roster.rs
+++ b/crates/gaugesaddle/src/roster.rs
@@ -34,26 +34,17 @@
         self.maintenance.view(line)
     }
 
-    /// The operators take a backend out or put it back; with the line that changes by it.
-    pub fn order(&mut self, now: Time, name: &str, order: Order) -> (Verdict, Option<Backend>) {
+    /// The operators take a backend out or put it back; with the line that changes by it. `passed_on`: the other process
+    /// of this proxy took the order, so a list has named the backend there; it is out here before it is listed.
+    pub fn order(
+        &mut self, now: Time, name: &str, order: Order, passed_on: bool,
+    ) -> (Verdict, Option<Backend>) {
         let id = BackendId(settings::number(name));
-        let verdict = self.maintenance.order(now, id, order);
+        let verdict = match order {
+            Order::Exclude if passed_on => self.maintenance.take_over(now, id),
+            _ => self.maintenance.order(now, id, order),
+        };
         let seen = self.listed.get(&id).filter(|_| verdict == Verdict::Done);
         (verdict, seen.map(|line| self.view(line)))
     }
-
-    /// The other process has taken an order: a list has named the backend there. Out before it is listed here, it must be
-    /// out when it is.
-    pub fn passed_on(&mut self, name: &str, order: Order) {
-        if order == Order::Exclude {
-            self.maintenance.listed(BackendId(settings::number(name)));
-        }
-    }
-
-    /// What the process before this one holds out.
-    pub fn take_over(&mut self, now: Time, names: &[String]) {
-        for name in names {
-            self.maintenance.take_over(now, BackendId(settings::number(name)));
-        }
-    }
 }
