Let measurements, zones' names and draws each have one piece of code

Cause: reading the change again. Playing scenarios, intervals and rounding stood three times in the measurements, the one of shares with an interval of 0 for a single seed; the zones were read twice from the settings; the draw that all proxies make alike stood in the module and in shares; scripts and networks of the tier's tests twice.

CPU measurements no longer count what cargo does to bring the proxy up to date; an interval of one seed is null.

--- a/crates/beechworks/src/lib.rs
+++ b/crates/beechworks/src/lib.rs
@@ -6,12 +6,14 @@
 mod interface;
 mod limits;
 mod logic;
+mod mix;
 pub mod settings;
 mod state;
 mod subset;
 
 pub use interface::*;
 pub use logic::halb_shares;
+pub use mix::mix;
 pub use state::Balancer;
 
 /// The README's example, kept true by the documentation tests.
--- a/crates/beechworks/src/limits.rs
+++ b/crates/beechworks/src/limits.rs
@@ -10,6 +10,7 @@
 //! on until the backend chokes (seen on a simulated day).
 
 use crate::interface::*;
+use crate::mix::mix;
 use crate::state::Mean;
 
 /// Requests that any backend may hold: a shared processor at four fifths of its capacity holds four. What is
@@ -69,14 +70,6 @@
 /// What all others hold on a backend, by this proxy's mean of all, up to which one counts as idle.
 pub(crate) const IDLE: f64 = 0.25;
 
-/// Numbers into one that looks like none of them (SplitMix64's last steps).
-pub(crate) fn mix(a: u64) -> u64 {
-    let mut z = a.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
 /// What a backend is held to for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Turn {
--- /dev/null
+++ b/crates/beechworks/src/mix.rs
@@ -0,0 +1,9 @@
+//! Draws that all proxies make alike, without a word between them.
+
+/// Numbers into one that looks like none of them (SplitMix64's last steps).
+pub fn mix(a: u64) -> u64 {
+    let mut z = a.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- a/crates/beechworks/src/settings.rs
+++ b/crates/beechworks/src/settings.rs
@@ -3,11 +3,13 @@
 use crate::interface::*;
 use serde_json::Value;
 
-/// Names of classes and tenants in the order of their numbers.
+/// Names of classes, tenants and zones, in the order of their numbers or as they are told.
 #[derive(Default)]
 pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
+    zones: Vec<String>,
+    zone: String,
 }
 
 /// The number of an address, place or kind: the same in every process, whatever lists it has seen.
@@ -32,6 +34,16 @@
         &self.classes
     }
 
+    /// The names of all zones, as they are told.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
+    /// The name of the own one.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
     /// The number of a tenant.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
         self.tenants.iter().position(|n| n == name).map(TenantId)
@@ -130,14 +142,15 @@
 /// Reads the settings; unknown keys are skipped.
 pub fn read(root: &Key) -> Result<(Config, Names), KeyError> {
     let mut names = Names::default();
-    let (mut zones, my_zone) = (Vec::new(), root.get("my_zone"));
+    let my_zone = root.get("my_zone");
     for zone in root.get("zones").list()? {
-        zones.push(zone.text()?);
+        names.zones.push(zone.text()?.into());
     }
-    if !zones.contains(&my_zone.text()?) {
+    names.zone = my_zone.text()?.into();
+    if !names.zones.contains(&names.zone) {
         return my_zone.want(None, "one of zones");
     }
-    let zone = ZoneId(number(my_zone.text()?));
+    let zone = ZoneId(number(&names.zone));
     let mut classes = Vec::new();
     for class in root.get("profiles").list()? {
         let name = class.get("name");
@@ -190,7 +203,7 @@
         proxies,
         position: position.want(Some(position.count()?).filter(|n| *n < proxies), "less than group_size")?,
         zone,
-        zones: zones.len() as u32,
+        zones: names.zones.len() as u32,
         classes,
         tenants,
         over_quota_worth: root.get("over_share_worth").real()?,
--- a/crates/beechworks/src/subset.rs
+++ b/crates/beechworks/src/subset.rs
@@ -8,7 +8,7 @@
 //! over the fleet.
 
 use crate::interface::*;
-use crate::limits::mix;
+use crate::mix::mix;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Proxies that use a backend, about: as few as let it be known from what each of them sends, and enough
--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -10,6 +10,7 @@
 mod region;
 mod relay;
 mod rig;
+mod runs;
 mod shares;
 mod tier;
 
--- a/crates/gaugesaddle-measure/src/region.rs
+++ b/crates/gaugesaddle-measure/src/region.rs
@@ -3,13 +3,12 @@
 //! under load; the price of a hop.
 
 use crate::proc::children_cpu_seconds;
+use crate::runs::{cast, interval, play, play_all, play_with, round};
 use gaugesaddle_region::Path;
 use gaugesaddle_testbed::scenario::{Clients, Kind, Regions};
-use gaugesaddle_testbed::{program, run, Broken, Cast, Outcome, Program, Scenario, What};
+use gaugesaddle_testbed::{Broken, Scenario, What};
 use serde_json::{json, Value};
 use std::io;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
 
 /// The region that helps may lose so much of its own clients' worth.
 const HELPER_BOUND: f64 = 0.01;
@@ -41,53 +40,6 @@
     halls.into_iter().fold(s, |s, hall| s.event(at, What::HallOut { hall, for_s }))
 }
 
-fn play(s: &Scenario) -> io::Result<Outcome> {
-    let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
-    run(s, &Cast::Program(program), &mut |_| {})
-}
-
-/// Plays all of them, so many side by side; the outcomes in their order.
-fn play_all(all: &[Scenario], lanes: usize) -> io::Result<Vec<Outcome>> {
-    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
-    std::thread::scope(|s| {
-        for _ in 0..lanes.min(all.len()) {
-            s.spawn(|| loop {
-                let i = next.fetch_add(1, Ordering::Relaxed);
-                let Some(scenario) = all.get(i) else { return };
-                let outcome = play(scenario);
-                done.lock().unwrap_or_else(|e| e.into_inner()).push((i, outcome));
-            });
-        }
-    });
-    let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
-    done.sort_by_key(|d| d.0);
-    done.into_iter().map(|d| d.1).collect()
-}
-
-/// Mean and half the width of its 95% interval (Student's t for the usual counts of seeds).
-fn interval(all: &[f64]) -> (f64, f64) {
-    let n = all.len() as f64;
-    let mean = all.iter().sum::<f64>() / n.max(1.0);
-    if all.len() < 2 {
-        return (mean, f64::INFINITY);
-    }
-    let spread = (all.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0)).sqrt();
-    let t = match all.len() {
-        2 => 12.7,
-        3 => 4.30,
-        4 => 3.18,
-        5 => 2.78,
-        6..=8 => 2.45,
-        9..=12 => 2.26,
-        _ => 2.09,
-    };
-    (mean, t * spread / n.sqrt())
-}
-
-fn round(x: f64) -> f64 {
-    (x * 1000.0).round() / 1000.0
-}
-
 /// The hard cases, each with other figures at each seed.
 fn hard(case: u64, seed: u64) -> (&'static str, Scenario) {
     let s = base(1000 + seed, 2);
@@ -163,9 +115,9 @@
     let mut s = base(seed, 2);
     (s.seconds, s.clients.leaving) = (8.0, 0.0);
     let s = if leave { lost(s, 0.2, 7.8) } else { s };
-    let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
+    let cast = cast()?;
     let before = children_cpu_seconds()?;
-    let outcome = run(&s, &Cast::Program(program), &mut |_| {})?;
+    let outcome = play_with(&cast, &s)?;
     let used = children_cpu_seconds()? - before;
     let asked: u64 = outcome.verdict.classes.iter().map(|c| c.tries).sum();
     Ok(used * 1e6 / asked.max(1) as f64)
--- a/crates/gaugesaddle-measure/src/shares.rs
+++ b/crates/gaugesaddle-measure/src/shares.rs
@@ -1,10 +1,11 @@
 //! Parts by need beside today's even parts of the told number, as processes: proxies killed and not back, traffic as uneven
 //! as 1 to 5, a tier that grows and shrinks under load; and what is dealt out at 300 and 1,000 by the laws alone.
 
+use crate::runs::{interval, play, round};
 use gaugesaddle_shares::{parts, uses, Law, Member, Server};
 use gaugesaddle_testbed::dice::mix;
 use gaugesaddle_testbed::scenario::Clients;
-use gaugesaddle_testbed::{program, run, Cast, Event, Outcome, Program, Scenario, What};
+use gaugesaddle_testbed::{Event, Outcome, Scenario, What};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io;
@@ -21,11 +22,6 @@
 const LOAD: f64 = 1.15;
 const WINDOW_US: u64 = 5_000_000;
 
-fn play(s: &Scenario) -> io::Result<Outcome> {
-    let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
-    run(s, &Cast::Program(program), &mut |_| {})
-}
-
 /// Worth asked and worth in time, by first try: when, at which proxy it was first written.
 fn served(s: &Scenario, outcome: &Outcome) -> Vec<(u64, usize, f64, bool)> {
     let mut firsts: HashMap<u64, (u64, usize, usize)> = HashMap::new();
@@ -105,16 +101,10 @@
     (3..30).fold(s, |s, proxy| s.event(18.0 + proxy as f64 / 3.0, What::LeaveProxy { proxy }))
 }
 
-/// Mean and half of its 95% interval by the normal law: a first look, wide where seeds are few.
-fn interval(all: &[f64]) -> Value {
-    let n = all.len() as f64;
-    let mean = all.iter().sum::<f64>() / n.max(1.0);
-    let spread = (all.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0)).sqrt();
-    json!({"mean": round(mean), "half": round(2.26 * spread / n.sqrt()), "n": all.len()})
-}
-
-fn round(x: f64) -> f64 {
-    (x * 10_000.0).round() / 10_000.0
+/// Mean and half of the width of its interval; of one seed there is none.
+fn with_interval(all: &[f64]) -> Value {
+    let (mean, by) = interval(all);
+    json!({"mean": round(mean), "half": by.is_finite().then(|| round(by)), "n": all.len()})
 }
 
 fn mean(all: &[f64]) -> f64 {
@@ -194,7 +184,7 @@
         .map(|name| {
             (
                 name.to_string(),
-                json!({"g": interval(&g(name)), "worst_5_s": round(mean(&of(name, |r| r.1))),
+                json!({"g": with_interval(&g(name)), "worst_5_s": round(mean(&of(name, |r| r.1))),
             "worst_proxy": round(mean(&of(name, |r| r.2))), "jain": round(mean(&of(name, |r| r.3)))}),
             )
         })
--- a/crates/gaugesaddle-measure/src/tier/mod.rs
+++ b/crates/gaugesaddle-measure/src/tier/mod.rs
@@ -5,11 +5,12 @@
 mod foca;
 
 use crate::proc::children_cpu_seconds;
+use crate::runs::{cast, play as play_scenario, play_all, play_with, round};
 use gaugesaddle_model::strange::strange;
-use gaugesaddle_model::tier::{play, Kind, Known, Links, Report, Step};
+use gaugesaddle_model::tier::{play, started, Kind, Known, Links, Report, Step};
 use gaugesaddle_testbed::scenario::{Clients, Kind as Nodes};
 use gaugesaddle_testbed::tier::quantile;
-use gaugesaddle_testbed::{hunt, program, run, Cast, Event, Outcome, Program, Scenario, What};
+use gaugesaddle_testbed::{hunt, Event, Outcome, Scenario, What};
 use serde_json::{json, Value};
 use std::io;
 use std::time::Duration;
@@ -48,12 +49,6 @@
     !all.is_empty() && secs(quantile(all, 0.95)) <= KNOWN_S && secs(quantile(all, 1.0)) <= KNOWN_WORST_S
 }
 
-fn started(places: usize, rest: Vec<(u64, Step)>) -> Vec<(u64, Step)> {
-    let mut script: Vec<_> = (0..places).map(|p| (p as u64 * S / places as u64, Step::Start(p))).collect();
-    script.extend(rest);
-    script
-}
-
 /// A case of virtual time: its name, what happens after the start, and until when.
 type Case = (&'static str, Vec<(u64, Step)>, u64);
 
@@ -61,13 +56,12 @@
     let kills = n.min(30) / 3 * 2;
     let one_by_one = (0..kills).map(|k| (5 * S + k as u64 * S / 10, Step::Kill(k * n / kills))).collect();
     let half = (0..n / 2).map(|p| (5 * S, Step::Kill(p))).collect();
-    let parts = |k: usize| Links { parts: (0..n).map(|p| (p % k) as u8).collect(), ..Links::default() };
     let healed = (15 * S, Step::Links(Links::default()));
     let loss = |part: f64| Links { loss: part, ..Links::default() };
     vec![
         ("killed one by one", one_by_one, 13 * S),
         ("half killed at once", half, 12 * S),
-        ("halves, healed", vec![(5 * S, Step::Links(parts(2))), healed.clone()], 20 * S),
+        ("halves, healed", vec![(5 * S, Step::Links(Links::in_parts(n, 2))), healed.clone()], 20 * S),
         ("30% lost", vec![(5 * S, Step::Links(loss(0.3))), healed.clone()], 20 * S),
         ("50% lost", vec![(5 * S, Step::Links(loss(0.5))), healed.clone()], 20 * S),
         ("stopped 4 s", vec![(5 * S, Step::Pause(1)), (9 * S, Step::Resume(1))], 14 * S),
@@ -83,7 +77,7 @@
 
 /// Bytes and datagrams a second of each process when nothing happens: the most of any.
 fn peace(kind: &dyn Kind, n: usize) -> (u64, u64) {
-    let end = |s: u64| play(kind, n, &started(n, Vec::new()), s * S, 1).sent;
+    let end = |s: u64| play(kind, n, &started(n, &[]), s * S, 1).sent;
     let (early, late) = (end(5), end(8));
     let most = early.iter().zip(&late).map(|(a, b)| ((b.1 - a.1) / 3, (b.0 - a.0) / 3));
     most.fold((0, 0), |m, x| (m.0.max(x.0), m.1.max(x.1)))
@@ -94,7 +88,7 @@
     for n in [30, 300] {
         let mut of = serde_json::Map::new();
         for (name, script, end) in cases(n) {
-            let script = started(n, script);
+            let script = started(n, &script);
             let report = play(&Known::default(), n, &script, end, 1);
             let deaths = report.death_known.is_empty() || in_time(&report.death_known);
             held &= deaths && report.went_back.is_empty() && report.unsettled.is_empty();
@@ -122,19 +116,14 @@
         );
         figures.insert(n.to_string(), Value::Object(of));
     }
-    let kills = (0..10).map(|k| (4 * S, Step::Kill(k * 97))).collect();
-    let report = play(&Known::default(), 1000, &started(1000, kills), 10 * S, 1);
+    let kills: Vec<_> = (0..10).map(|k| (4 * S, Step::Kill(k * 97))).collect();
+    let report = play(&Known::default(), 1000, &started(1000, &kills), 10 * S, 1);
     held &= in_time(&report.death_known) && report.false_deaths == 0 && report.went_back.is_empty();
     println!("1000 in virtual time, ten killed at once: {}", told(&report, true));
     figures.insert("1000".into(), told(&report, true));
     (Value::Object(figures), held)
 }
 
-fn play_real(s: &Scenario) -> io::Result<Outcome> {
-    let program = Program { path: program::built("gaugesaddle")?, arguments: Vec::new() };
-    run(s, &Cast::Program(program), &mut |_| {})
-}
-
 fn base(proxies: usize, per_s: f64, seconds: f64) -> Scenario {
     let clients = Clients { per_s, leaving: 0.0, asking_once: 0.0, ..Clients::default() };
     Scenario { proxies, peers: true, seconds, clients, ..Scenario::default() }
@@ -149,25 +138,15 @@
         s.event(3.0 + each * k as f64, What::KillProxy { proxy: k % proxies, back_after_s: 3.0 })
     });
     (0..heals).fold(s, |s, n| {
-        let links = Links { parts: (0..proxies).map(|p| (p % 2) as u8).collect(), ..Links::default() };
+        let links = Links::in_parts(proxies, 2);
         s.event(end + 8.0 * f64::from(n), What::Network { links, halls: Vec::new(), for_s: 4.0 })
     })
 }
 
-fn side_by_side(all: &[Scenario]) -> io::Result<Vec<Outcome>> {
-    std::thread::scope(|scope| {
-        let runs: Vec<_> = all.iter().map(|s| scope.spawn(move || play_real(s))).collect();
-        let joined = |r: std::thread::ScopedJoinHandle<'_, io::Result<Outcome>>| {
-            r.join().unwrap_or_else(|_| Err(io::Error::other("a run panicked")))
-        };
-        runs.into_iter().map(joined).collect()
-    })
-}
-
 fn processes(kills: usize) -> io::Result<(Value, bool)> {
     let all = [3, 10, 30].map(|n| deaths(n, kills));
     let (mut figures, mut held) = (serde_json::Map::new(), true);
-    for (s, outcome) in all.iter().zip(side_by_side(&all)?) {
+    for (s, outcome) in all.iter().zip(play_all(&all, all.len())?) {
         let Some(tier) = &outcome.tier else { continue };
         let agreed = quantile(&tier.agreed, 1.0);
         let sound = outcome.is_clean() && in_time(&tier.death_known) && secs(agreed) <= AGREED_S;
@@ -188,7 +167,7 @@
     let seconds = minutes * 60.0;
     let all = [base(10, 5.0, seconds).named("idle"), base(10, 260.0, seconds).named("loaded")];
     let (mut figures, mut held) = (serde_json::Map::new(), true);
-    for (s, outcome) in all.iter().zip(side_by_side(&all)?) {
+    for (s, outcome) in all.iter().zip(play_all(&all, all.len())?) {
         let Some(tier) = &outcome.tier else { continue };
         let per_s = |pick: fn(&(u64, u64)) -> u64| {
             outcome.datagrams.iter().map(pick).max().unwrap_or(0) as f64 / (s.seconds + 3.0)
@@ -207,9 +186,10 @@
 
 /// CPU of a proxy of 30 for its peers, in thousandths of a core: the same run with and without them.
 fn cpu() -> io::Result<Value> {
+    let cast = cast()?;
     let spent = |peers: bool| -> io::Result<f64> {
         let before = children_cpu_seconds()?;
-        play_real(&Scenario { peers, ..base(30, 5.0, 20.0) })?;
+        play_with(&cast, &Scenario { peers, ..base(30, 5.0, 20.0) })?;
         Ok(children_cpu_seconds()? - before)
     };
     let (off, on) = (spent(false)?, spent(true)?);
@@ -240,14 +220,14 @@
             let kinds = vec![Nodes { name: "n".into(), count: 12, speed: 1.5, ..Nodes::default() }];
             let s = Scenario { peers: on, kinds, ..base(6, 250.0, 12.0) }.seed(50 + pair as u64);
             let class = s.classes.iter().position(|c| c.name == "vote").unwrap_or(0);
-            p99[usize::from(on)].push(votes_p99(&play_real(&s)?, class));
+            p99[usize::from(on)].push(votes_p99(&play_scenario(&s)?, class));
         }
     }
     let middle = |all: &[u64]| quantile(all, 0.5);
     let (off, on) = (middle(&p99[0]), middle(&p99[1]));
     let ratio = on as f64 / off.max(1) as f64;
     println!("p99 of votes, middle of {pairs} runs: {off} us without peers, {on} us with: {ratio:.3}");
-    Ok((json!({"off_us": off, "on_us": on, "ratio": (ratio * 1000.0).round() / 1000.0}), ratio <= VOTES))
+    Ok((json!({"off_us": off, "on_us": on, "ratio": round(ratio)}), ratio <= VOTES))
 }
 
 /// All of it.
@@ -267,10 +247,9 @@
     let (votes, votes_held) = votes(extent.pairs)?;
     let cpu = cpu()?;
     let (peaceful, peaceful_held) = peaceful(extent.minutes)?;
-    let cast = Cast::Program(Program { path: program::built("gaugesaddle")?, arguments: Vec::new() });
     let within = Duration::from_secs_f64(extent.hunt_s);
     let hunted =
-        hunt::hunt(&cast, 11, within, extent.lanes, &std::env::temp_dir(), &|line| println!("{line}"))?;
+        hunt::hunt(&cast()?, 11, within, extent.lanes, &std::env::temp_dir(), &|line| println!("{line}"))?;
     println!("{hunted}");
     let found = hunted.saved.len() + hunted.once.len();
     let held = strange_held && virtual_held && processes_held && votes_held && peaceful_held && found == 0;
--- a/crates/gaugesaddle-model/src/tier.rs
+++ b/crates/gaugesaddle-model/src/tier.rs
@@ -155,6 +155,14 @@
     report: Report,
 }
 
+/// All start within a second, then the rest of the script.
+pub fn started(places: usize, rest: &[(u64, Step)]) -> Vec<(u64, Step)> {
+    let start = |p: usize| (p as u64 * 1_000_000 / places as u64, Step::Start(p));
+    let mut script: Vec<_> = (0..places).map(start).collect();
+    script.extend(rest.iter().cloned());
+    script
+}
+
 /// Plays a script (in the order of its times) to its end, on a tier of so many places, none of which runs at first.
 pub fn play(kind: &dyn Kind, places: usize, script: &[(u64, Step)], end_us: u64, seed: u64) -> Report {
     let mut tier = Tier {
--- a/crates/gaugesaddle-model/tests/tier.rs
+++ b/crates/gaugesaddle-model/tests/tier.rs
@@ -1,7 +1,7 @@
 //! A tier of proxies in virtual time loses processes, links and datagrams: what each holds of the others is soon true
 //! again, and nothing goes back. Thousands of seeded scripts; a failing one's seed is in the message.
 
-use gaugesaddle_model::tier::{play, Kind, Known, Links, Process, Report, Sent, Step};
+use gaugesaddle_model::tier::{play, started, Kind, Known, Links, Process, Report, Sent, Step};
 use gaugesaddle_peers::wire;
 use gaugesaddle_testbed::dice::Dice;
 use gaugesaddle_testbed::tier::{judge, quantile, Wrong};
@@ -14,14 +14,6 @@
 /// A living, connected process is held dead at most so long, where datagrams pass at all.
 const FALSE_DEATH: u64 = 3 * S;
 
-/// All start within a second, then the rest of the script.
-fn started(places: usize, rest: &[(u64, Step)]) -> Vec<(u64, Step)> {
-    let start = |p: usize| (p as u64 * S / places as u64, Step::Start(p));
-    let mut script: Vec<_> = (0..places).map(start).collect();
-    script.extend(rest.iter().cloned());
-    script
-}
-
 fn sound(report: &Report, what: &str) {
     assert!(report.unsettled.is_empty(), "{what}: {:?}", report.unsettled);
     assert!(report.went_back.is_empty(), "{what}: {:?}", report.went_back);
@@ -29,8 +21,7 @@
 }
 
 fn in_parts(places: usize, parts: usize) -> Step {
-    let parts = (0..places).map(|p| (p % parts) as u8).collect();
-    Step::Links(Links { parts, ..Links::default() })
+    Step::Links(Links::in_parts(places, parts))
 }
 
 fn healed() -> Step {
--- a/crates/gaugesaddle-shares/src/subset.rs
+++ b/crates/gaugesaddle-shares/src/subset.rs
@@ -7,6 +7,7 @@
 //! weights with which a member spreads its traffic over its backends (rows and columns scaled in turn), which moves
 //! traffic and no connection.
 
+use beechworks::mix;
 use std::collections::BTreeMap;
 
 /// Rounds of scaling at most; ten leave under a hundredth where every backend has ten users or more.
@@ -40,13 +41,6 @@
     pub rows: Vec<Vec<(usize, f64)>>,
 }
 
-fn mix(mut z: u64) -> u64 {
-    z = z.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
 /// The user of a backend in a round.
 fn winner(members: &[(u64, f64)], mark: u64) -> Option<usize> {
     let draw = |(i, (member, part)): (usize, &(u64, f64))| {
--- a/crates/gaugesaddle-testbed/src/datagrams.rs
+++ b/crates/gaugesaddle-testbed/src/datagrams.rs
@@ -61,6 +61,11 @@
 }
 
 impl Links {
+    /// So many parts, the places dealt to them by turns.
+    pub fn in_parts(places: usize, parts: usize) -> Links {
+        Links { parts: (0..places).map(|p| (p % parts) as u8).collect(), ..Links::default() }
+    }
+
     /// Whether anything passes from one place to another.
     pub fn passes(&self, from: usize, to: usize) -> bool {
         self.parts.get(from) == self.parts.get(to)
@@ -73,9 +78,14 @@
         self.parts.is_empty() && self.one_way.is_empty() && self.unheard.is_empty()
     }
 
-    /// Everybody reaches everybody, and nearly all arrives in time.
+    /// What passes arrives, and in time.
+    pub fn sure(&self) -> bool {
+        self.loss == 0.0 && self.slow.is_empty()
+    }
+
+    /// Everybody reaches everybody, surely.
     pub fn calm(&self) -> bool {
-        self.whole() && self.loss == 0.0 && self.slow.is_empty()
+        self.whole() && self.sure()
     }
 
     /// Whether what one sends can reach the other, through a third of these if need be, and back.
@@ -140,7 +150,8 @@
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+/// What another thread left when it panicked is as good as any.
+pub(crate) fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/gaugesaddle-testbed/src/hunt.rs
+++ b/crates/gaugesaddle-testbed/src/hunt.rs
@@ -5,7 +5,7 @@
 //! that must be right. A finding is played again before it counts, faults are left out one by one as long as it still
 //! shows, and the rest is saved as a scenario that `gaugesaddle-testbed run` replays.
 
-use crate::datagrams::Links;
+use crate::datagrams::{lock, Links};
 use crate::dice::{mix, Dice};
 use crate::scenario::{Clients, Planned, Scenario, What};
 use crate::world::{run, Cast};
@@ -162,7 +162,7 @@
 /// What is wrong with a run, in a line; `None` where nothing is.
 fn wrong(s: &Scenario, cast: &Cast, count: &Mutex<Hunted>) -> io::Result<Option<String>> {
     let outcome = run(s, cast, &mut |_| {})?;
-    let mut count = count.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut count = lock(count);
     count.runs += 1;
     count.proxies += s.proxies as u64;
     count.faults += s.events.len() as u64;
@@ -196,7 +196,7 @@
             tell(&format!("{}: {first}", s.name));
             let again = |s: &Scenario| (0..AGAIN).any(|_| matches!(wrong(s, cast, &hunted), Ok(Some(_))));
             if !again(&s) {
-                let mut hunted = hunted.lock().unwrap_or_else(PoisonError::into_inner);
+                let mut hunted = lock(&hunted);
                 hunted.once.push(format!("{}: {first}", s.name));
                 continue;
             }
@@ -205,7 +205,7 @@
             let path = into.join(format!("{}.toml", small.name));
             std::fs::write(&path, toml::to_string(&small).map_err(io::Error::other)?)?;
             tell(&format!("{}: {} faults are enough", path.display(), small.events.len()));
-            hunted.lock().unwrap_or_else(PoisonError::into_inner).saved.push(path);
+            lock(&hunted).saved.push(path);
         }
         Ok(())
     };
--- a/crates/gaugesaddle-testbed/src/tier.rs
+++ b/crates/gaugesaddle-testbed/src/tier.rs
@@ -284,8 +284,7 @@
     /// What one sends reaches the other in time, and back.
     fn reach(&self, a: usize, b: usize, at: u64) -> bool {
         let links = self.links(at);
-        let sure = links.loss == 0.0 && links.slow.is_empty();
-        sure && links.connected(a, b, |k| self.runs(k, at), self.places)
+        links.sure() && links.connected(a, b, |k| self.runs(k, at), self.places)
     }
 
     /// Both run, and reached each other all the last second: what was thought of one while it was cut off, and is said
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -201,7 +201,7 @@
     let tier = operator.peers.enabled.then(|| {
         let own = peers::Own {
             name: config.name.clone(),
-            zone: config.zone.clone(),
+            zone: server.rules.names.zone().into(),
             position: config.module.position,
         };
         Tier::new(&operator.peers, config.peers.clone(), own, server.rules.names.classes(), clock)
@@ -213,8 +213,8 @@
             true => None,
             false => Some(tier.bind().map_err(cannot_listen("peers.listen", tier.listen()))?),
         };
-        let zones =
-            config.zones.iter().map(|z| beechworks::ZoneId(beechworks::settings::number(z))).collect();
+        let zones = server.rules.names.zones().iter();
+        let zones = zones.map(|z| beechworks::ZoneId(beechworks::settings::number(z))).collect();
         let classes = config.module.classes.len();
         subsystems.push(Box::new(PeerWatch::new(tier.clone(), registry.clone(), zones, classes)));
         *registry.peers.borrow_mut() = Some(tier.clone());
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -35,9 +35,6 @@
     pub max_retry_after: Option<Micros>,
     /// The longest time that a client waits.
     pub longest: Micros,
-    /// The zones' names, and the own one.
-    pub zones: Vec<String>,
-    pub zone: String,
     /// The tier of proxies; `None` where the settings refuse words between them.
     pub peers: Option<Platform>,
     /// The document as it was read.
@@ -90,9 +87,14 @@
     key.want(parsed, "an IP address and a port")
 }
 
+/// Whether the key is there and says anything.
+fn is_told(key: &Key) -> bool {
+    key.value().is_some_and(|v| !v.is_null())
+}
+
 /// The key, or `$BALANCER_ADMIN` where there is none.
 fn admin(key: &Key) -> Result<Option<SocketAddr>, KeyError> {
-    if key.value().is_some_and(|v| !v.is_null()) {
+    if is_told(key) {
         return address(key).map(Some);
     }
     let Some(told) = std::env::var("BALANCER_ADMIN").ok().filter(|a| !a.is_empty()) else { return Ok(None) };
@@ -107,11 +109,10 @@
     }
     let told = |key: &str| {
         let key = root.get(key);
-        let some = key.value().is_some_and(|v| !v.is_null());
-        some.then(|| address(&key)).transpose()
+        is_told(&key).then(|| address(&key)).transpose()
     };
     let key = root.get("peers");
-    let addresses = match key.value().is_some_and(|v| !v.is_null()) {
+    let addresses = match is_told(&key) {
         true => key.list()?.iter().map(address).collect::<Result<_, _>>()?,
         false => Vec::new(),
     };
@@ -130,11 +131,6 @@
     for class in settings.get("profiles").list()? {
         longest = longest.max(class.get("deadline_us").micros()?);
     }
-    let mut zones = Vec::new();
-    for zone in settings.get("zones").list()? {
-        zones.push(zone.text()?.into());
-    }
-    let zone = settings.get("my_zone").text()?.into();
     let peers = peers(&root, &limits)?;
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
     Ok(Config {
@@ -153,8 +149,6 @@
         dial_timeout: limits.get("dial_timeout_us").micros()?,
         max_retry_after: limits.get("max_retry_after_us").value().and_then(Value::as_u64).map(Micros),
         longest,
-        zones,
-        zone,
         peers,
         document,
     })
