--- a/crates/gaugesaddle-model/src/tier.rs
+++ b/crates/gaugesaddle-model/src/tier.rs
@@ -9,7 +9,7 @@
 
 use beechworks::Time;
 use gaugesaddle_peers::{Boot, Output, Peers, Seal, Settings, Signals, Told};
-pub use gaugesaddle_testbed::datagrams::Links;
+pub use gaugesaddle_testbed::datagrams::{Links, Poor};
 use gaugesaddle_testbed::dice::{mix, Dice};
 pub use gaugesaddle_testbed::tier::Fact;
 use std::cmp::Reverse;
--- a/crates/gaugesaddle-model/tests/tier.rs
+++ b/crates/gaugesaddle-model/tests/tier.rs
@@ -1,7 +1,7 @@
 //! A tier of proxies in virtual time loses processes, links and datagrams: what each holds of the others is soon true
 //! again, and nothing goes back. Thousands of seeded scripts; a failing one's seed is in the message.
 
-use gaugesaddle_model::tier::{play, started, Kind, Known, Links, Process, Report, Sent, Step};
+use gaugesaddle_model::tier::{play, started, Kind, Known, Links, Poor, Process, Report, Sent, Step};
 use gaugesaddle_peers::wire;
 use gaugesaddle_testbed::dice::Dice;
 use gaugesaddle_testbed::tier::{judge, quantile, Wrong};
@@ -36,7 +36,7 @@
 fn fault(dice: &mut Dice, places: usize) -> Links {
     let mut links = Links::default();
     let any = |dice: &mut Dice| dice.below(places);
-    match dice.below(7) {
+    match dice.below(8) {
         0 => {
             let parts = 2 + dice.below(2);
             links.parts = (0..places).map(|_| dice.below(parts) as u8).collect();
@@ -46,6 +46,7 @@
         3 => links.loss = dice.within([0.05, 0.5]),
         4 => links.doubled = dice.within([0.1, 1.0]),
         5 => links.way_us = [100, 20_000],
+        6 => links.poor = Poor::between([0, 1], 3, places, dice.within([0.1, 0.6]), 30_000),
         _ => (links.loss, links.doubled) = (0.1, 0.2),
     }
     links
--- a/crates/gaugesaddle-testbed/src/datagrams.rs
+++ b/crates/gaugesaddle-testbed/src/datagrams.rs
@@ -43,6 +43,36 @@
     pub doubled: f64,
     /// The way, evenly drawn: what is sent later may arrive earlier.
     pub way_us: [u64; 2],
+    /// Ways between some that are worse than the rest.
+    pub poor: Vec<Poor>,
+}
+
+/// What some send to others is lost or late more often than the rest, in this direction.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Poor {
+    /// By place; empty: all.
+    pub from: Vec<usize>,
+    /// See `from`.
+    pub to: Vec<usize>,
+    /// The part of these datagrams that is lost, beside the loss of all.
+    pub loss: f64,
+    /// These take so much longer, in microseconds.
+    pub more_us: u64,
+}
+
+impl Poor {
+    /// The ways between the proxies of two halls, in both directions; a place stands in the hall of its turn.
+    pub fn between(halls: [usize; 2], of: usize, places: usize, loss: f64, more_us: u64) -> Vec<Poor> {
+        let [a, b] = halls.map(|hall| (0..places).filter(|p| p % of == hall).collect::<Vec<usize>>());
+        let back = Poor { from: b.clone(), to: a.clone(), loss, more_us };
+        vec![Poor { from: a, to: b, loss, more_us }, back]
+    }
+
+    fn is_of(&self, from: usize, to: usize) -> bool {
+        let among = |set: &[usize], place| set.is_empty() || set.contains(&place);
+        among(&self.from, from) && among(&self.to, to)
+    }
 }
 
 impl Default for Links {
@@ -56,6 +86,7 @@
             loss: 0.0,
             doubled: 0.0,
             way_us: [100, 2000],
+            poor: Vec::new(),
         }
     }
 }
@@ -71,16 +102,18 @@
         self.parts.get(from) == self.parts.get(to)
             && !self.unheard.contains(&from)
             && !self.one_way.contains(&(from, to))
+            && !self.poor.iter().any(|p| p.loss >= 1.0 && p.is_of(from, to))
     }
 
     /// Everybody reaches everybody.
     pub fn whole(&self) -> bool {
-        self.parts.is_empty() && self.one_way.is_empty() && self.unheard.is_empty()
+        let cut = !self.one_way.is_empty() || self.poor.iter().any(|p| p.loss >= 1.0);
+        self.parts.is_empty() && self.unheard.is_empty() && !cut
     }
 
     /// What passes arrives, and in time.
     pub fn sure(&self) -> bool {
-        self.loss == 0.0 && self.slow.is_empty()
+        self.loss == 0.0 && self.slow.is_empty() && self.poor.is_empty()
     }
 
     /// Everybody reaches everybody, surely.
@@ -102,7 +135,13 @@
         if !self.passes(from, to) || dice.chance(self.loss) {
             return [None, None];
         }
-        let more = if self.slow.contains(&from) || self.slow.contains(&to) { self.slow_us } else { 0 };
+        let mut more = if self.slow.contains(&from) || self.slow.contains(&to) { self.slow_us } else { 0 };
+        for poor in self.poor.iter().filter(|p| p.is_of(from, to)) {
+            if dice.chance(poor.loss) {
+                return [None, None];
+            }
+            more += poor.more_us;
+        }
         let [least, most] = self.way_us;
         let mut way = || dice.within([least as f64, most as f64]) as u64 + more;
         let once = way();
@@ -114,15 +153,18 @@
     pub fn check(&self, places: usize) -> Result<(), &'static str> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         let there = |p: &usize| *p < places;
+        let poor = self.poor.iter().flat_map(|p| p.from.iter().chain(&p.to));
+        let more = self.poor.iter().map(|p| p.more_us).fold(self.slow_us, u64::saturating_add);
+        let longest = self.way_us[1].saturating_add(more);
         let tests = [
             (self.parts.is_empty() || self.parts.len() == places, "a part for each proxy"),
             (self.one_way.iter().all(|(a, b)| there(a) && there(b)), "proxies that there are"),
-            (self.unheard.iter().chain(&self.slow).all(there), "proxies that there are"),
-            (part(self.loss) && part(self.doubled), "parts from 0 to 1"),
+            (self.unheard.iter().chain(&self.slow).chain(poor).all(there), "proxies that there are"),
             (
-                self.way_us[0] <= self.way_us[1] && self.way_us[1] + self.slow_us <= MOST_WAY_US,
-                "a way of up to 10 s",
+                part(self.loss) && part(self.doubled) && self.poor.iter().all(|p| part(p.loss)),
+                "parts from 0 to 1",
             ),
+            (self.way_us[0] <= self.way_us[1] && longest <= MOST_WAY_US, "a way of up to 10 s"),
         ];
         tests.into_iter().find(|t| !t.0).map_or(Ok(()), |t| Err(t.1))
     }
@@ -332,6 +374,29 @@
         assert_eq!((relay.kept(0).len(), relay.longest(), relay.dropped()), (3, 5, 0));
     }
 
+    #[test]
+    fn a_poor_way_between_two_halls_spares_all_others() {
+        let poor = Poor::between([0, 2], 3, 6, 0.5, 40_000);
+        assert_eq!((&poor[0].from[..], &poor[0].to[..]), (&[0, 3][..], &[2, 5][..]));
+        let links = Links { poor, ..Links::default() };
+        assert!(links.whole() && !links.sure(), "it passes, yet not surely");
+        let mut dice = Dice::new(7, "poor");
+        for (from, to) in (0..6).flat_map(|a| (0..6).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            let ways: Vec<Option<u64>> = (0..400).map(|_| links.draw(&mut dice, from, to)[0]).collect();
+            let arrived: Vec<u64> = ways.into_iter().flatten().collect();
+            if [from % 3, to % 3] == [0, 2] || [from % 3, to % 3] == [2, 0] {
+                assert!((140..260).contains(&arrived.len()), "{} of 400", arrived.len());
+                assert!(arrived.iter().all(|way| (40_100..=42_000).contains(way)));
+            } else {
+                assert!(arrived.len() == 400 && arrived.iter().all(|way| *way <= 2000));
+            }
+        }
+        let one = Poor { from: vec![1], loss: 1.0, ..Poor::default() };
+        let links = Links { poor: vec![one], ..Links::default() };
+        assert_eq!(links.draw(&mut dice, 1, 0), [None, None]);
+        assert!(links.draw(&mut dice, 0, 1)[0].is_some(), "to it all arrive");
+    }
+
     #[test]
     fn links_that_cannot_be_are_told() {
         let good = Links { parts: vec![0, 1, 0], slow: vec![2], slow_us: 5000, ..Links::default() };
@@ -340,5 +405,10 @@
         assert!(Links { unheard: vec![3], ..Links::default() }.check(3).is_err());
         assert!(Links { loss: 1.5, ..Links::default() }.check(3).is_err());
         assert!(Links { way_us: [3, 2], ..Links::default() }.check(3).is_err());
+        let poor = |poor: Poor| Links { poor: vec![poor], ..Links::default() }.check(3);
+        assert_eq!(poor(Poor { from: vec![0], to: vec![2], loss: 0.4, more_us: 9_000_000 }), Ok(()));
+        assert_eq!(poor(Poor { to: vec![3], ..Poor::default() }), Err("proxies that there are"));
+        assert_eq!(poor(Poor { loss: -0.1, ..Poor::default() }), Err("parts from 0 to 1"));
+        assert_eq!(poor(Poor { more_us: u64::MAX, ..Poor::default() }), Err("a way of up to 10 s"));
     }
 }
--- a/crates/gaugesaddle-testbed/src/hunt.rs
+++ b/crates/gaugesaddle-testbed/src/hunt.rs
@@ -5,7 +5,7 @@
 //! that must be right. A finding is played again before it counts, faults are left out one by one as long as it still
 //! shows, and the rest is saved as a scenario that `gaugesaddle-testbed run` replays.
 
-use crate::datagrams::{lock, Links};
+use crate::datagrams::{lock, Links, Poor};
 use crate::dice::{mix, Dice};
 use crate::scenario::{Clients, Planned, Scenario, What};
 use crate::world::{run, Cast};
@@ -123,7 +123,7 @@
 fn network(dice: &mut Dice, proxies: usize, halls: usize) -> (Links, Vec<u8>) {
     let (mut links, mut cut) = (Links::default(), Vec::new());
     let any = |dice: &mut Dice| dice.below(proxies);
-    match dice.below(7) {
+    match dice.below(9) {
         0 => {
             let parts = 2 + dice.below(2);
             links.parts = (0..proxies).map(|_| dice.below(parts) as u8).collect();
@@ -138,6 +138,15 @@
         3 => links.unheard = vec![any(dice)],
         4 => links.loss = dice.within([0.05, 0.5]),
         5 => (links.slow, links.slow_us) = (vec![any(dice), any(dice)], 150_000),
+        6 => {
+            let pair = [dice.below(halls), dice.below(halls)];
+            links.poor = Poor::between(pair, halls, proxies, dice.within([0.1, 0.6]), 30_000);
+        }
+        7 => {
+            let (loss, more_us) = (dice.within([0.3, 1.0]), 100_000);
+            let pairs = (0..1 + any(dice)).map(|_| (vec![any(dice)], vec![any(dice)]));
+            links.poor = pairs.map(|(from, to)| Poor { from, to, loss, more_us }).collect();
+        }
         _ => (links.doubled, links.way_us) = (0.5, [100, 20_000]),
     }
     (links, cut)
--- a/crates/gaugesaddle/tests/peers.rs
+++ b/crates/gaugesaddle/tests/peers.rs
@@ -4,7 +4,7 @@
 mod tier;
 
 use gaugesaddle::registry::PeersView;
-use gaugesaddle_testbed::datagrams::Links;
+use gaugesaddle_testbed::datagrams::{Links, Poor};
 use gaugesaddle_testbed::scripted::*;
 use std::os::unix::fs::PermissionsExt;
 use std::time::Duration;
@@ -120,6 +120,19 @@
     assert!(replayed > 0, "doubled ones are told from new ones");
 }
 
+#[test]
+fn a_poor_way_between_two_zones_kills_nobody_on_either_side() {
+    let tier = Tier::start("poor", 6);
+    let poor = Poor::between([0, 1], 3, 6, 0.6, 60_000);
+    tier.ways.set(Links { poor, ..Links::default() });
+    tier.asked(&[0, 1, 2, 3, 4, 5], 40);
+    tier.ways.set(Links::default());
+    tier.agree_within("all agree", AGREED);
+    for place in 0..6 {
+        assert_eq!(tier.deaths(place), [] as [String; 0]);
+    }
+}
+
 #[test]
 fn three_grow_to_seven_and_two_leave_in_order() {
     let mut tier = Tier::told("join", 7, true);
