--- a/crates/gaugesaddle-measure/src/shares.rs
+++ b/crates/gaugesaddle-measure/src/shares.rs
@@ -5,7 +5,7 @@
 use crate::subsets;
 use beechworks::LimitBounds;
 use gaugesaddle_model::{simulate, Policy};
-use gaugesaddle_testbed::scenario::Clients;
+use gaugesaddle_testbed::scenario::{Clients, Kind, Regions};
 use gaugesaddle_testbed::{Event, Outcome, Scenario, What};
 use serde_json::{json, Value};
 use std::collections::HashMap;
@@ -23,6 +23,8 @@
 const LOAD: f64 = 1.15;
 /// Links that move when one proxy or backend goes, beside the least possible.
 const MOVED: f64 = 2.0;
+/// With two of three proxies of a lost region killed so much of its figure is left.
+const REGION: f64 = 0.95;
 const WINDOW_US: u64 = 5_000_000;
 
 /// Worth asked and worth in time, by first try: when, at which proxy it was first written.
@@ -97,6 +99,39 @@
     s
 }
 
+/// Two regions of three proxies and six nodes each, some 70 requests a second each and as many that may cross; all halls
+/// of the first fall silent for 10 s. `killed`: of its three proxies two are killed before.
+fn region(seed: u64, by_need: bool, killed: bool) -> Scenario {
+    let kinds = vec![
+        Kind { name: "fast".into(), count: 4, speed: 1.8, ..Kind::default() },
+        Kind { name: "slow".into(), count: 8, speed: 0.9, ..Kind::default() },
+    ];
+    let clients = Clients { per_s: 140.0, leaving: 0.0, ..Clients::default() };
+    let regions = Regions { count: 2, per_s: 70, in_flight: 120, ..Regions::default() };
+    let s = Scenario {
+        seed,
+        seconds: 26.0,
+        proxies: 6,
+        halls: 4,
+        kinds,
+        clients,
+        regions,
+        peers: by_need,
+        shares: by_need,
+        ..Scenario::default()
+    };
+    let halls = (0..4).filter(|h| h % 2 == 0);
+    let s = halls.fold(s, |s, hall| s.event(12.0, What::HallOut { hall, for_s: 10.0 }));
+    let lost = [2, 4].into_iter().filter(|_| killed);
+    lost.fold(s, |s, proxy| s.event(8.0, What::LoseProxy { proxy }))
+}
+
+/// Worth in time of the first region's clients, and the most that left for the other within a second.
+fn lost_region(outcome: &Outcome) -> (f64, usize) {
+    let region = &outcome.verdict.regions[0];
+    (region.g, region.most_left_per_s)
+}
+
 /// From 3 to 30 proxies over nine seconds, and back to 3.
 fn growing(seed: u64, by_need: bool) -> Scenario {
     let s = Scenario { proxies: 30, seconds: 32.0, ..base(seed, by_need, 250.0) };
@@ -169,6 +204,31 @@
             all.entry(name).or_default().push((g, window, proxy, jain));
         }
     }
+    let mut regions: HashMap<(bool, bool), Vec<f64>> = HashMap::new();
+    let mut most_left = 0;
+    for seed in 1..=seeds {
+        for (by_need, killed) in [(false, false), (false, true), (true, false), (true, true)] {
+            let outcome = play(&region(seed, by_need, killed))?;
+            let (g, most) = lost_region(&outcome);
+            let names = [
+                ["even parts", "by need"][usize::from(by_need)],
+                ["all alive", "two of three killed"][usize::from(killed)],
+            ];
+            println!(
+                "seed {seed}, region lost, {}, {}: G {g:.4}, at most {most} left in a second",
+                names[0], names[1]
+            );
+            if !outcome.is_clean() {
+                clean = false;
+                print!("{}", outcome.verdict);
+                outcome.tier.iter().for_each(|tier| print!("{tier}"));
+            }
+            most_left = most_left.max(most);
+            regions.entry((by_need, killed)).or_default().push(g);
+        }
+    }
+    let region_g = |key: (bool, bool)| mean(regions.get(&key).map_or(&[][..], Vec::as_slice));
+    let kept = |by_need: bool| region_g((by_need, true)) / region_g((by_need, false)).max(1e-9);
     let of = |name: &str, pick: fn(&(f64, f64, f64, f64)) -> f64| -> Vec<f64> {
         all.get(name).map(|runs| runs.iter().map(pick).collect()).unwrap_or_default()
     };
@@ -186,6 +246,7 @@
         ("fair", jain >= JAIN),
         ("subset", subset_held),
         ("many", better),
+        ("region", kept(true) >= REGION),
         ("rules", clean),
     ];
     let figures: serde_json::Map<String, Value> = all
@@ -202,6 +263,9 @@
         held.iter().map(|(n, h)| (n.to_string(), json!(h))).collect();
     Ok(
         json!({"runs": figures, "uneven_costs": round(cost), "worst_proxy_behind": round(behind), "dip": round(dip),
-        "jain": round(jain), "subsets": subsets, "virtual_time": virtually, "parts_held": parts_held, "held": held.iter().all(|h| h.1)}),
+        "jain": round(jain), "subsets": subsets, "virtual_time": virtually,
+        "region": {"kept_by_need": round(kept(true)), "kept_by_even": round(kept(false)), "most_left_per_s": most_left,
+            "by_need": [round(region_g((true, false))), round(region_g((true, true)))],
+            "by_even": [round(region_g((false, false))), round(region_g((false, true)))]}, "parts_held": parts_held, "held": held.iter().all(|h| h.1)}),
     )
 }
--- a/crates/gaugesaddle-model/src/tier.rs
+++ b/crates/gaugesaddle-model/src/tier.rs
@@ -527,6 +527,7 @@
         for output in self.outputs.drain(..) {
             match output {
                 Output::Send { to, bytes } => out.push((place(to), bytes)),
+                Output::Noted { .. } => {} // nobody here has a host that takes notes
                 Output::Moved(transition) => self.log.push(format!("peers: {transition}")),
                 _ => {}
             }
--- a/crates/gaugesaddle-peers/src/lib.rs
+++ b/crates/gaugesaddle-peers/src/lib.rs
@@ -49,4 +49,4 @@
 pub use settings::{Settings, Unsound, MOST_PEERS};
 pub use signals::{Signals, Totals, ZoneSignal, MOST_CLASSES, MOST_ZONES};
 pub use view::{Shape, View};
-pub use wire::{DATAGRAM_BYTES, NAME_BYTES, RECORD_BYTES};
+pub use wire::{DATAGRAM_BYTES, NAME_BYTES, NOTE_BYTES, RECORD_BYTES};
--- a/crates/gaugesaddle-peers/src/peers.rs
+++ b/crates/gaugesaddle-peers/src/peers.rs
@@ -10,7 +10,7 @@
 use crate::settings::{Settings, MOST_PEERS};
 use crate::suspicion::Suspicion;
 use crate::view::View;
-use crate::wire::{NAME_BYTES, RECORD_BYTES};
+use crate::wire::{Section, NAME_BYTES, NOTE_BYTES, RECORD_BYTES};
 use beechworks::{Micros, Time};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -102,6 +102,15 @@
         /// What.
         bytes: Vec<u8>,
     },
+    /// One that lives has this to say to the host.
+    Noted {
+        /// Its place.
+        from: u16,
+        /// Its process.
+        boot: Boot,
+        /// What.
+        body: Vec<u8>,
+    },
     /// A proxy stands otherwise than before: for the log.
     Moved(Transition),
     /// Two living processes claim one place: for the log.
@@ -424,6 +433,20 @@
         self.records.take(now, self.told.own, word, Micros(0), body)
     }
 
+    /// Says something to the host of one that lives, at once; it may get lost. `false` where it is too long, or nobody is
+    /// known to live there.
+    pub fn note(&mut self, now: Time, place: u16, body: &[u8], out: &mut Vec<Output>) -> bool {
+        if body.len() > NOTE_BYTES || self.gone || !self.other(place) || !self.standing(place).lives() {
+            return false;
+        }
+        let mut draft = self.draft(place);
+        let fits = draft.push(&Section::Note { body: body.to_vec() });
+        let before = self.counts.sent_bytes;
+        self.send(place, draft, out);
+        self.spend(now, self.counts.sent_bytes - before);
+        fits
+    }
+
     /// This proxy leaves in order: all living ones are told once, and nothing more is said. Not to be called where a
     /// successor already has the place.
     pub fn leave(&mut self, out: &mut Vec<Output>) {
--- a/crates/gaugesaddle-peers/src/wire.rs
+++ b/crates/gaugesaddle-peers/src/wire.rs
@@ -15,6 +15,8 @@
 pub const RECORD_BYTES: usize = 120;
 /// The longest name of a proxy or a zone.
 pub const NAME_BYTES: usize = 32;
+/// The longest note.
+pub const NOTE_BYTES: usize = 64;
 /// `to` of a datagram for all.
 pub const EVERYBODY: u16 = u16::MAX;
 
@@ -119,6 +121,11 @@
         /// Whose.
         subject: u16,
     },
+    /// What this proxy's host has to say to the other's.
+    Note {
+        /// Its business.
+        body: Vec<u8>,
+    },
     /// Who the sender is.
     Hello {
         /// Its name.
@@ -207,6 +214,10 @@
                 out.push(10);
                 out.extend(subject.to_be_bytes());
             }
+            Section::Note { body } => {
+                out.push(12);
+                put_bytes(out, body);
+            }
             Section::Hello { name, zone } => {
                 out.push(11);
                 put_bytes(out, name.as_bytes());
@@ -356,6 +367,7 @@
                 body: self.bytes(RECORD_BYTES)?.to_vec(),
             },
             10 => Section::Want { subject: self.u16()? },
+            12 => Section::Note { body: self.bytes(NOTE_BYTES)?.to_vec() },
             11 => Section::Hello { name: self.name()?, zone: self.name()? },
             _ => return Err(Garbled::Kind),
         })
@@ -412,6 +424,7 @@
             Section::Rumor { subject: 7, by: 8, claim },
             Section::Record { subject: 1, boot: Boot(1), version: 2, age_ms: 3, body: vec![1, 2, 3] },
             Section::Want { subject: 9 },
+            Section::Note { body: vec![4, 5] },
             Section::Hello { name: "p1".into(), zone: "a".into() },
         ]
     }
@@ -469,6 +482,7 @@
         );
         assert_eq!(with(&[8, 0, 1, 0, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0]), Err(Garbled::Value), "boot 0");
         assert_eq!(with(&[8, 0, 1, 0, 1, 1, 0, 0, 0, 1, 255, 0, 0, 0]), Err(Garbled::Value), "incarnation");
+        assert_eq!(with(&[12, 65]), Err(Garbled::Value), "a note that is too long");
         assert_eq!(with(&[11, 1, 10, 0]), Err(Garbled::Value), "a name with a line's end");
     }
 }
--- a/crates/gaugesaddle-region/src/budget.rs
+++ b/crates/gaugesaddle-region/src/budget.rs
@@ -30,6 +30,25 @@
     }
 }
 
+/// A proxy's part of everything, by need, among those that live.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Span {
+    /// The parts of those before it, in an order that all share.
+    pub before: f64,
+    /// Its own.
+    pub part: f64,
+    /// Its place among those that live.
+    pub share: Share,
+}
+
+impl Span {
+    /// This one's part of a whole number; where all see the same all parts add up to it.
+    pub fn of(self, whole: u32) -> u32 {
+        let upto = |part: f64| (part.clamp(0.0, 1.0) * f64::from(whole) + 1e-6) as u32;
+        upto(self.before + self.part) - upto(self.before.min(self.before + self.part))
+    }
+}
+
 /// Sends in a sliding window.
 #[derive(Clone, Debug)]
 struct Window {
@@ -95,6 +114,19 @@
         }
     }
 
+    /// Takes another part of so many a second; what was sent in the last one counts on.
+    fn deal(&mut self, per_s: u32, span: Span) {
+        match self {
+            Rate::Part(window) if per_s >= span.share.proxies => window.most = span.of(per_s),
+            Rate::Slots { of, own, .. } if per_s < span.share.proxies => {
+                let stride = if per_s < 2 { 2 } else { 1 };
+                *of = u64::from(span.share.proxies) * stride;
+                *own = u64::from(span.share.position % span.share.proxies) * stride;
+            }
+            _ => *self = Rate::new(per_s, span.share),
+        }
+    }
+
     /// What this proxy may send in a second at most.
     fn most(&self) -> u32 {
         match self {
@@ -116,8 +148,8 @@
 /// What is known of a class.
 #[derive(Clone, Debug)]
 struct Class {
-    /// Bound more closely than the whole.
-    rate: Option<Rate>,
+    /// Bound more closely than the whole: so many for all proxies.
+    rate: Option<(u32, Rate)>,
     worth: f64,
     /// Sent in the last second, and how many a second want to.
     sent: Window,
@@ -131,6 +163,8 @@
     burst: Window,
     classes: Vec<Class>,
     in_flight: (u32, u32),
+    /// Of all proxies: a second, in a burst, in flight.
+    whole: [u32; 3],
     clock: Time,
     /// In the present second, which one that is, and the most in any: for the operators.
     second: (u64, u32),
@@ -143,7 +177,7 @@
         per_s: u32, burst: u32, in_flight: u32, classes: &[(Option<u32>, f64)], share: Share,
     ) -> Budget {
         let class = |&(per_s, worth): &(Option<u32>, f64)| Class {
-            rate: per_s.map(|per_s| Rate::new(per_s, share)),
+            rate: per_s.map(|per_s| (per_s, Rate::new(per_s, share))),
             worth,
             sent: Window::new(SECOND, u32::MAX),
             wants: 0.0,
@@ -153,11 +187,39 @@
             burst: Window::new(BURST, share.of(burst).max(1)),
             classes: classes.iter().map(class).collect(),
             in_flight: (0, share.of(in_flight)),
+            whole: [per_s, burst, in_flight],
             clock: Time(0),
             second: (0, 0),
         }
     }
 
+    /// Another part of the whole from now on: by need among those that live, where the other end holds the whole.
+    pub fn deal(&mut self, span: Span) {
+        let [per_s, burst, in_flight] = self.whole;
+        self.rate.deal(per_s, span);
+        self.burst.most = span.of(burst).max(1);
+        self.in_flight.1 = span.of(in_flight).max(1);
+        for (per_s, rate) in self.classes.iter_mut().filter_map(|c| c.rate.as_mut()) {
+            rate.deal(*per_s, span);
+        }
+    }
+
+    /// So many a second from now on, and of the burst as large a part; classes that are bound more closely keep theirs.
+    /// Nothing changes where proxies take turns.
+    pub fn hold(&mut self, most: u32) {
+        let [per_s, burst, _] = self.whole;
+        if let Rate::Part(window) = &mut self.rate {
+            window.most = most;
+            let part = u64::from(burst) * u64::from(most) / u64::from(per_s.max(1));
+            self.burst.most = (part as u32).max(1);
+        }
+    }
+
+    /// Whether each proxy has a number a second for its part, and not a turn now and then.
+    pub fn is_counted(&self) -> bool {
+        matches!(self.rate, Rate::Part(_))
+    }
+
     /// How many requests a second of each class are expected to want to go: what is worth less leaves that room.
     pub fn expect(&mut self, wants: impl IntoIterator<Item = f64>) {
         for (class, wants) in self.classes.iter_mut().zip(wants) {
@@ -183,7 +245,7 @@
         }
         let shut = (f64::from(self.rate.most()) * (1.0 - open.clamp(0.0, 1.0))) as u32;
         let kept = self.kept(now, class).saturating_add(if open > 0.0 { shut } else { u32::MAX });
-        let own = self.classes[class].rate.as_mut().map_or(u32::MAX, |rate| rate.left(now));
+        let own = self.classes[class].rate.as_mut().map_or(u32::MAX, |rate| rate.1.left(now));
         let rate = self.rate.left(now).saturating_sub(kept).min(own).min(self.burst.left(now));
         if rate == 0 {
             return Err(Over::Rate);
@@ -201,7 +263,7 @@
         self.rate.take(now);
         self.burst.take(now);
         let class = &mut self.classes[class];
-        class.rate.iter_mut().for_each(|rate| rate.take(now));
+        class.rate.iter_mut().for_each(|rate| rate.1.take(now));
         class.sent.take(now);
         self.in_flight.0 += 1;
         let second = now.0 / SECOND.0;
@@ -285,6 +347,42 @@
         assert_eq!(budget.used(at(10)), (4, 50));
     }
 
+    #[test]
+    fn parts_by_need_add_up_and_what_was_sent_counts_on() {
+        for whole in 0..150u32 {
+            for proxies in 1..12u32 {
+                let need = |p: u32| f64::from(1 + p * 7 % 5);
+                let all: f64 = (0..proxies).map(need).sum();
+                let span = |position: u32| Span {
+                    before: (0..position).map(need).sum::<f64>() / all,
+                    part: need(position) / all,
+                    share: Share { proxies, position },
+                };
+                assert_eq!((0..proxies).map(|p| span(p).of(whole)).sum::<u32>(), whole);
+            }
+        }
+        let mut budget = Budget::new(30, 30, 30, &[(Some(15), 8.0)], Share { proxies: 3, position: 0 });
+        assert_eq!((0..20).filter(|_| budget.take(at(0), 0, 1.0).is_ok()).count(), 5, "a third of its class");
+        let span = Span { before: 0.0, part: 0.8, share: Share { proxies: 2, position: 0 } };
+        budget.deal(span);
+        assert_eq!((0..20).filter(|_| budget.take(at(200), 0, 1.0).is_ok()).count(), 7, "12, less five sent");
+        assert_eq!((budget.used(at(200)).1, budget.in_flight()), (24, (12, 24)));
+        budget.deal(Span { share: Share { proxies: 40, position: 39 }, before: 0.9, part: 0.02 });
+        assert!(!budget.is_counted(), "thirty among forty: turns");
+        let odd = Span { before: f64::NAN, part: f64::NAN, share: Share { proxies: 1, position: 0 } };
+        assert_eq!(odd.of(7), 0);
+    }
+
+    #[test]
+    fn what_is_held_is_told_and_a_burst_is_as_large_a_part() {
+        let mut budget = Budget::new(40, 20, 100, &[(None, 8.0)], Share { proxies: 2, position: 0 });
+        budget.hold(30);
+        assert_eq!((0..40).filter(|_| budget.take(at(0), 0, 1.0).is_ok()).count(), 15);
+        assert_eq!((0..40).filter(|_| budget.take(at(500), 0, 1.0).is_ok()).count(), 15);
+        budget.hold(0);
+        assert!(budget.take(at(5000), 0, 1.0).is_err());
+    }
+
     #[test]
     fn a_clock_that_goes_back_opens_no_room() {
         let share = Share { proxies: 1, position: 0 };
--- a/crates/gaugesaddle-region/src/lib.rs
+++ b/crates/gaugesaddle-region/src/lib.rs
@@ -18,6 +18,7 @@
 mod backoff;
 mod budget;
 mod fate;
+mod gates;
 pub mod keys;
 mod link;
 mod path;
@@ -25,8 +26,9 @@
 mod trip;
 
 pub use backoff::Backoff;
-pub use budget::{Budget, Over, Share};
+pub use budget::{Budget, Over, Share, Span};
 pub use fate::{of_refusal, word, Fate, Final};
+pub use gates::{Gates, Shut};
 pub use link::{Figures, HopEnd, Link, Refused, Terms};
 pub use path::{valid_name, Barred, Path, PathError, HEADER_BYTES, MOST_HOPS, MOST_REGIONS};
 pub use spill::{Capacity, Look, Spill, State, Switch, Thresholds};
--- a/crates/gaugesaddle-region/src/link.rs
+++ b/crates/gaugesaddle-region/src/link.rs
@@ -1,6 +1,6 @@
 //! One other region, as one proxy of this one sees it: what may leave for it now, and what came of that.
 
-use crate::{onward, Backoff, Barred, Budget, Fate, Path, RoundTrip, Share};
+use crate::{onward, Backoff, Barred, Budget, Fate, Path, RoundTrip, Share, Span};
 use beechworks::{Micros, Time};
 
 /// What the operator says of a region.
@@ -114,6 +114,11 @@
         self.budget.expect(wants);
     }
 
+    /// Another part of the budget from now on.
+    pub fn deal(&mut self, span: Span) {
+        self.budget.deal(span);
+    }
+
     /// The time that a hop takes on the way.
     pub fn trip(&self, now: Time) -> Micros {
         Micros(self.trip.get(now).0.saturating_add(self.terms.margin.0))
--- a/crates/gaugesaddle-shares/src/dealer.rs
+++ b/crates/gaugesaddle-shares/src/dealer.rs
@@ -63,12 +63,20 @@
     members: Vec<Member>,
     listed: Vec<Listed>,
     uses: Vec<Use>,
+    span: (f64, f64),
 }
 
 impl Dealer {
     /// One that has seen nothing yet.
     pub fn new(dealing: Dealing) -> Dealer {
-        Dealer { dealing, weight: None, members: Vec::new(), listed: Vec::new(), uses: Vec::new() }
+        Dealer {
+            dealing,
+            weight: None,
+            members: Vec::new(),
+            listed: Vec::new(),
+            uses: Vec::new(),
+            span: (0.0, 0.0),
+        }
     }
 
     /// The backends that this proxy uses, as of the last look that knew who lives.
@@ -76,6 +84,11 @@
         &self.uses
     }
 
+    /// The parts of those before it, and its own, as of then: what is whole numbers is cut by it.
+    pub fn span(&self) -> (f64, f64) {
+        self.span
+    }
+
     /// Backends that were listed then.
     pub fn listed(&self) -> usize {
         self.listed.len()
@@ -88,6 +101,7 @@
         }
         let parts = parts(&self.dealing.law, seen.needs);
         let living = parts.len() as f64;
+        self.span = (parts[..seen.own].iter().sum(), parts[seen.own]);
         let weight = self.weight.get_or_insert(Glide::new(now, 1.0, self.dealing.least, self.dealing.over));
         weight.aim(now, parts[seen.own] * living);
         let weight = ((weight.get(now) / STEP).round() * STEP).clamp(WEIGHTS.0, WEIGHTS.1);
--- a/crates/gaugesaddle-shares/src/escrow.rs
+++ b/crates/gaugesaddle-shares/src/escrow.rs
@@ -38,10 +38,19 @@
         /// How many.
         units: u32,
     },
+    /// Please let this loan last for another term.
+    Renew {
+        /// Which.
+        id: LoanId,
+        /// Higher with each such question of the loan.
+        round: u32,
+    },
     /// So many are lent.
     Grant {
         /// The question's.
         id: LoanId,
+        /// The question's; 0: of the first.
+        round: u32,
         /// How many; none: not now.
         units: u32,
     },
@@ -82,10 +91,13 @@
     to: u16,
     id: LoanId,
     units: u32,
+    round: u32,
     /// From then on they are the lender's own again, the rest included.
     back: Time,
     /// The name is known until then, so that a question that comes again is no new one.
     known: Time,
+    /// It was given back: nothing renews it.
+    over: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -93,6 +105,8 @@
     from: u16,
     id: LoanId,
     units: u32,
+    /// Of the last question about it.
+    round: u32,
     since: Time,
     until: Time,
 }
@@ -101,9 +115,23 @@
 struct Asked {
     to: u16,
     id: LoanId,
+    round: u32,
     at: Time,
 }
 
+/// A loan that may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loan {
+    /// Whose units they are.
+    pub from: u16,
+    /// How many.
+    pub units: u32,
+    /// Until when.
+    pub until: Time,
+    /// How often it was asked to last longer.
+    pub renewed: u32,
+}
+
 /// One process's hold on a hard quantity.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Escrow {
@@ -200,6 +228,29 @@
         (live.clone().map(|t| t.units).sum(), live.map(|t| t.until).min())
     }
 
+    /// What of it can still be used at a later time, if nothing more is lent or borrowed: its own part and the loans that
+    /// last so long.
+    pub fn lasting(&self, now: Time, until: Time) -> u32 {
+        let taken = self.taken.iter().filter(|t| until < t.until);
+        self.own(now) + taken.map(|t| t.units).sum::<u32>()
+    }
+
+    /// What may be lent of its own part now.
+    pub fn free(&self, now: Time) -> u32 {
+        self.own(now).saturating_sub(self.terms.kept(self.place))
+    }
+
+    /// The loans that it may use now.
+    pub fn loans(&self, now: Time) -> impl Iterator<Item = Loan> + '_ {
+        let usable = self.taken.iter().filter(move |t| t.since <= now && now < t.until);
+        usable.map(|t| Loan { from: t.from, units: t.units, until: t.until, renewed: t.round })
+    }
+
+    /// Its terms.
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
     /// Asks another place for some; `None` where too many loans are open already.
     pub fn ask(&mut self, now: Time, to: u16, units: u32) -> Option<Word> {
         self.tidy(now);
@@ -209,19 +260,37 @@
         }
         let id = LoanId { boot: self.boot, number: self.next };
         self.next = self.next.checked_add(1)?;
-        self.asked.push(Asked { to, id, at: now });
+        self.asked.push(Asked { to, id, round: 0, at: now });
         Some(Word::Ask { id, units })
     }
 
+    /// Asks for another term of the loan of that place that ends first.
+    pub fn renew(&mut self, now: Time, from: u16) -> Option<Word> {
+        self.tidy(now);
+        if self.asked.len() >= MOST_LOANS {
+            return None;
+        }
+        let of = self.taken.iter_mut().filter(|t| t.from == from);
+        let taken = of.min_by_key(|t| t.until)?;
+        taken.round = taken.round.checked_add(1)?;
+        let (id, round) = (taken.id, taken.round);
+        // An earlier question about it counts no more: its answer would be taken for this one's.
+        self.asked.retain(|a| a.id != id);
+        self.asked.push(Asked { to: from, id, round, at: now });
+        Some(Word::Renew { id, round })
+    }
+
     /// Gives back what was borrowed of a place first: it is not used from here on.
     pub fn give_back(&mut self, now: Time, from: u16) -> Option<Word> {
         self.tidy(now);
         let at = self.taken.iter().position(|t| t.from == from)?;
-        Some(Word::Return { id: self.taken.remove(at).id })
+        let id = self.taken.remove(at).id;
+        self.asked.retain(|a| a.id != id);
+        Some(Word::Return { id })
     }
 
     /// A word of another place has come; the answer to it, if there is one. `spare`: what may be lent, by whoever knows
-    /// the own need.
+    /// the own need; none renews no loan either.
     pub fn hear(&mut self, now: Time, from: u16, word: Word, spare: u32) -> Option<Word> {
         self.tidy(now);
         if from == self.place || from >= self.terms.places {
@@ -229,14 +298,16 @@
         }
         match word {
             Word::Ask { id, units } => Some(self.lend(now, from, id, units.min(spare))),
-            Word::Grant { id, units } => {
-                self.granted(now, from, id, units);
+            Word::Renew { id, round } => Some(self.extend(now, from, id, round, spare)),
+            Word::Grant { id, round, units } => {
+                self.granted(now, from, id, round, units);
                 None
             }
             Word::Return { id } => {
                 if let Some(given) = self.given.iter_mut().find(|g| g.to == from && g.id == id) {
                     // Not its own at once: what was begun with it may last for a rest.
                     given.back = given.back.min(now + self.terms.surely(self.terms.rest));
+                    given.over = true;
                 }
                 None
             }
@@ -247,24 +318,47 @@
         if let Some(given) = self.given.iter().find(|g| g.to == to && g.id == id) {
             // The same question again: the same answer. Given back meanwhile, or its time nearly over, the borrower
             // counts from its question and uses nothing that is not its.
-            return Word::Grant { id, units: given.units };
+            return Word::Grant { id, round: 0, units: given.units };
         }
-        let kept = self.terms.kept(self.place);
-        let free = self.own(now).saturating_sub(kept);
+        let free = self.free(now);
         let units = if self.given.len() < MOST_LOANS { units.min(free) } else { 0 };
         if units > 0 {
-            let back = now + self.terms.term + self.terms.surely(self.terms.rest);
-            self.given.push(Given { to, id, units, back, known: back });
+            let back = self.back(now);
+            self.given.push(Given { to, id, units, round: 0, back, known: back, over: false });
+        }
+        Word::Grant { id, round: 0, units }
+    }
+
+    /// When a loan of now is surely over.
+    fn back(&self, now: Time) -> Time {
+        now + self.terms.term + self.terms.surely(self.terms.rest)
+    }
+
+    fn extend(&mut self, now: Time, to: u16, id: LoanId, round: u32, spare: u32) -> Word {
+        let back = self.back(now);
+        let given = self.given.iter_mut().find(|g| g.to == to && g.id == id && !g.over && round >= g.round);
+        // Asked again, it is answered again: the borrower counts from its question of that round, which lies before.
+        let Some(given) = given.filter(|g| round == g.round || spare > 0) else {
+            return Word::Grant { id, round, units: 0 };
+        };
+        if round > given.round {
+            (given.round, given.back, given.known) = (round, back, back);
         }
-        Word::Grant { id, units }
+        Word::Grant { id, round, units: given.units }
     }
 
-    fn granted(&mut self, now: Time, from: u16, id: LoanId, units: u32) {
-        let Some(at) = self.asked.iter().position(|a| a.to == from && a.id == id) else { return };
+    fn granted(&mut self, now: Time, from: u16, id: LoanId, round: u32, units: u32) {
+        let open = |a: &Asked| a.to == from && a.id == id && a.round == round;
+        let Some(at) = self.asked.iter().position(open) else { return };
         let asked = self.asked.remove(at);
         let (since, until) = (now + self.terms.surely(self.terms.rest), asked.at + self.terms.borrowed());
-        if units > 0 && since < until {
-            self.taken.push(Taken { from, id, units, since, until });
+        match self.taken.iter_mut().find(|t| t.from == from && t.id == id) {
+            Some(taken) if units > 0 => taken.until = taken.until.max(until),
+            Some(_) => {} // it ends when it would have ended
+            None if units > 0 && since < until => {
+                self.taken.push(Taken { from, id, units, round, since, until });
+            }
+            None => {}
         }
     }
 
@@ -347,6 +441,36 @@
         assert_eq!(slow.usable(now + Micros(4 * S)), 3, "its time is over by its own count");
     }
 
+    #[test]
+    fn a_loan_that_is_renewed_lasts_without_a_rest_and_one_given_back_is_not() {
+        let (mut lender, mut borrower) = (settled(0), settled(1));
+        let mut now = Time(5 * S);
+        let ask = borrower.ask(now, 0, 3).expect("room");
+        let grant = lender.hear(now, 1, ask, 9).expect("an answer");
+        borrower.hear(now, 0, grant, 0);
+        assert_eq!(borrower.renew(now, 2), None, "no such loan");
+        for _ in 0..5 {
+            now = now + Micros(3 * S / 2);
+            let renew = borrower.renew(now, 0).expect("a loan");
+            let grant = lender.hear(now, 1, renew, 1).expect("an answer");
+            borrower.hear(now, 0, grant, 0);
+            let later = now + Micros(S);
+            assert_eq!((borrower.usable(later), lender.usable(later)), (6, 1));
+        }
+        // The question is lost, then asked again; the answer to an older one counts for nothing.
+        let lost = borrower.renew(now, 0).expect("a loan");
+        let again = borrower.renew(now + Micros(S / 2), 0).expect("a loan");
+        let late = lender.hear(now + Micros(S / 2), 1, lost, 1).expect("an answer");
+        borrower.hear(now + Micros(S / 2), 0, late, 0);
+        assert_eq!(borrower.usable(now + Micros(9 * S / 4)), 3);
+        let refused = lender.hear(now + Micros(S / 2), 1, again, 0).expect("an answer");
+        assert!(matches!(refused, Word::Grant { units: 0, .. }), "the lender needs it itself");
+        let back = borrower.give_back(now + Micros(S), 0).expect("a loan");
+        lender.hear(now + Micros(S), 1, back, 0);
+        let dead = lender.hear(now + Micros(S), 1, again, 9).expect("an answer");
+        assert!(matches!(dead, Word::Grant { units: 0, .. }), "it was given back");
+    }
+
     #[test]
     fn tables_are_bounded_and_nonsense_is_refused() {
         let mut borrower = settled(1);
@@ -363,7 +487,7 @@
         }
         assert_eq!(lender.given(now), MOST_LOANS as u32);
         assert_eq!(lender.hear(now, 9, ask(0), 1000), None, "no such place");
-        let stranger = Word::Grant { id: LoanId { boot: 9, number: 0 }, units: 1000 };
+        let stranger = Word::Grant { id: LoanId { boot: 9, number: 0 }, round: 0, units: 1000 };
         lender.hear(now, 1, stranger, 0);
         assert_eq!(lender.usable(now + Micros(S)), 334 - 64);
     }
--- a/crates/gaugesaddle-shares/src/lib.rs
+++ b/crates/gaugesaddle-shares/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`uses`] says which backends each proxy uses, by its part: the more traffic, the more backends.
 //! - [`Need`] is what a proxy tells the others to go by, [`Dealer`] what it makes of what they tell it.
 //! - [`Escrow`] is the hard law, for what the sum may never exceed: each place is entitled to an even part, and lends
-//!   what it does not need for a time. What is lent is nobody's but the borrower's until the time is surely over.
+//!   what it does not need for a time; [`Loans`] asks and lends by need. What is lent is nobody's but the borrower's
+//!   until the time is surely over.
 //!
 //! **Under partition** soft parts follow each side's view, and sum to the whole on each side. Hard ones stay what they
 //! were: loans run out, entitlements stay with their places.
@@ -22,10 +23,12 @@
 
 mod dealer;
 mod escrow;
+mod loans;
 mod need;
 mod subset;
 
 pub use dealer::{Dealer, Dealing, Listed, Look, Seen, AWAKE};
-pub use escrow::{Escrow, LoanId, Terms, Unsound, Word, MOST_LOANS};
+pub use escrow::{Escrow, Loan, LoanId, Terms, Unsound, Word, MOST_LOANS};
+pub use loans::{Letter, LoanView, Loans, MOST_QUANTITIES, WORD_BYTES};
 pub use need::{parts, Glide, Law, Need};
 pub use subset::{uses, Crowd, Link, Member, Server};
--- a/crates/gaugesaddle-shares/tests/model.rs
+++ b/crates/gaugesaddle-shares/tests/model.rs
@@ -37,6 +37,7 @@
 enum Step {
     Tick,
     Ask(u16, u16),
+    Renew(u16, u16),
     GiveBack(u16, u16),
     Deliver(usize),
     Double(usize),
@@ -168,6 +169,7 @@
             for j in (0..N).filter(|j| *j != i && room) {
                 if w.asks < self.asks {
                     actions.push(Step::Ask(i as u16, j as u16));
+                    actions.push(Step::Renew(i as u16, j as u16));
                 }
                 actions.push(Step::GiveBack(i as u16, j as u16));
             }
@@ -194,6 +196,12 @@
                 w.flying.push((i, j, word));
                 w.flying.sort();
             }
+            Step::Renew(i, j) => {
+                w.asks += 1;
+                let word = w.running[usize::from(i)].as_mut()?.renew(now, j)?;
+                w.flying.push((i, j, word));
+                w.flying.sort();
+            }
             Step::GiveBack(i, j) => {
                 let word = w.running[usize::from(i)].as_mut()?.give_back(now, j)?;
                 w.flying.push((i, j, word));
@@ -233,6 +241,11 @@
         vec![
             Property::<Self>::always("never more than the whole", |_, w: &World| w.in_use() <= WHOLE),
             Property::<Self>::always("all of it usable again", |_, w: &World| w.settled() == WHOLE),
+            // Alone its first term ends three ticks after it was asked for.
+            Property::<Self>::sometimes("a renewed loan is used", |m: &Loans, w: &World| {
+                let mut loans = w.running.iter().flatten().flat_map(|e| e.loans(w.time()));
+                m.asks < 2 || loans.any(|l| l.renewed > 0 && l.until > Time((TERM + REST + 6) * TICK))
+            }),
             Property::<Self>::sometimes("a loan is used", |_, w: &World| (0..N).any(|i| w.usable(i) > 1)),
         ]
     }
--- a/crates/gaugesaddle-testbed/src/datagrams.rs
+++ b/crates/gaugesaddle-testbed/src/datagrams.rs
@@ -97,6 +97,26 @@
         Links { parts: (0..places).map(|p| (p % parts) as u8).collect(), ..Links::default() }
     }
 
+    /// What of it is between these, by their places among themselves.
+    pub fn among(&self, members: &[usize]) -> Links {
+        let place = |p: &usize| members.iter().position(|m| m == p);
+        let places = |all: &[usize]| all.iter().filter_map(place).collect::<Vec<_>>();
+        let pair = |(a, b): &(usize, usize)| Some((place(a)?, place(b)?));
+        let poor = |p: &Poor| {
+            let (from, to) = (places(&p.from), places(&p.to));
+            let none = |all: &[usize], here: &[usize]| !all.is_empty() && here.is_empty();
+            (!none(&p.from, &from) && !none(&p.to, &to)).then_some(Poor { from, to, ..p.clone() })
+        };
+        Links {
+            parts: members.iter().filter_map(|m| self.parts.get(*m).copied()).collect(),
+            one_way: self.one_way.iter().filter_map(pair).collect(),
+            unheard: places(&self.unheard),
+            slow: places(&self.slow),
+            poor: self.poor.iter().filter_map(poor).collect(),
+            ..self.clone()
+        }
+    }
+
     /// Whether anything passes from one place to another.
     pub fn passes(&self, from: usize, to: usize) -> bool {
         self.parts.get(from) == self.parts.get(to)
@@ -397,6 +417,29 @@
         assert!(links.draw(&mut dice, 0, 1)[0].is_some(), "to it all arrive");
     }
 
+    #[test]
+    fn what_is_among_some_keeps_only_their_ways() {
+        let poor = vec![
+            Poor { from: vec![0, 2], to: vec![3], loss: 0.5, more_us: 7 },
+            Poor { from: vec![1], to: Vec::new(), loss: 0.5, more_us: 7 },
+        ];
+        let all = Links {
+            parts: vec![0, 1, 0, 1],
+            one_way: vec![(0, 2), (1, 2)],
+            unheard: vec![1, 2],
+            poor,
+            loss: 0.1,
+            ..Links::default()
+        };
+        let odd = all.among(&[1, 3]);
+        assert_eq!((&odd.parts[..], &odd.one_way[..], &odd.unheard[..]), (&[1, 1][..], &[][..], &[0][..]));
+        assert_eq!(odd.poor, [Poor { from: vec![0], to: Vec::new(), loss: 0.5, more_us: 7 }]);
+        let even = all.among(&[0, 2]);
+        assert_eq!((&even.one_way[..], &even.unheard[..], even.loss), (&[(0, 1)][..], &[1][..], 0.1));
+        assert!(even.poor.is_empty(), "its other end is not among them");
+        assert_eq!(all.among(&[0, 1, 2, 3]), all);
+    }
+
     #[test]
     fn links_that_cannot_be_are_told() {
         let good = Links { parts: vec![0, 1, 0], slow: vec![2], slow_us: 5000, ..Links::default() };
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -681,11 +681,6 @@
                 "clients.uneven",
                 "parts above 0, and a time",
             ),
-            (
-                !self.peers || self.regions.count == 1,
-                "peers",
-                "one region: the tier of several is not told apart yet",
-            ),
             (self.peers || !self.shares, "shares", "peers beside it"),
             (range([0.0, self.cross_zone]), "cross_zone", "0 or more"),
             (range(c.backoff_ms) && range(c.patience), "clients", "ranges from the less to the more"),
--- a/crates/gaugesaddle-testbed/src/tier.rs
+++ b/crates/gaugesaddle-testbed/src/tier.rs
@@ -104,6 +104,19 @@
         self.counts.get(&wrong).copied().unwrap_or(0)
     }
 
+    /// With what was found of another tier.
+    fn and(mut self, other: TierVerdict) -> TierVerdict {
+        other.counts.into_iter().for_each(|(wrong, n)| *self.counts.entry(wrong).or_default() += n);
+        self.found.extend(other.found);
+        self.death_known.extend(other.death_known);
+        self.start_known.extend(other.start_known);
+        self.agreed.extend(other.agreed);
+        self.mistakes.extend(other.mistakes);
+        self.false_deaths += other.false_deaths;
+        self.judged_s += other.judged_s;
+        self
+    }
+
     fn find(&mut self, wrong: Wrong, at: u64, pair: (usize, usize), what: String) {
         *self.counts.entry(wrong).or_default() += 1;
         if self.found.len() < SHOWN {
@@ -346,6 +359,27 @@
     verdict
 }
 
+/// The same of several tiers that know nothing of one another, each told of its members only.
+pub fn judge_each(
+    tiers: &[Vec<usize>], facts: &[(u64, Fact)], logs: &[Vec<(u64, String)>], end: u64,
+) -> TierVerdict {
+    let one = |members: &Vec<usize>| {
+        let place = |p: usize| members.iter().position(|m| *m == p);
+        let fact = |fact: &Fact| match fact {
+            Fact::Up(p) => place(*p).map(Fact::Up),
+            Fact::Stopped(p) => place(*p).map(Fact::Stopped),
+            Fact::Continued(p) => place(*p).map(Fact::Continued),
+            Fact::Terminated(p) => place(*p).map(Fact::Terminated),
+            Fact::Ended(p) => place(*p).map(Fact::Ended),
+            Fact::Links(links) => Some(Fact::Links(links.among(members))),
+        };
+        let facts: Vec<(u64, Fact)> = facts.iter().filter_map(|(at, f)| Some((*at, fact(f)?))).collect();
+        let logs: Vec<_> = members.iter().filter_map(|m| logs.get(*m).cloned()).collect();
+        judge(members.len(), &facts, &logs, end)
+    };
+    tiers.iter().map(one).fold(TierVerdict::default(), TierVerdict::and)
+}
+
 /// Judges what one proxy holds of another.
 fn pair(judge: &Judge, viewer: usize, place: usize, about: &[&Said], verdict: &mut TierVerdict) {
     let starts = judge.lives[viewer].iter().map(|l| (l.up, None));
--- a/crates/gaugesaddle-testbed/src/world.rs
+++ b/crates/gaugesaddle-testbed/src/world.rs
@@ -96,7 +96,10 @@
     let tier = s.peers.then(|| {
         let timed = |lines: &Vec<String>| lines.iter().filter_map(|l| tier::timed(l, start)).collect();
         let logs: Vec<Vec<(u64, String)>> = logs.iter().map(timed).collect();
-        tier::judge(s.proxies, &tier::facts(&records), &logs, end)
+        // The proxies of a region know one another, and nothing of another region's.
+        let of = |region: usize| (0..s.proxies).filter(|p| s.region(*p) == region).collect();
+        let tiers: Vec<Vec<usize>> = (0..s.regions.count).map(of).collect();
+        tier::judge_each(&tiers, &tier::facts(&records), &logs, end)
     });
     Ok(Outcome { records, verdict, logs, late_p99_us, tier, datagrams })
 }
@@ -322,7 +325,8 @@
         let mut text = self.joined.as_ref().map(|j| j.section(proxy)).unwrap_or_default();
         if let Some(datagrams) = &self.datagrams {
             let addresses = datagrams.addresses();
-            let all: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
+            let own = (0..self.s.proxies).filter(|p| self.s.region(*p) == self.s.region(proxy));
+            let all: Vec<String> = own.map(|p| format!("\"{}\"", addresses[p])).collect();
             text += &format!(
                 "[peers]\nenabled = true\nlisten = \"{}\"\nown = \"{}\"\naddresses = [{}]\n",
                 peer_listen(&self.lease, proxy),
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -152,7 +152,8 @@
         pacing: match config.module.discovery {
             beechworks::Discovery::Push => pacing::Pacing::new(0, Duration::ZERO, config.seed),
             beechworks::Discovery::Subscribe(within) => {
-                pacing::Pacing::new(config.module.proxies, clock::duration(within), config.seed)
+                let within = clock::duration(within);
+                pacing::Pacing::new(config.module.proxies, within, config.seed).among(registry.living.clone())
             }
         },
     };
@@ -219,7 +220,8 @@
         subsystems.push(Box::new(PeerWatch::new(tier.clone(), registry.clone(), zones, classes)));
         *registry.peers.borrow_mut() = Some(tier.clone());
         if operator.shares.enabled {
-            subsystems.push(Box::new(ShareWatch::new(operator.shares, tier.clone(), registry.clone())));
+            let (tier, registry) = (tier.clone(), registry.clone());
+            subsystems.push(Box::new(ShareWatch::new(operator.shares, tier, registry, regions.clone())));
         }
         tokio::task::spawn_local(tier.clone().run(socket));
     }
--- a/crates/gaugesaddle/src/pacing.rs
+++ b/crates/gaugesaddle/src/pacing.rs
@@ -7,6 +7,8 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Gap for each proxy that is told: a service that can take a call of each in two seconds is at half of its capacity
@@ -22,7 +24,9 @@
 
 /// The gaps of one proxy.
 pub struct Pacing {
-    least: Duration,
+    /// How many there are: as told at the start, and those that live where that is known (else 0).
+    told: u32,
+    living: Rc<Cell<u32>>,
     most: Duration,
     gap: Duration,
     dice: Pcg32,
@@ -31,27 +35,46 @@
 impl Pacing {
     /// For one of so many proxies, each of which counts as told after `within` without a call.
     pub fn new(proxies: u32, within: Duration, seed: u64) -> Pacing {
-        let most = within.mul_f64(LONGEST);
-        let least = (EACH * proxies).min(most);
-        let least = if least < CONTINUED { Duration::ZERO } else { least };
-        Pacing { least, most, gap: least, dice: Pcg32::seed_from_u64(seed) }
+        let (most, living) = (within.mul_f64(LONGEST), Rc::default());
+        let dice = Pcg32::seed_from_u64(seed);
+        let mut pacing = Pacing { told: proxies, living, most, gap: Duration::ZERO, dice };
+        pacing.gap = pacing.least();
+        pacing
+    }
+
+    /// Goes by what this says from now on, as soon as that is not 0.
+    pub fn among(self, living: Rc<Cell<u32>>) -> Pacing {
+        Pacing { living, ..self }
+    }
+
+    fn least(&self) -> Duration {
+        let proxies = match self.living.get() {
+            0 => self.told,
+            living => living,
+        };
+        let least = (EACH * proxies).min(self.most);
+        if least < CONTINUED {
+            Duration::ZERO
+        } else {
+            least
+        }
     }
 
     /// Before the first call: all proxies may have started at the same moment.
     pub fn first(&mut self) -> Duration {
-        self.least.mul_f64(2.0 * self.unit())
+        self.least().mul_f64(2.0 * self.unit())
     }
 
     /// After an answered call.
     pub fn answered(&mut self) -> Duration {
-        self.gap = self.gap.mul_f64(ANSWERED).max(self.least);
+        self.gap = self.gap.mul_f64(ANSWERED).max(self.least());
         self.draw()
     }
 
     /// After a failed one, beside what the module waits.
     pub fn failed(&mut self) -> Duration {
-        if self.least > Duration::ZERO {
-            self.gap = self.gap.mul_f64(FAILED).min(self.most);
+        if self.least() > Duration::ZERO {
+            self.gap = self.gap.max(self.least()).mul_f64(FAILED).min(self.most);
         }
         self.draw()
     }
@@ -79,6 +102,28 @@
         assert_eq!([few.first(), few.answered(), few.failed(), few.failed()], [Duration::ZERO; 4]);
     }
 
+    #[test]
+    fn the_gap_is_that_of_those_that_live_once_they_are_known() {
+        let living = Rc::new(Cell::new(0));
+        let mut one = Pacing::new(100, WITHIN, 3).among(living.clone());
+        let range = |pacing: &mut Pacing| {
+            let all: Vec<Duration> = (0..40).map(|_| pacing.answered()).collect();
+            (all.iter().min().copied().unwrap(), all.iter().max().copied().unwrap())
+        };
+        let ms = Duration::from_millis;
+        let (least, most) = range(&mut one);
+        assert!(least >= ms(500) && most <= ms(1500) && most > ms(1000), "as told: {least:?} to {most:?}");
+        living.set(33);
+        (0..9).for_each(|_| _ = one.answered());
+        let (least, most) = range(&mut one);
+        assert!(least >= ms(165) && most <= ms(495) && most > ms(330), "a third: {least:?} to {most:?}");
+        living.set(3);
+        (0..40).for_each(|_| _ = one.answered());
+        assert!(one.answered() < ms(1), "few leave no gap");
+        living.set(200);
+        assert!(one.answered() >= ms(1000), "at once where there are more");
+    }
+
     /// A service that answers 30 calls a second in turn, a quarter of a second behind at most; each list that changes
     /// is asked for by all. What is turned away costs it nothing, and yet is what the others wait behind.
     fn calls(paced: bool) -> (usize, usize) {
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -63,6 +63,11 @@
     pub needs: Vec<Option<f64>>,
 }
 
+/// Who takes what other proxies' hosts have to say, and answers: place, process, bytes; the answers go to places.
+pub trait Listener {
+    fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>);
+}
+
 /// One proxy's place in its tier.
 pub struct Tier {
     clock: Clock,
@@ -76,6 +81,7 @@
     /// Datagrams that the system did not take.
     unsent: Cell<u64>,
     classes: Vec<String>,
+    listener: RefCell<Option<Rc<dyn Listener>>>,
 }
 
 fn key(key: &str, what: &str) -> PeersError {
@@ -135,8 +141,8 @@
         let peers = gaugesaddle_peers::Peers::new(settings, seal, told, boot, drawn()?, clock.now());
         let peers = peers.map_err(|e| key("peers.addresses", &e.to_string()))?;
         let (record, socket, unsent) = (RefCell::default(), RefCell::default(), Cell::default());
-        let (peers, classes) = (RefCell::new(peers), classes.to_vec());
-        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes }))
+        let (peers, classes, listener) = (RefCell::new(peers), classes.to_vec(), RefCell::default());
+        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes, listener }))
     }
 
     /// Takes the address.
@@ -220,9 +226,45 @@
         }
     }
 
+    /// From now on this one takes the notes.
+    pub fn listen_to(&self, listener: Rc<dyn Listener>) {
+        *self.listener.borrow_mut() = Some(listener);
+    }
+
+    /// This proxy's place, how many there are, and its process; `None` until the address is held: the process before this
+    /// one may still have the place.
+    pub fn held(&self) -> Option<(u16, u16, u32)> {
+        self.socket.borrow().as_ref()?;
+        let peers = self.peers.borrow();
+        Some((peers.place(), peers.view(self.clock.now()).told as u16, peers.own().boot.0))
+    }
+
+    /// Says these to other hosts, as far as they live; any may get lost.
+    pub fn note(&self, notes: impl IntoIterator<Item = (u16, Vec<u8>)>) {
+        let Some(socket) = self.socket.borrow().clone() else { return };
+        let (now, mut out) = (self.clock.now(), Vec::new());
+        let mut peers = self.peers.borrow_mut();
+        for (place, body) in notes {
+            peers.note(now, place, &body, &mut out);
+        }
+        drop(peers);
+        self.carry_out(&socket, &mut out);
+    }
+
+    fn noted(&self, from: u16, body: &[u8]) {
+        let listener = self.listener.borrow().clone();
+        let mut answers = Vec::new();
+        listener.iter().for_each(|l| l.noted(self.clock.now(), from, body, &mut answers));
+        if !answers.is_empty() {
+            self.note(answers);
+        }
+    }
+
     fn carry_out(&self, socket: &UdpSocket, out: &mut Vec<Output>) {
         for output in out.drain(..) {
             match output {
+                // Its process is the one that is known to live there: others were turned away.
+                Output::Noted { from, body, .. } => self.noted(from, &body),
                 Output::Send { to, bytes } => {
                     if socket.try_send_to(&bytes, to).is_err() {
                         self.unsent.set(self.unsent.get() + 1); // as good as lost on its way
--- a/crates/gaugesaddle/src/region/client.rs
+++ b/crates/gaugesaddle/src/region/client.rs
@@ -1,11 +1,11 @@
 //! The link to another region: a few long HTTP/2 connections over mutual TLS, and one hop to one end.
 
-use super::{FATE, PATH, TOOK};
+use super::{FATE, FULL, PATH, TOOK};
 use crate::clock::Clock;
 use crate::exchange::{strip, Call, BODY_BYTES, TIME_LEFT};
 use beechworks::{Micros, Time};
 use bytes::Bytes;
-use gaugesaddle_region::{Fate, HopEnd, Path};
+use gaugesaddle_region::{Fate, Gates, HopEnd, Path, Shut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
@@ -24,10 +24,11 @@
 use tokio::sync::Mutex;
 use tokio_rustls::TlsConnector;
 
-/// Connections to one region: a second one for when the first is being replaced or has lost a packet.
-const CONNECTIONS: usize = 2;
 /// A connection that is not up after this time counts as failed.
 const DIAL: Duration = Duration::from_millis(1_500);
+/// A connection that can't be had is known within this time where nobody is there; one that hangs takes longer, and is not
+/// followed by another.
+const QUICK: Micros = Micros(50_000);
 /// A connection that answers no ping for so long is dead, however alive it looks: pinged each second.
 const PING: Duration = Duration::from_secs(1);
 const PING_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -60,16 +61,20 @@
     generation: u64,
 }
 
+/// The way to one gateway.
+struct Way {
+    address: SocketAddr,
+    held: Mutex<Option<Held>>,
+}
+
 /// The connections to one region.
 pub struct Peer {
     clock: Clock,
     /// Its certificate's name, and the name that is used for it in requests.
     name: ServerName<'static>,
     host: String,
-    addresses: Vec<SocketAddr>,
-    slots: [Mutex<Option<Held>>; CONNECTIONS],
-    turn: Cell<usize>,
-    dials: Cell<usize>,
+    ways: Vec<Way>,
+    gates: RefCell<Gates>,
     keys: Rc<RefCell<Keys>>,
 }
 
@@ -85,17 +90,20 @@
         keys: Rc<RefCell<Keys>>,
     ) -> Option<Peer> {
         let name = ServerName::try_from(certificate_name.to_string()).ok()?;
-        let (turn, dials) = (Cell::new(0), Cell::new(from));
-        let slots = Default::default();
-        Some(Peer { clock, name, host: certificate_name.into(), addresses, slots, turn, dials, keys })
+        let gates = Gates::new(addresses.len());
+        let way = |n: usize| {
+            let address = *addresses.get((from + n) % addresses.len().max(1))?;
+            Some(Way { address, held: Mutex::default() })
+        };
+        let ways = (0..gates.ways()).map(way).collect::<Option<_>>()?;
+        Some(Peer { clock, name, host: certificate_name.into(), ways, gates: RefCell::new(gates), keys })
     }
 
     /// A connection with the present keys; those with earlier ones end by themselves once what is on them has ended.
     /// Tells also whether it was made for this request.
-    async fn sender(&self) -> Result<(Sender, bool), Lost> {
-        let slot = self.turn.get() % CONNECTIONS;
-        self.turn.set(slot + 1);
-        let mut held = self.slots[slot].lock().await;
+    async fn sender(&self, way: usize) -> Result<(Sender, bool), Lost> {
+        let way = &self.ways[way];
+        let mut held = way.held.lock().await;
         let keys = self.keys.borrow().clone();
         if let Some(held) = &*held {
             if held.generation == keys.generation && !held.sender.is_closed() {
@@ -103,16 +111,13 @@
             }
         }
         *held = None;
-        let sender = tokio::time::timeout(DIAL, self.dial(&keys)).await.ok().flatten();
+        let sender = tokio::time::timeout(DIAL, self.dial(way.address, &keys)).await.ok().flatten();
         let sender = sender.ok_or(Lost { begun: false })?;
         *held = Some(Held { sender: sender.clone(), generation: keys.generation });
         Ok((sender, true))
     }
 
-    async fn dial(&self, keys: &Keys) -> Option<Sender> {
-        let next = self.dials.get();
-        self.dials.set(next.wrapping_add(1));
-        let address = *self.addresses.get(next % self.addresses.len().max(1))?;
+    async fn dial(&self, address: SocketAddr, keys: &Keys) -> Option<Sender> {
         let failed = |e: &dyn std::fmt::Display| tracing::warn!("region {}: {address}: {e}", self.host);
         let stream = TcpStream::connect(address).await.inspect_err(|e| failed(e)).ok()?;
         let _ = stream.set_nodelay(true);
@@ -134,36 +139,71 @@
         Some(sender)
     }
 
-    /// One hop to its end, which comes by `until`. With the answer, if a backend there served it.
+    /// One hop to its end, which comes by `until`. With the answer, if a backend there served it. What a gateway never
+    /// saw, or has no place for, goes to the next.
     pub async fn hop(
         &self, call: &Call, body: Bytes, path: &Path, told: Micros, until: Time,
     ) -> (HopEnd, Option<Response<Bytes>>) {
         let began = self.clock.now();
-        let begun = Cell::new(false);
-        let asked = self.ask(request(&self.host, call, body, path, told), &begun);
-        let ended = tokio::time::timeout_at(self.clock.instant(until), asked).await;
-        let took = self.clock.now() - began;
-        let lost =
-            |begun| HopEnd { fate: Fate::of_lost(begun), took, there: None, retry_after: None, lost: true };
-        let mut answer = match ended {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(lost_at)) => return (lost(lost_at.begun), None),
-            Err(_) => return (lost(begun.get()), None),
+        let end = |fate, retry_after, lost| {
+            let took = self.clock.now() - began;
+            HopEnd { fate, took, there: None, retry_after, lost }
         };
-        let number = |value: Option<&HeaderValue>| value.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-        // Between gateways only: no client sees them.
-        let headers = answer.headers_mut();
-        let fate = Fate::read(headers.remove(FATE).as_ref().map(|v| v.as_bytes()));
-        let there = number(headers.remove(TOOK).as_ref()).map(|us| Micros(us).min(took));
-        let after = number(headers.get(RETRY_AFTER)).map(|s| Micros(s.saturating_mul(1_000_000)));
-        let retry_after = after.filter(|_| fate == Fate::NotRun);
-        let end = HopEnd { fate, took, there, retry_after, lost: false };
-        (end, (fate == Fate::Ran).then_some(answer))
+        let (mut tried, mut seen) = (0, None);
+        loop {
+            let now = self.clock.now();
+            let way = self.gates.borrow_mut().next(now, tried);
+            let Some(way) = way else {
+                // Full everywhere: no failure of the link, and soon there is a place again.
+                let again = self.gates.borrow().again(now);
+                return match (seen, again) {
+                    (Some(Shut::Down), None) => (end(Fate::of_lost(false), None, true), None),
+                    _ => (end(Fate::NotRun, again, false), None),
+                };
+            };
+            tried |= 1 << way;
+            let begun = Cell::new(false);
+            let left = Micros(told.0.saturating_sub((now - began).0));
+            let asked = self.ask(way, request(&self.host, call, body.clone(), path, left), &begun);
+            let ended = tokio::time::timeout_at(self.clock.instant(until), asked).await;
+            let mut answer = match ended {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(Lost { begun: false })) if self.clock.now() - now < QUICK => {
+                    self.gates.borrow_mut().shut(now, way, Shut::Down);
+                    seen = Some(Shut::Down);
+                    continue;
+                }
+                Ok(Err(lost)) => return (end(Fate::of_lost(lost.begun), None, true), None),
+                Err(_) => return (end(Fate::of_lost(begun.get()), None, true), None),
+            };
+            let number =
+                |value: Option<&HeaderValue>| value.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+            // Between gateways only: no client sees them.
+            let headers = answer.headers_mut();
+            let fate = Fate::read(headers.remove(FATE).as_ref().map(|v| v.as_bytes()));
+            if headers.remove(FULL).is_some() && fate == Fate::NotRun {
+                let now = self.clock.now();
+                self.gates.borrow_mut().shut(now, way, Shut::Full);
+                seen = Some(Shut::Full);
+                if now < until {
+                    continue;
+                }
+                return (end(Fate::NotRun, None, false), None);
+            }
+            let took = self.clock.now() - now;
+            let there = number(headers.remove(TOOK).as_ref()).map(|us| Micros(us).min(took));
+            let after = number(headers.get(RETRY_AFTER)).map(|s| Micros(s.saturating_mul(1_000_000)));
+            let retry_after = after.filter(|_| fate == Fate::NotRun);
+            let end = HopEnd { fate, took, there, retry_after, lost: false };
+            return (end, (fate == Fate::Ran).then_some(answer));
+        }
     }
 
-    async fn ask(&self, request: Request<Full<Bytes>>, begun: &Cell<bool>) -> Result<Response<Bytes>, Lost> {
+    async fn ask(
+        &self, way: usize, request: Request<Full<Bytes>>, begun: &Cell<bool>,
+    ) -> Result<Response<Bytes>, Lost> {
         loop {
-            let (mut sender, fresh) = self.sender().await?;
+            let (mut sender, fresh) = self.sender(way).await?;
             let sent = match sender.ready().await {
                 Ok(()) => {
                     begun.set(true);
@@ -215,6 +255,7 @@
     headers.insert(TIME_LEFT, HeaderValue::from(told.0 / 1000));
     // Whatever a client wrote there is none of it.
     headers.remove(FATE);
+    headers.remove(FULL);
     headers.remove(TOOK);
     headers.remove(PATH);
     if let Ok(path) = HeaderValue::from_str(&path.text()) {
--- a/crates/gaugesaddle/src/region/front.rs
+++ b/crates/gaugesaddle/src/region/front.rs
@@ -2,7 +2,7 @@
 //! requests goes to the same driver and module as a client's.
 
 use super::client::Here;
-use super::{tls, Regions, FATE, PATH, TOOK};
+use super::{tls, Regions, FATE, FULL, PATH, TOOK};
 use crate::body::{CallBody, Download};
 use crate::clock::duration;
 use crate::exchange::{Answer, BODY_BYTES};
@@ -35,6 +35,9 @@
 /// A peer that answers no ping for so long is gone.
 const PING: Duration = Duration::from_secs(5);
 
+/// This gateway's part of the budget is used up.
+const OVER: &str = "over the region's budget";
+
 /// A connection's place.
 struct Place(Rc<Regions>);
 
@@ -124,6 +127,9 @@
         Ok(answer) => answer,
         Err(Turned(status, text, after_s)) => {
             let mut answer = plain(status, text);
+            if text == OVER {
+                answer.headers_mut().insert(FULL, HeaderValue::from_static("1"));
+            }
             answer.headers_mut().insert(FATE, HeaderValue::from_static(Fate::NotRun.text()));
             if let Some(after_s) = after_s {
                 answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(after_s));
@@ -163,18 +169,10 @@
     let form = server.rules.read(&head, length).map_err(|wrong| barred(wrong.1))?;
     let now = server.clock.now();
     let class = form.class;
-    let taken = {
-        let mut inbound = regions.inbound.borrow_mut();
-        let inbound = &mut inbound[sender];
-        match inbound.budget.take(now, class.0, 1.0) {
-            Ok(()) => inbound.taken += 1,
-            Err(_) => {
-                inbound.refused += 1;
-                return Err(busy("over the region's budget"));
-            }
-        }
-        Taken(regions.clone(), sender)
-    };
+    if !regions.let_in(now, sender, class) {
+        return Err(busy(OVER));
+    }
+    let taken = Taken(regions.clone(), sender);
     let body = tokio::time::timeout(BODY, Limited::new(body, BODY_BYTES).collect()).await;
     let body = body.ok().and_then(|b| b.ok()).ok_or_else(|| barred("the body did not come whole"))?;
     let body = CallBody::Whole(body.to_bytes());
--- a/crates/gaugesaddle/src/region/mod.rs
+++ b/crates/gaugesaddle/src/region/mod.rs
@@ -10,13 +10,15 @@
 use crate::clock::Clock;
 use crate::error::Error;
 use crate::exchange::{Ended, Local};
+use crate::peers::{Listener, Tier};
 use crate::registry::{OtherView, RegionView, Registry};
 use crate::seam::{Leaving, Subsystem};
 use crate::server::Server;
-use beechworks::{Balancer, Class, Effect, Event, Micros, Offer, Time};
+use beechworks::{Balancer, Class, ClassId, Effect, Event, Micros, Offer, Time};
 use client::{Keys, Peer};
 use gaugesaddle_region::keys::End;
-use gaugesaddle_region::{Budget, Capacity, Fate, HopEnd, Link, Look, Path, Share, Spill, Terms};
+use gaugesaddle_region::{Budget, Capacity, Fate, HopEnd, Link, Look, Over, Path, Share, Span, Spill, Terms};
+use gaugesaddle_shares::{LoanView, Loans};
 use hyper::header::HeaderName;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -33,6 +35,8 @@
 const PATH: HeaderName = HeaderName::from_static("region-path");
 /// What became of it, in a gateway's answer.
 const FATE: HeaderName = HeaderName::from_static("region-fate");
+/// The gateway's part of the budget is used up: another may have a place.
+const FULL: HeaderName = HeaderName::from_static("region-full");
 /// How long the gateway had it, in microseconds.
 const TOOK: HeaderName = HeaderName::from_static("region-took-us");
 
@@ -60,11 +64,22 @@
     }
 }
 
+/// Of the even part of what may come from a region so many hundredths are never lent.
+const KEPT_PERCENT: u32 = 25;
+/// A loan of a second's places lasts so long; a proxy that starts has a quarter of its part for as long. Shorter ones cost
+/// words, longer ones leave more with those that die.
+const LOAN: Micros = Micros(4_000_000);
+/// Between two owners: the window of the rate.
+const REST: Micros = Micros(1_000_000);
+
 /// One sender's budget here.
 struct Inbound {
     budget: Budget,
     taken: u64,
     refused: u64,
+    /// Since the last look: all that came, and whether some were refused for the budget.
+    came: u32,
+    short: bool,
 }
 
 /// All other regions, as this proxy stands with them.
@@ -74,6 +89,11 @@
     links: RefCell<Vec<Link>>,
     peers: Vec<Option<Peer>>,
     inbound: RefCell<Vec<Inbound>>,
+    /// Where proxies lend one another what may come in a second, by number of the other region; with when it was last
+    /// looked at.
+    loans: RefCell<Option<(Loans, Time)>>,
+    /// They do, or will once this process has its place.
+    lending: Cell<bool>,
     identity: RefCell<tls::Identity>,
     stamp: Cell<tls::Stamp>,
     keys: Rc<RefCell<Keys>>,
@@ -144,13 +164,20 @@
             let addresses = Some(other.addresses.clone()).filter(|a| !a.is_empty())?;
             Peer::new(own.clock, name, addresses, from, keys.clone())
         };
-        let inbound =
-            |other: &settings::Other| Inbound { budget: budget(&other.take, &own), taken: 0, refused: 0 };
+        let inbound = |other: &settings::Other| Inbound {
+            budget: budget(&other.take, &own),
+            taken: 0,
+            refused: 0,
+            came: 0,
+            short: false,
+        };
         Ok(Rc::new(Regions {
             clock: own.clock,
             links: RefCell::new(settings.other.iter().map(link).collect()),
             peers: settings.other.iter().map(peer).collect(),
             inbound: RefCell::new(settings.other.iter().map(inbound).collect()),
+            loans: RefCell::default(),
+            lending: Cell::new(false),
             identity: RefCell::new(identity),
             stamp: Cell::new(stamp),
             keys,
@@ -174,6 +201,73 @@
         self.look.notify_one();
     }
 
+    /// From now on what may come here is lent among this region's proxies: nothing, before this one has its place.
+    pub fn begin_lending(&self) {
+        self.lending.set(true);
+    }
+
+    /// This proxy's part of what may leave: the other end holds the whole.
+    pub fn deal(&self, span: Span) {
+        self.links.borrow_mut().iter_mut().for_each(|link| link.deal(span));
+    }
+
+    /// A look at what is lent, a few times in a second: what came since the last one, and who lives.
+    pub fn lend(&self, now: Time, tier: &Tier, living: &[u16]) {
+        let Some((place, places, boot)) = tier.held() else { return };
+        let mut loans = self.loans.borrow_mut();
+        if loans.is_none() {
+            let terms = |other: &settings::Other| gaugesaddle_shares::Terms {
+                whole: other.take.per_s,
+                places,
+                kept_percent: KEPT_PERCENT,
+                term: LOAN,
+                rest: REST,
+            };
+            let terms: Vec<_> = self.settings.other.iter().map(terms).collect();
+            match Loans::new(&terms, place, boot, now) {
+                Ok(new) => *loans = Some((new, now)),
+                Err(e) => return tracing::error!("region: nothing is lent: {e}"),
+            }
+        }
+        let Some((loans, looked)) = loans.as_mut() else { return };
+        let secs = (now - std::mem::replace(looked, now)).secs().max(1e-3);
+        let needs: Vec<f64> = (self.inbound.borrow_mut().iter_mut().enumerate())
+            .map(|(quantity, inbound)| {
+                let came = f64::from(std::mem::take(&mut inbound.came)) / secs;
+                // A sender that was refused holds back: what it would send is not seen.
+                let short = std::mem::take(&mut inbound.short);
+                let least = if short { 2.0 * f64::from(loans.usable(quantity, now).max(1)) } else { 0.0 };
+                came.max(least)
+            })
+            .collect();
+        let mut letters = Vec::new();
+        loans.look(now, &needs, living, &mut letters);
+        tier.note(letters.into_iter().map(|(to, bytes)| (to, bytes.to_vec())));
+    }
+
+    /// What is lent of what may come from a region, where that is done.
+    pub fn lent(&self, now: Time) -> Vec<(String, LoanView)> {
+        let loans = self.loans.borrow();
+        let Some((loans, _)) = loans.as_ref() else { return Vec::new() };
+        let others = self.settings.other.iter().enumerate();
+        others.filter_map(|(i, other)| Some((other.name.clone(), loans.view(i, now)?))).collect()
+    }
+
+    /// Takes a place for a request of that region's.
+    fn let_in(&self, now: Time, sender: usize, class: ClassId) -> bool {
+        let mut inbound = self.inbound.borrow_mut();
+        let inbound = &mut inbound[sender];
+        inbound.came = inbound.came.saturating_add(1);
+        if self.lending.get() && inbound.budget.is_counted() {
+            let loans = self.loans.borrow();
+            inbound.budget.hold(loans.as_ref().map_or(0, |(loans, _)| loans.usable(sender, now)));
+        }
+        let taken = inbound.budget.take(now, class.0, 1.0);
+        inbound.short |= taken == Err(Over::Rate);
+        *(if taken.is_ok() { &mut inbound.taken } else { &mut inbound.refused }) += 1;
+        taken.is_ok()
+    }
+
     /// Serves the gateway, where there is one.
     pub async fn serve(self: Rc<Regions>, server: Rc<Server>, listener: Option<TcpListener>) {
         match listener {
@@ -248,6 +342,16 @@
     }
 }
 
+impl Listener for Regions {
+    fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>) {
+        let mut letters = Vec::new();
+        if let Some((loans, _)) = self.loans.borrow_mut().as_mut() {
+            loans.hear(now, from, body, &mut letters);
+        }
+        answers.extend(letters.into_iter().map(|(to, bytes)| (to, bytes.to_vec())));
+    }
+}
+
 /// A hop that is out; dropped before its end, it was called off.
 struct Out {
     regions: Rc<Regions>,
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -164,6 +164,8 @@
     pub(crate) peers: RefCell<Option<Rc<crate::peers::Tier>>>,
     /// This proxy's part, where parts go by need.
     pub(crate) shares: RefCell<Option<SharesView>>,
+    /// Proxies that live, where parts go by that; else 0.
+    pub(crate) living: Rc<Cell<u32>>,
     pub(crate) connections: Cell<usize>,
     pub(crate) upstream_sockets: Cell<usize>,
     /// What one process may hold alone, and while two share it.
@@ -202,6 +204,7 @@
             region: RefCell::default(),
             peers: RefCell::default(),
             shares: RefCell::default(),
+            living: Rc::default(),
             connections: Cell::default(),
             upstream_sockets: Cell::default(),
             bounds,
@@ -494,6 +497,30 @@
     pub uses: usize,
     /// See `uses`.
     pub listed: usize,
+    /// What may come from other regions in a second, lent among this region's proxies.
+    #[serde(default)]
+    pub lent: Vec<LentView>,
+}
+
+/// A quantity that is lent, in requests a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LentView {
+    /// The other region.
+    pub from: String,
+    /// What all proxies of this one may take.
+    pub whole: u32,
+    /// The even part of one.
+    pub even: u32,
+    /// What this one may take now, and what it would need.
+    pub usable: u32,
+    /// See `usable`.
+    pub need: u32,
+    /// Lent to others, and borrowed of them.
+    pub given: u32,
+    /// See `given`.
+    pub taken: u32,
+    /// The first of what is borrowed ends so long from now.
+    pub lease_left_us: Option<u64>,
 }
 
 /// What this proxy sees of its tier. This proxy counts among the living.
--- a/crates/gaugesaddle/src/shares.rs
+++ b/crates/gaugesaddle/src/shares.rs
@@ -2,10 +2,12 @@
 //! what each gets is the tier's to say, what follows is `gaugesaddle_shares`'; here the module is told.
 
 use crate::peers::Tier;
-use crate::registry::{Registry, SharesView};
+use crate::region::Regions;
+use crate::registry::{LentView, Registry, SharesView};
 use crate::seam::Subsystem;
 use beechworks::{Balancer, Event, ListUpdate, Micros, Time};
-use gaugesaddle_shares::{Crowd, Dealer, Dealing, Law, Look, Seen};
+use gaugesaddle_region::{Share, Span};
+use gaugesaddle_shares::{Crowd, Dealer, Dealing, Law, LoanView, Look, Seen};
 use serde::Deserialize;
 use std::rc::Rc;
 
@@ -77,13 +79,33 @@
 pub struct ShareWatch {
     tier: Rc<Tier>,
     registry: Rc<Registry>,
+    regions: Option<Rc<Regions>>,
     dealer: Dealer,
     next: Time,
 }
 
 impl ShareWatch {
-    pub fn new(settings: Shares, tier: Rc<Tier>, registry: Rc<Registry>) -> ShareWatch {
-        ShareWatch { tier, registry, dealer: Dealer::new(settings.dealing()), next: Time(0) }
+    pub fn new(
+        settings: Shares, tier: Rc<Tier>, registry: Rc<Registry>, regions: Option<Rc<Regions>>,
+    ) -> ShareWatch {
+        if let Some(regions) = &regions {
+            regions.begin_lending();
+            tier.listen_to(regions.clone());
+        }
+        ShareWatch { tier, registry, regions, dealer: Dealer::new(settings.dealing()), next: Time(0) }
+    }
+}
+
+fn lent(now: Time, from: String, l: LoanView) -> LentView {
+    LentView {
+        from,
+        whole: l.whole,
+        even: l.even,
+        usable: l.usable,
+        need: l.need,
+        given: l.given,
+        taken: l.taken,
+        lease_left_us: l.until.map(|until| (until - now).0),
     }
 }
 
@@ -102,9 +124,14 @@
                 // Told each time: a module that had to start anew knows nothing of it.
                 events.push(Event::Tier(tier));
                 events.push(Event::Uses(self.dealer.uses().to_vec()));
+                self.registry.living.set(tier.proxies);
+                let (before, part) = self.dealer.span();
+                let share = Share { proxies: tier.proxies, position: tier.position };
+                self.regions.iter().for_each(|r| r.deal(Span { before, part, share }));
                 ("by need", tier.share())
             }
         };
+        self.regions.iter().for_each(|r| r.lend(now, &self.tier, &needs.places));
         *self.registry.shares.borrow_mut() = Some(SharesView {
             state: state.into(),
             told: needs.told,
@@ -117,6 +144,7 @@
             unknown: needs.needs.iter().filter(|n| n.is_none()).count(),
             uses: self.dealer.uses().len(),
             listed: self.dealer.listed(),
+            lent: self.regions.iter().flat_map(|r| r.lent(now)).map(|(from, l)| lent(now, from, l)).collect(),
         });
     }
 
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::error::Error;
 use crate::operator::State;
-use crate::registry::{PeersView, RegionView, Registry, SharesView, Snapshot};
+use crate::registry::{LentView, PeersView, RegionView, Registry, SharesView, Snapshot};
 use crate::{clock::Clock, table};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
@@ -303,7 +303,7 @@
 
 /// This proxy's part, for people to read.
 pub fn render_shares(view: &SharesView) -> String {
-    format!(
+    let mut text = format!(
         "shares: {}; {} of {} live, this is the {}. of them\n\
          part {:.4} of the whole, an even one {:.4}; {:.1} of {:.1} requests a second come here, {} have not told theirs\n\
          {} of {} backends are used\n",
@@ -318,7 +318,18 @@
         view.unknown,
         view.uses,
         view.listed,
-    )
+    );
+    if view.lent.is_empty() {
+        return text;
+    }
+    let head = ["taken from", "whole/s", "even", "own now", "needs", "lent", "borrowed", "lease left"];
+    let row = |l: &LentView| {
+        let left = l.lease_left_us.map_or("-".into(), |us| format!("{:.1} s", us as f64 / 1e6));
+        let numbers = [l.whole, l.even, l.usable, l.need, l.given, l.taken].map(|n| n.to_string());
+        [l.from.clone()].into_iter().chain(numbers).chain([left]).collect::<Vec<_>>()
+    };
+    text += &table::render(&head, view.lent.iter().map(row));
+    text
 }
 
 /// The state for people to read.
