--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -100,6 +100,12 @@
         /// Seeds of each case.
         #[arg(long, default_value_t = 10)]
         seeds: u64,
+        /// Seeded combinations of faults.
+        #[arg(long, default_value_t = 100)]
+        scenarios: u64,
+        /// Runs side by side.
+        #[arg(long, default_value_t = 2)]
+        lanes: usize,
     },
     /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
     Testbed,
@@ -130,7 +136,9 @@
             pairs: pairs.max(1),
             lanes: lanes.clamp(1, 64),
         }),
-        Command::Shares { seeds } => shares::measure(seeds.max(1)),
+        Command::Shares { seeds, scenarios, lanes } => {
+            shares::measure(seeds.max(1), scenarios, lanes.clamp(1, 16))
+        }
         Command::Testbed => rig::measure(),
         Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
     };
--- a/crates/gaugesaddle-measure/src/shares.rs
+++ b/crates/gaugesaddle-measure/src/shares.rs
@@ -1,10 +1,12 @@
 //! Parts by need beside today's even parts of the told number, as processes: proxies killed and not back, traffic as uneven
 //! as 1 to 5, a tier that grows and shrinks under load; and what is dealt out at 300 and 1,000 by the laws alone.
 
-use crate::runs::{interval, play, round};
+use crate::runs::{interval, play_all, round};
 use crate::subsets;
 use beechworks::LimitBounds;
 use gaugesaddle_model::{simulate, Policy};
+use gaugesaddle_testbed::dice::mix;
+use gaugesaddle_testbed::hunt;
 use gaugesaddle_testbed::scenario::{Clients, Kind, Regions};
 use gaugesaddle_testbed::{Event, Outcome, Scenario, What};
 use serde_json::{json, Value};
@@ -166,8 +168,34 @@
     Ok([g(false)?, g(true)?])
 }
 
-/// All of it.
-pub fn measure(seeds: u64) -> io::Result<Value> {
+/// A combination of faults for what may never be exceeded: every other one has two regions, of which one loses its halls;
+/// in a third all nodes start cold.
+fn hard(seed: u64) -> Scenario {
+    let regions = seed % 2 == 1;
+    let mut s = hunt::draw_on(mix(77, seed), |s| {
+        s.shares = true;
+        if regions {
+            s.proxies -= s.proxies % 2;
+            s.halls = 4;
+            s.regions = Regions { count: 2, per_s: 30, in_flight: 60, ..Regions::default() };
+        }
+    });
+    s.name = format!("hard-{seed}");
+    if regions {
+        let halls = [0, 2].map(|hall| What::HallOut { hall, for_s: 5.0 });
+        s = halls.into_iter().fold(s, |s, what| s.event(4.0, what));
+    }
+    if seed % 3 == 0 {
+        let nodes: usize = s.kinds.iter().map(|k| k.count).sum();
+        s = (0..nodes).filter(|n| n % 2 == 0).fold(s, |s, node| {
+            s.event(3.0 + (node % 3) as f64 / 10.0, What::Crash { node, back_after_s: Some(1.0) })
+        });
+    }
+    s
+}
+
+/// All of it: so many seeds of each case, and so many combinations of faults; so many side by side.
+pub fn measure(seeds: u64, scenarios: u64, lanes: usize) -> io::Result<Value> {
     let (subsets, subset_held) = subsets::measure(LOAD, MOVED);
     let mut virtually = serde_json::Map::new();
     let mut better = true;
@@ -180,10 +208,17 @@
     }
     let mut clean = true;
     let mut all: HashMap<&str, Vec<(f64, f64, f64, f64)>> = HashMap::new();
+    let mut check = |outcome: &Outcome| {
+        if !outcome.is_clean() {
+            clean = false;
+            print!("{}", outcome.verdict);
+            outcome.tier.iter().for_each(|tier| print!("{tier}"));
+        }
+    };
     let evenly = [1.0, 1.0];
     let one_to_five = [1.0, 2.0, 3.0, 4.0, 5.0];
     for seed in 1..=seeds {
-        for (name, s) in [
+        let (names, runs): (Vec<&str>, Vec<Scenario>) = [
             ("killed, even parts", killed(seed, false)),
             ("killed, by need", killed(seed, true)),
             ("even traffic, by need", uneven(seed, true, &evenly)),
@@ -191,42 +226,47 @@
             ("uneven traffic, by need", uneven(seed, true, &one_to_five)),
             ("growing, even parts", growing(seed, false)),
             ("growing, by need", growing(seed, true)),
-        ] {
-            let outcome = play(&s)?;
-            let (window, proxy, jain) = spread(&s, &outcome);
+        ]
+        .into_iter()
+        .unzip();
+        let outcomes = play_all(&runs, lanes)?;
+        for ((name, s), outcome) in names.into_iter().zip(&runs).zip(&outcomes) {
+            let (window, proxy, jain) = spread(s, outcome);
             let g = outcome.verdict.g;
             println!("seed {seed}, {name}: G {g:.4}, worst 5 s {window:.3}, worst proxy {proxy:.3}, Jain {jain:.4}");
-            if !outcome.is_clean() {
-                clean = false;
-                print!("{}", outcome.verdict);
-                outcome.tier.iter().for_each(|tier| print!("{tier}"));
-            }
+            check(outcome);
             all.entry(name).or_default().push((g, window, proxy, jain));
         }
     }
     let mut regions: HashMap<(bool, bool), Vec<f64>> = HashMap::new();
     let mut most_left = 0;
     for seed in 1..=seeds {
-        for (by_need, killed) in [(false, false), (false, true), (true, false), (true, true)] {
-            let outcome = play(&region(seed, by_need, killed))?;
-            let (g, most) = lost_region(&outcome);
-            let names = [
-                ["even parts", "by need"][usize::from(by_need)],
-                ["all alive", "two of three killed"][usize::from(killed)],
-            ];
+        let cases = [(false, false), (false, true), (true, false), (true, true)];
+        let runs = cases.map(|(by_need, killed)| region(seed, by_need, killed));
+        for (key, outcome) in cases.into_iter().zip(&play_all(&runs, lanes)?) {
+            let (g, most) = lost_region(outcome);
+            let parts = if key.0 { "by need" } else { "even parts" };
+            let living = if key.1 { "two of three killed" } else { "all alive" };
             println!(
-                "seed {seed}, region lost, {}, {}: G {g:.4}, at most {most} left in a second",
-                names[0], names[1]
+                "seed {seed}, region lost, {parts}, {living}: G {g:.4}, at most {most} left in a second"
             );
-            if !outcome.is_clean() {
-                clean = false;
-                print!("{}", outcome.verdict);
-                outcome.tier.iter().for_each(|tier| print!("{tier}"));
-            }
+            check(outcome);
             most_left = most_left.max(most);
-            regions.entry((by_need, killed)).or_default().push(g);
+            regions.entry(key).or_default().push(g);
+        }
+    }
+    let drawn: Vec<Scenario> = (0..scenarios).map(hard).collect();
+    let (mut bad, mut faults, mut proxies) = (0, 0, 0);
+    for (s, outcome) in drawn.iter().zip(&play_all(&drawn, lanes)?) {
+        faults += s.events.len();
+        proxies += s.proxies;
+        if !outcome.is_clean() {
+            bad += 1;
+            println!("{}, seed {}: {} proxies", s.name, s.seed, s.proxies);
         }
+        check(outcome);
     }
+    println!("{scenarios} scenarios with {proxies} proxies and {faults} faults: {bad} not clean");
     let region_g = |key: (bool, bool)| mean(regions.get(&key).map_or(&[][..], Vec::as_slice));
     let kept = |by_need: bool| region_g((by_need, true)) / region_g((by_need, false)).max(1e-9);
     let of = |name: &str, pick: fn(&(f64, f64, f64, f64)) -> f64| -> Vec<f64> {
@@ -264,6 +304,7 @@
     Ok(
         json!({"runs": figures, "uneven_costs": round(cost), "worst_proxy_behind": round(behind), "dip": round(dip),
         "jain": round(jain), "subsets": subsets, "virtual_time": virtually,
+        "scenarios": {"played": scenarios, "proxies": proxies, "faults": faults, "not_clean": bad},
         "region": {"kept_by_need": round(kept(true)), "kept_by_even": round(kept(false)), "most_left_per_s": most_left,
             "by_need": [round(region_g((true, false))), round(region_g((true, true)))],
             "by_even": [round(region_g((false, false))), round(region_g((false, true)))]}, "parts_held": parts_held, "held": held.iter().all(|h| h.1)}),
--- a/crates/gaugesaddle-testbed/src/hunt.rs
+++ b/crates/gaugesaddle-testbed/src/hunt.rs
@@ -66,6 +66,11 @@
 
 /// A combination of faults.
 pub fn draw(seed: u64) -> Scenario {
+    draw_on(seed, |_| {})
+}
+
+/// The same on a fleet of another shape; the number of proxies is drawn before.
+pub fn draw_on(seed: u64, shape: impl FnOnce(&mut Scenario)) -> Scenario {
     let mut dice = Dice::new(seed, "hunt");
     let proxies = 6 + dice.below(25);
     let defaults = Scenario::default();
@@ -84,6 +89,8 @@
         },
         ..defaults
     };
+    shape(&mut s);
+    let proxies = s.proxies;
     // Each proxy has one fault of its own at most: what two of them would do to one another is no fault of its.
     let mut free: Vec<usize> = (0..proxies).collect();
     let mut network_free = QUIET_S;
