--- a/crates/gaugesaddle-model/src/world.rs
+++ b/crates/gaugesaddle-model/src/world.rs
@@ -17,6 +17,8 @@
 
 /// One way between a proxy and a node, in microseconds: loopback and a stand-in's turn.
 pub const HOP_US: u64 = 300;
+/// Proxies of a run: as many as a tier may have.
+const MOST_PROXIES: usize = 4096;
 /// The first moment: the module's clock is Unix time and a node that booted at 0 means long ago.
 const START: u64 = 1_000_000_000_000;
 /// The plain relay waits for a node for this part of the client's time.
@@ -190,7 +192,7 @@
 /// Plays a scenario. `traffic` has a proxy's part of the requests beside the others'; empty: all alike, those of a
 /// hall to its proxies.
 pub fn simulate(s: &Scenario, policy: Policy, traffic: &[f64]) -> Result<Report, ModelError> {
-    s.check()?;
+    s.check_up_to(MOST_PROXIES)?;
     let drawn = plan(s);
     let covered = |step: &Step| {
         matches!(
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+/// Proxies of a run as processes: each has an address of a network of 256.
+pub const MOST_PROCESSES: usize = 256;
+
 /// A run. Times end in their unit; what is left out has the default.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -607,8 +610,13 @@
         self.kinds.iter().map(|k| k.count).sum()
     }
 
-    /// The first value that is out of its range.
+    /// The first value that is out of its range, for a run of processes.
     pub fn check(&self) -> Result<(), ScenarioError> {
+        self.check_up_to(MOST_PROCESSES)
+    }
+
+    /// The same for up to so many proxies.
+    pub fn check_up_to(&self, most: usize) -> Result<(), ScenarioError> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         let above = |x: f64| x > 0.0 && x.is_finite();
         let range = |r: [f64; 2]| r[0] >= 0.0 && r[0] <= r[1] && r[1].is_finite();
@@ -647,7 +655,8 @@
         };
         let tests = [
             ((0.1..=3600.0).contains(&self.seconds), "seconds", "0.1 to 3600"),
-            ((1..=256).contains(&self.proxies), "proxies", "1 to 256"),
+            (self.proxies > 0, "proxies", "1 to 256"),
+            (self.proxies <= most, "proxies", "fewer: 1 to 256 as processes, 1 to 4096 in virtual time"),
             ((1..=64).contains(&self.halls), "halls", "1 to 64"),
             (
                 (1..=8).contains(&self.regions.count)
