Let a proxy that has just come tell no need until its count says something

Need: the first half second's count of a newcomer was its need, and its part the floor for some seconds. Change: Need tells nothing for its first 3.5 s, and the others take the mean of theirs for it.

--- a/crates/gaugesaddle-model/src/world.rs
+++ b/crates/gaugesaddle-model/src/world.rs
@@ -321,7 +321,7 @@
         }
         let own = &mut self.places[proxy];
         let need = own.need.look(std::mem::take(&mut own.came), LOOK_US as f64 / 1e6);
-        own.told = [Some(need), own.told[0]];
+        own.told = [need, own.told[0]];
         let (now, since) = (self.now, own.since.max(START));
         let known = (0..self.places.len()).filter(|p| *p == proxy || self.places[*p].held_alive(now));
         let living: Vec<u16> = known.map(|p| p as u16).collect();
--- a/crates/gaugesaddle-peers/src/signals.rs
+++ b/crates/gaugesaddle-peers/src/signals.rs
@@ -38,13 +38,16 @@
     pub held: f64,
     /// Requests a second that it refuses or fails.
     pub given_up: f64,
-    /// What its part goes by, in requests a second: it stands until it is off by more than chance.
-    pub need: f64,
+    /// What its part goes by, in requests a second: it stands until it is off by more than chance. `None`: it does not
+    /// know yet.
+    pub need: Option<f64>,
     /// By zone.
     pub zones: Vec<ZoneSignal>,
 }
 
 const STEPS: f64 = 1000.0;
+/// A need over this is told as this: the greatest code says that it is not known.
+const MOST_NEED: f64 = 1e15;
 
 fn put(out: &mut Vec<u8>, value: f64) {
     let sound = if value.is_finite() { value.max(0.0) } else { 0.0 };
@@ -65,7 +68,10 @@
         let mut out = vec![FORM, classes as u8, zones as u8];
         put(&mut out, self.held);
         put(&mut out, self.given_up);
-        put(&mut out, self.need);
+        match self.need {
+            Some(need) => put(&mut out, need.min(MOST_NEED)),
+            None => out.extend(u16::MAX.to_be_bytes()),
+        }
         self.arrivals[..classes].iter().for_each(|a| put(&mut out, *a));
         for z in &self.zones[..zones] {
             [z.backends, z.ill, z.can_per_s, z.ill_for_s].into_iter().for_each(|f| put(&mut out, f));
@@ -80,7 +86,8 @@
         if head[0] != FORM || classes > MOST_CLASSES || zones > MOST_ZONES {
             return None;
         }
-        let (held, given_up, need) = (take(&mut rest)?, take(&mut rest)?, take(&mut rest)?);
+        let (held, given_up) = (take(&mut rest)?, take(&mut rest)?);
+        let need = take(&mut rest).map(|need| Some(need).filter(|n| *n <= 2.0 * MOST_NEED))?;
         let arrivals = (0..classes).map(|_| take(&mut rest)).collect::<Option<_>>()?;
         let mut zone = || {
             Some(ZoneSignal {
@@ -147,7 +154,7 @@
             arrivals: vec![0.0, 12.5 * scale, 90.0],
             held: 7.0,
             given_up: 0.25,
-            need: 80.0,
+            need: Some(80.0),
             zones: vec![zone; 3],
         }
     }
@@ -158,11 +165,17 @@
         let got = Signals::decode(&sent.encode()).unwrap();
         let close = |a: f64, b: f64| (a - b).abs() <= 0.001 * (1.0 + b);
         assert!(got.arrivals.iter().zip(&sent.arrivals).all(|(a, b)| close(*a, *b)), "{got:?}");
-        assert!(close(got.zones[2].can_per_s, 333.3) && close(got.given_up, 0.25));
+        assert!(
+            close(got.zones[2].can_per_s, 333.3)
+                && close(got.need.unwrap(), 80.0)
+                && close(got.given_up, 0.25)
+        );
         let odd =
             Signals { held: f64::NAN, given_up: -3.0, arrivals: vec![f64::INFINITY], ..Signals::default() };
         let got = Signals::decode(&odd.encode()).unwrap();
-        assert_eq!((got.held, got.given_up, got.arrivals[0]), (0.0, 0.0, 0.0));
+        assert_eq!((got.held, got.given_up, got.arrivals[0], got.need), (0.0, 0.0, 0.0, None));
+        let most = Signals { need: Some(f64::MAX), ..odd.clone() };
+        assert!(Signals::decode(&most.encode()).unwrap().need.is_some_and(|n| n > 0.9e15));
     }
 
     #[test]
--- a/crates/gaugesaddle-shares/src/need.rs
+++ b/crates/gaugesaddle-shares/src/need.rs
@@ -76,21 +76,28 @@
 /// is off by more than chance.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Need {
+    looks: u32,
     mean: Option<f64>,
     stands: Option<f64>,
 }
 
 impl Need {
-    /// So many came since the last look, so many seconds ago; what is told from now on.
-    pub fn look(&mut self, came: u32, secs: f64) -> f64 {
+    /// So many came since the last look, so many seconds ago; what is told from now on. `None` at first: of a proxy that has
+    /// just come what came so far says little of what will, and the others take the mean of theirs for it.
+    pub fn look(&mut self, came: u32, secs: f64) -> Option<f64> {
         let secs = secs.max(1e-3);
+        self.looks = self.looks.saturating_add(1);
         let now = f64::from(came) / secs;
         let mean = self.mean.map_or(now, |mean| mean + NEWEST * (now - mean));
         self.mean = Some(mean);
+        if f64::from(self.looks) < LOOKS {
+            return None;
+        }
         let stands = self.stands.unwrap_or(mean);
         let chance = NEED_SPREADS * (stands.max(mean) / (LOOKS * secs)).sqrt();
         let off = (mean - stands).abs() > chance.max(NEED_LEAST * stands);
-        *self.stands.insert(if off { mean } else { stands })
+        self.stands = Some(if off { mean } else { stands });
+        self.stands
     }
 }
 
@@ -159,15 +166,16 @@
     #[test]
     fn a_need_stands_in_chance_and_follows_what_is_more() {
         let mut need = Need::default();
-        assert_eq!(need.look(5, 0.5), 10.0);
-        let told: Vec<f64> = [7, 3, 6, 4, 5, 8, 2, 5].into_iter().map(|came| need.look(came, 0.5)).collect();
-        assert_eq!(told, [10.0; 8], "so many more or less are chance");
-        let told: Vec<f64> = (0..10).map(|_| need.look(25, 0.5)).collect();
-        assert!(told[3] > 30.0 && told[9] > 40.0, "{told:?}");
-        assert!(told.windows(2).all(|w| w[0] <= w[1]));
-        let idle: Vec<f64> = (0..30).map(|_| need.look(0, 0.5)).collect();
+        assert!((1..7).all(|_| need.look(5, 0.5).is_none()), "it has just come");
+        assert_eq!(need.look(5, 0.5), Some(10.0));
+        let mut told = |came: u32| need.look(came, 0.5).expect("it knows");
+        assert!([7, 3, 6, 4, 5, 8, 2, 5].into_iter().all(|came| told(came) == 10.0), "so many are chance");
+        let more: Vec<f64> = (0..10).map(|_| told(25)).collect();
+        assert!(more[3] > 30.0 && more[9] > 40.0, "{more:?}");
+        assert!(more.windows(2).all(|w| w[0] <= w[1]));
+        let idle: Vec<f64> = (0..30).map(|_| told(0)).collect();
         assert!(idle[29] < 2.5, "{idle:?}");
-        assert!(need.look(u32::MAX, 0.0).is_finite());
+        assert!(need.look(u32::MAX, 0.0).is_some_and(f64::is_finite));
     }
 
     #[test]
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -307,7 +307,7 @@
     pub fn needs(&self, now: Time) -> Needs {
         let peers = self.peers.borrow();
         let (living, view) = (peers.living(), peers.view(now));
-        let need = |place: &u16| Some(Signals::decode(&peers.record(*place)?.body)?.need);
+        let need = |place: &u16| Signals::decode(&peers.record(*place)?.body)?.need;
         let own = living.iter().position(|p| *p == peers.place()).unwrap_or(0);
         let needs = living.iter().map(need).collect();
         Needs { told: view.told, awake: view.awake, own, places: living, needs }
