--- a/crates/gaugesaddle-measure/src/shares.rs
+++ b/crates/gaugesaddle-measure/src/shares.rs
@@ -194,8 +194,8 @@
     s
 }
 
-/// What is in time is measured one run after the other: three of 48 proxies side by side cost each other G 0.01, though the
-/// machine has cores to spare.
+/// What is in time is measured one run after the other: of three of 48 proxies side by side one read G 0.9955 with a worst
+/// proxy of 0.846, alone 0.9976 and 0.995, though the machine has cores to spare.
 const ALONE: usize = 1;
 
 /// All of it: so many seeds of each case, and so many combinations of faults, of these so many side by side.
