Let rates, unsound settings and waiting attempts each have one piece of code

Need: on reading the change again a mean of a rate stood in the host and in Need, one error type in four crates beside the module's, the search for attempts that are out twice in the model, a filter for figures that can't be twice in failover, and the sum of loans under two names. Change: Rate, beechworks::ConfigError, World::out, sound and Escrow::given serve both; words of loans are bytes as they travel, with no copy on the way; a proxy's place is asked for only where loans begin; a note tells no boot that nobody reads; one doc comment says what its function does. Behaviour is as it was.

--- a/crates/gaugesaddle-failover/src/decision.rs
+++ b/crates/gaugesaddle-failover/src/decision.rs
@@ -109,7 +109,7 @@
         (self.number, std::cmp::Reverse(self.by)) > (other.number, std::cmp::Reverse(other.by))
     }
 
-    /// Another number for the same orders.
+    /// Whether the other gives the same orders, whatever its number.
     pub fn says_as(&self, other: &Decision) -> bool {
         (self.level, self.placed, &self.zones) == (other.level, other.placed, &other.zones)
     }
--- a/crates/gaugesaddle-failover/src/judge.rs
+++ b/crates/gaugesaddle-failover/src/judge.rs
@@ -5,7 +5,7 @@
 //! not count against it. What a zone can do is the weighted median of what its voices make of the whole, so that one that
 //! is off by far moves it little, and half of the voices at once have to be wrong by a factor for it to be so.
 
-use beechworks::Micros;
+use beechworks::{ConfigError, Micros};
 
 /// How voices become a judgement.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -26,29 +26,19 @@
     }
 }
 
-/// A figure that can't be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: expected {expected}")]
-pub struct Unsound {
-    /// Which.
-    pub field: &'static str,
-    /// What was expected.
-    pub expected: &'static str,
-}
-
 impl Rule {
     /// The first figure that can't be.
     ///
     /// # Errors
     /// Its name and range.
-    pub fn check(&self) -> Result<(), Unsound> {
+    pub fn check(&self) -> Result<(), ConfigError> {
         let tests = [
             (self.old.0 > 0, "old", "a time"),
             (self.ill > 0.5 && self.ill <= 1.0, "ill", "over 0.5, up to 1"),
             (self.least_part > 0.0 && self.least_part < 1.0, "least_part", "between 0 and 1"),
         ];
         match tests.into_iter().find(|t| !t.0) {
-            Some((_, field, expected)) => Err(Unsound { field, expected }),
+            Some((_, field, expected)) => Err(ConfigError { field, expected }),
             None => Ok(()),
         }
     }
@@ -117,7 +107,8 @@
     pub cut: Vec<u16>,
 }
 
-fn sound(n: f64) -> f64 {
+/// A figure as it counts: none where it can't be.
+pub(crate) fn sound(n: f64) -> f64 {
     if n.is_finite() {
         n.max(0.0)
     } else {
--- a/crates/gaugesaddle-failover/src/lib.rs
+++ b/crates/gaugesaddle-failover/src/lib.rs
@@ -23,6 +23,6 @@
 
 pub use council::{Council, Seen, FANOUT, KEPT, ROUNDS, SHOW};
 pub use decision::{Cut, Decision, Number, Order, DECISION_BYTES, MOST_ZONES, TAG};
-pub use judge::{judge, Blind, Find, Judgement, Rule, Unsound, Voice, Zone};
+pub use judge::{judge, Blind, Find, Judgement, Rule, Voice, Zone};
 pub use ladder::{Ladder, Rungs, Trust};
 pub use plan::{plan, Plan};
--- a/crates/gaugesaddle-failover/src/plan.rs
+++ b/crates/gaugesaddle-failover/src/plan.rs
@@ -5,6 +5,8 @@
 //! needs beyond the level is its excess; what it has left below it is its headroom; none has both. So a zone that is sent to
 //! sends nothing, and whoever sends, no zone is lifted over the level.
 
+use crate::judge::sound;
+
 /// A zone's figures, in requests a second.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Fill {
@@ -27,14 +29,6 @@
     pub away: Vec<f64>,
 }
 
-fn sound(n: f64) -> f64 {
-    if n.is_finite() {
-        n.max(0.0)
-    } else {
-        0.0
-    }
-}
-
 /// Fills from the greatest worth down until nothing is left; what is placed, by class.
 fn by_worth(amounts: &[f64], order: &[usize], mut room: f64) -> Vec<f64> {
     let mut placed = vec![0.0; amounts.len()];
--- a/crates/gaugesaddle-model/src/world.rs
+++ b/crates/gaugesaddle-model/src/world.rs
@@ -349,12 +349,14 @@
         for request in self.hosts[proxy].end() {
             self.answer(request, RESET_STATUS);
         }
-        let held: Vec<usize> = (0..self.sent.len()).rev().take(20_000).collect();
-        for sent in held.into_iter().filter(|i| self.sent[*i].proxy == proxy).collect::<Vec<_>>() {
-            if !self.sent[sent].dropped {
-                self.call_off(sent);
-            }
-        }
+        self.out(|s| s.proxy == proxy).into_iter().for_each(|sent| self.call_off(sent));
+    }
+
+    /// Attempts of these that somebody waits for, the newest first.
+    fn out(&self, of: impl Fn(&Sent) -> bool) -> Vec<usize> {
+        // Older ones are past every deadline.
+        let newest = (0..self.sent.len()).rev().take(20_000);
+        newest.filter(|i| !self.sent[*i].dropped && of(&self.sent[*i])).collect()
     }
 
     /// It starts anew, and is told the list.
@@ -363,11 +365,7 @@
         self.hosts[proxy] = host;
         self.places[proxy] = Place { since: now, ..Place::new() };
         let standing = |n: usize| if self.ready[proxy][n] { READY } else { GONE };
-        let all = (0..self.nodes.len()).map(|n| {
-            let booted = self.nodes[n].booted;
-            Backend { booted: (booted > 0).then_some(Time(booted)), ..self.entry(n, standing(n)) }
-        });
-        let all = all.collect();
+        let all = (0..self.nodes.len()).map(|n| self.entry(n, standing(n))).collect();
         self.hosts[proxy].list(ListUpdate::Full, all);
         self.plan_turn(proxy);
         Ok(())
@@ -631,14 +629,8 @@
     /// Its process ends; its connections are reset.
     fn down(&mut self, node: usize) {
         self.nodes[node].machine = None;
-        let held: Vec<usize> = (0..self.sent.len())
-            .rev()
-            .take(20_000) // older ones are past every deadline
-            .filter(|i| {
-                let s = &self.sent[*i];
-                s.node == node && !s.dropped && s.boots == self.nodes[node].boots
-            })
-            .collect();
+        let boots = self.nodes[node].boots;
+        let held = self.out(|s| s.node == node && s.boots == boots);
         held.into_iter().for_each(|sent| self.at(self.now + HOP_US, What::Outcome(sent, RESET)));
     }
 
--- a/crates/gaugesaddle-peers/src/hearing.rs
+++ b/crates/gaugesaddle-peers/src/hearing.rs
@@ -162,7 +162,7 @@
                     self.send(from, draft, out);
                 }
             }
-            Section::Note { body } => out.push(Output::Noted { from, boot: header.boot, body }),
+            Section::Note { body } => out.push(Output::Noted { from, body }),
             Section::Hello { name, zone } => self.named(from, name, zone, out),
         }
     }
--- a/crates/gaugesaddle-peers/src/lib.rs
+++ b/crates/gaugesaddle-peers/src/lib.rs
@@ -46,7 +46,7 @@
 pub use peers::{Counts, Output, PeerView, Peers, Told, ToldError, Transition, Why};
 pub use records::Record;
 pub use seal::{Seal, LEAST_KEY_BYTES};
-pub use settings::{Settings, Unsound, MOST_PEERS};
+pub use settings::{Settings, MOST_PEERS};
 pub use signals::{Signals, Totals, ZoneSignal, MOST_CLASSES, MOST_ZONES};
 pub use view::{Shape, View};
 pub use wire::{DATAGRAM_BYTES, NAME_BYTES, NOTE_BYTES, RECORD_BYTES};
--- a/crates/gaugesaddle-peers/src/peers.rs
+++ b/crates/gaugesaddle-peers/src/peers.rs
@@ -104,10 +104,8 @@
     },
     /// One that lives has this to say to the host.
     Noted {
-        /// Its place.
+        /// Its place; the process is the one that is known to live there.
         from: u16,
-        /// Its process.
-        boot: Boot,
         /// What.
         body: Vec<u8>,
     },
--- a/crates/gaugesaddle-peers/src/settings.rs
+++ b/crates/gaugesaddle-peers/src/settings.rs
@@ -1,6 +1,6 @@
 //! What an operator may set, with its reasons.
 
-use beechworks::Micros;
+use beechworks::{ConfigError, Micros};
 
 /// Places in a tier: what a datagram's two bytes and a table of this size can hold with room to spare.
 pub const MOST_PEERS: usize = 4096;
@@ -50,19 +50,9 @@
     }
 }
 
-/// A setting out of its range.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: expected {expected}")]
-pub struct Unsound {
-    /// Which.
-    pub field: &'static str,
-    /// What was expected.
-    pub expected: &'static str,
-}
-
 impl Settings {
     /// The first one that is out of its range.
-    pub fn check(&self) -> Result<(), Unsound> {
+    pub fn check(&self) -> Result<(), ConfigError> {
         let ms = |span: Micros, least: u64, most: u64| (least * 1000..=most * 1000).contains(&span.0);
         let tests = [
             (ms(self.probe, 50, 10_000), "probe_ms", "50 to 10000"),
@@ -84,7 +74,7 @@
             (ms(self.forget, 10_000, 86_400_000), "forget_s", "10 to 86400"),
         ];
         match tests.into_iter().find(|t| !t.0) {
-            Some((_, field, expected)) => Err(Unsound { field, expected }),
+            Some((_, field, expected)) => Err(ConfigError { field, expected }),
             None => Ok(()),
         }
     }
--- a/crates/gaugesaddle-shares/src/escrow.rs
+++ b/crates/gaugesaddle-shares/src/escrow.rs
@@ -12,7 +12,7 @@
 //! (for what is held), or the window over which a rate is counted. A process that starts has lent what its former one
 //! lent: it waits for a term and a rest. What is never lent it waits for a rest only.
 
-use beechworks::{Micros, Time};
+use beechworks::{ConfigError, Micros, Time};
 
 /// Loans that a process has given, and as many that it has taken.
 pub const MOST_LOANS: usize = 64;
@@ -76,16 +76,6 @@
     pub rest: Micros,
 }
 
-/// Terms that can't be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: expected {expected}")]
-pub struct Unsound {
-    /// Which.
-    pub field: &'static str,
-    /// What was expected.
-    pub expected: &'static str,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Given {
     to: u16,
@@ -147,14 +137,14 @@
 
 impl Terms {
     /// The first term that can't be.
-    pub fn check(&self) -> Result<(), Unsound> {
+    pub fn check(&self) -> Result<(), ConfigError> {
         let tests = [
             (self.places > 0, "places", "at least one"),
             (self.kept_percent <= 100, "kept_percent", "0 to 100"),
             (self.term.0 >= DRIFT, "term", "time for a loan"),
         ];
         match tests.into_iter().find(|t| !t.0) {
-            Some((_, field, expected)) => Err(Unsound { field, expected }),
+            Some((_, field, expected)) => Err(ConfigError { field, expected }),
             None => Ok(()),
         }
     }
@@ -186,10 +176,10 @@
     ///
     /// # Errors
     /// The first term that can't be.
-    pub fn new(terms: Terms, place: u16, boot: u32, now: Time) -> Result<Escrow, Unsound> {
+    pub fn new(terms: Terms, place: u16, boot: u32, now: Time) -> Result<Escrow, ConfigError> {
         terms.check()?;
         if place >= terms.places {
-            return Err(Unsound { field: "place", expected: "one of the places" });
+            return Err(ConfigError { field: "place", expected: "one of the places" });
         }
         let (given, taken, asked) = (Vec::new(), Vec::new(), Vec::new());
         Ok(Escrow { terms, place, boot, started: now, next: 0, given, taken, asked })
@@ -210,16 +200,12 @@
         if now < self.started + self.terms.term + self.terms.surely(self.terms.rest) {
             return kept; // a former process may have lent the rest of it
         }
-        even - self.lent(now)
-    }
-
-    fn lent(&self, now: Time) -> u32 {
-        self.given.iter().filter(|g| now < g.back).map(|g| g.units).sum()
+        even - self.given(now)
     }
 
     /// What is lent to others.
     pub fn given(&self, now: Time) -> u32 {
-        self.lent(now)
+        self.given.iter().filter(|g| now < g.back).map(|g| g.units).sum()
     }
 
     /// What is borrowed and can be used now or soon, and the earliest end of it.
--- a/crates/gaugesaddle-shares/src/lib.rs
+++ b/crates/gaugesaddle-shares/src/lib.rs
@@ -28,7 +28,7 @@
 mod subset;
 
 pub use dealer::{Dealer, Dealing, Listed, Look, Seen, AWAKE};
-pub use escrow::{Escrow, Loan, LoanId, Terms, Unsound, Word, MOST_LOANS};
+pub use escrow::{Escrow, Loan, LoanId, Terms, Word, MOST_LOANS};
 pub use loans::{Letter, LoanView, Loans, MOST_QUANTITIES, WORD_BYTES};
-pub use need::{parts, Glide, Law, Need};
+pub use need::{parts, Glide, Law, Need, Rate};
 pub use subset::{uses, Crowd, Link, Member, Server};
--- a/crates/gaugesaddle-shares/src/loans.rs
+++ b/crates/gaugesaddle-shares/src/loans.rs
@@ -1,7 +1,7 @@
 //! One proxy's hold on all hard quantities: what it borrows and lends by its need, and the words of it as bytes.
 
-use crate::escrow::{Escrow, LoanId, Terms, Unsound, Word};
-use beechworks::{Micros, Time};
+use crate::escrow::{Escrow, LoanId, Terms, Word};
+use beechworks::{ConfigError, Micros, Time};
 
 /// Hard quantities of a proxy.
 pub const MOST_QUANTITIES: usize = 16;
@@ -57,16 +57,16 @@
 }
 
 /// A word to a place, as bytes.
-pub type Letter = (u16, [u8; WORD_BYTES]);
+pub type Letter = (u16, Vec<u8>);
 
-fn encode(quantity: usize, word: &Word) -> [u8; WORD_BYTES] {
+fn encode(quantity: usize, word: &Word) -> Vec<u8> {
     let (kind, id, round, units) = match *word {
         Word::Ask { id, units } => (1, id, 0, units),
         Word::Grant { id, round, units } => (2, id, round, units),
         Word::Return { id } => (3, id, 0, 0),
         Word::Renew { id, round } => (4, id, round, 0),
     };
-    let mut bytes = [0; WORD_BYTES];
+    let mut bytes = vec![0; WORD_BYTES];
     (bytes[0], bytes[1]) = (quantity as u8, kind);
     for (at, number) in [(2, id.boot), (6, id.number), (10, round), (14, units)] {
         bytes[at..at + 4].copy_from_slice(&number.to_be_bytes());
@@ -93,9 +93,9 @@
     ///
     /// # Errors
     /// The first term that can't be.
-    pub fn new(terms: &[Terms], place: u16, boot: u32, now: Time) -> Result<Loans, Unsound> {
+    pub fn new(terms: &[Terms], place: u16, boot: u32, now: Time) -> Result<Loans, ConfigError> {
         if terms.len() > MOST_QUANTITIES {
-            return Err(Unsound { field: "quantities", expected: "up to 16" });
+            return Err(ConfigError { field: "quantities", expected: "up to 16" });
         }
         let held = |t: &Terms| {
             Ok(Held { escrow: Escrow::new(*t, place, boot, now)?, need: 0.0, next: usize::from(place) })
--- a/crates/gaugesaddle-shares/src/need.rs
+++ b/crates/gaugesaddle-shares/src/need.rs
@@ -72,12 +72,27 @@
 const NEED_LEAST: f64 = 0.1;
 const NEED_SPREADS: f64 = 2.0;
 
+/// A rate, kept as a mean over looks.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rate {
+    per_s: Option<f64>,
+}
+
+impl Rate {
+    /// So many came since the last look, so many seconds ago, above 0; the mean with them, in a second.
+    pub fn look(&mut self, came: u32, secs: f64) -> f64 {
+        let now = f64::from(came) / secs;
+        let mean = self.per_s.map_or(now, |mean| mean + NEWEST * (now - mean));
+        *self.per_s.insert(mean)
+    }
+}
+
 /// What a proxy needs, as it tells the others: the requests that come to it in a second, as a mean that stands until it
 /// is off by more than chance.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Need {
     looks: u32,
-    mean: Option<f64>,
+    rate: Rate,
     stands: Option<f64>,
 }
 
@@ -86,10 +101,8 @@
     /// just come what came so far says little of what will, and the others take the mean of theirs for it.
     pub fn look(&mut self, came: u32, secs: f64) -> Option<f64> {
         let secs = secs.max(1e-3);
+        let mean = self.rate.look(came, secs);
         self.looks = self.looks.saturating_add(1);
-        let now = f64::from(came) / secs;
-        let mean = self.mean.map_or(now, |mean| mean + NEWEST * (now - mean));
-        self.mean = Some(mean);
         if f64::from(self.looks) < LOOKS {
             return None;
         }
--- a/crates/gaugesaddle-storm/src/lib.rs
+++ b/crates/gaugesaddle-storm/src/lib.rs
@@ -20,5 +20,5 @@
 pub use calendar::Calendar;
 pub use ledger::Ledger;
 pub use pace::Pace;
-pub use storm::{Look, Settings, Storm, Unsound};
+pub use storm::{Look, Settings, Storm};
 pub use watch::{Figures, Second, State, Watch};
--- a/crates/gaugesaddle-storm/src/storm.rs
+++ b/crates/gaugesaddle-storm/src/storm.rs
@@ -2,7 +2,7 @@
 
 use crate::calendar::SECONDS;
 use crate::{Calendar, Figures, Ledger, Pace, Second, State, Watch};
-use beechworks::{Micros, Pressure, Time};
+use beechworks::{ConfigError, Micros, Pressure, Time};
 use std::collections::HashMap;
 
 /// Part of what ends well which refused clients may fill when they return; the rest is for new ones.
@@ -25,23 +25,14 @@
     pub sources: usize,
 }
 
-/// A setting that can't be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unsound {
-    /// Which.
-    pub field: &'static str,
-    /// What was expected.
-    pub expected: &'static str,
-}
-
 impl Settings {
     /// The first that is out of its range.
-    pub fn check(&self) -> Result<(), Unsound> {
+    pub fn check(&self) -> Result<(), ConfigError> {
         if !(1..=SECONDS as u64).contains(&self.longest_s) {
-            return Err(Unsound { field: "longest_s", expected: "1 to 600" });
+            return Err(ConfigError { field: "longest_s", expected: "1 to 600" });
         }
         if !(1..=1_000_000).contains(&self.sources) {
-            return Err(Unsound { field: "sources", expected: "1 to 1000000" });
+            return Err(ConfigError { field: "sources", expected: "1 to 1000000" });
         }
         Ok(())
     }
@@ -75,7 +66,7 @@
 
 impl Storm {
     /// One that remembers nothing.
-    pub fn new(settings: Settings, seed: u64) -> Result<Storm, Unsound> {
+    pub fn new(settings: Settings, seed: u64) -> Result<Storm, ConfigError> {
         settings.check()?;
         Ok(Storm {
             watch: Watch::default(),
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -37,8 +37,8 @@
     #[error("settings: {0}")]
     Module(#[from] beechworks::ConfigError),
     /// A setting of the storm's watch; the operator's file is checked against the same ranges.
-    #[error("storm.{}: expected {}", .0.field, .0.expected)]
-    Storm(gaugesaddle_storm::Unsound),
+    #[error("storm.{0}")]
+    Storm(beechworks::ConfigError),
     /// The operator's file.
     #[error(transparent)]
     Operator(#[from] crate::operator::OperatorError),
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -63,7 +63,7 @@
     pub needs: Vec<Option<f64>>,
 }
 
-/// Who takes what other proxies' hosts have to say, and answers: place, process, bytes; the answers go to places.
+/// Who takes what other proxies' hosts have to say, and answers; the answers go to places.
 pub trait Listener {
     fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>);
 }
@@ -263,8 +263,7 @@
     fn carry_out(&self, socket: &UdpSocket, out: &mut Vec<Output>) {
         for output in out.drain(..) {
             match output {
-                // Its process is the one that is known to live there: others were turned away.
-                Output::Noted { from, body, .. } => self.noted(from, &body),
+                Output::Noted { from, body } => self.noted(from, &body),
                 Output::Send { to, bytes } => {
                     if socket.try_send_to(&bytes, to).is_err() {
                         self.unsent.set(self.unsent.get() + 1); // as good as lost on its way
--- a/crates/gaugesaddle/src/peers/watch.rs
+++ b/crates/gaugesaddle/src/peers/watch.rs
@@ -6,25 +6,19 @@
 use crate::seam::Subsystem;
 use beechworks::{Arrival, Balancer, ClassId, Event, Time, ZoneId};
 use gaugesaddle_peers::{Signals, ZoneSignal};
-use gaugesaddle_shares::Need;
+use gaugesaddle_shares::{Need, Rate};
 use std::rc::Rc;
 
-/// Rates are means over some of the last looks, the newest of them a quarter: with a look each half second they follow
-/// a jump within two seconds, and chance among some ten requests a second is a fifth.
-const NEWEST: f64 = 0.25;
-
-/// A rate, kept as a mean.
+/// What is counted between looks, and its rate.
 #[derive(Clone, Copy, Default)]
-struct Rate {
+struct Counted {
     count: u32,
-    per_s: Option<f64>,
+    rate: Rate,
 }
 
-impl Rate {
+impl Counted {
     fn look(&mut self, secs: f64) -> f64 {
-        let now = f64::from(std::mem::take(&mut self.count)) / secs;
-        let mean = self.per_s.map_or(now, |mean| mean + NEWEST * (now - mean));
-        *self.per_s.insert(mean)
+        self.rate.look(std::mem::take(&mut self.count), secs)
     }
 }
 
@@ -35,8 +29,8 @@
     zones: Vec<ZoneId>,
     /// Since when some backends of the zone have been ill.
     ill_since: Vec<Option<Time>>,
-    arrivals: Vec<Rate>,
-    given_up: Rate,
+    arrivals: Vec<Counted>,
+    given_up: Counted,
     need: Need,
     looked: Option<Time>,
     next: Time,
@@ -44,8 +38,8 @@
 
 impl PeerWatch {
     pub fn new(tier: Rc<Tier>, registry: Rc<Registry>, zones: Vec<ZoneId>, classes: usize) -> PeerWatch {
-        let (ill_since, arrivals) = (vec![None; zones.len()], vec![Rate::default(); classes]);
-        let (given_up, need, looked, next) = (Rate::default(), Need::default(), None, Time(0));
+        let (ill_since, arrivals) = (vec![None; zones.len()], vec![Counted::default(); classes]);
+        let (given_up, need, looked, next) = (Counted::default(), Need::default(), None, Time(0));
         PeerWatch { tier, registry, zones, ill_since, arrivals, given_up, need, looked, next }
     }
 
@@ -108,7 +102,7 @@
 
     #[test]
     fn a_rate_follows_a_jump_and_smooths_chance() {
-        let mut rate = Rate { count: 5, per_s: None };
+        let mut rate = Counted { count: 5, rate: Rate::default() };
         assert_eq!(rate.look(0.5), 10.0);
         let after: Vec<f64> = (0..8)
             .map(|_| {
--- a/crates/gaugesaddle/src/region/mod.rs
+++ b/crates/gaugesaddle/src/region/mod.rs
@@ -213,9 +213,9 @@
 
     /// A look at what is lent, a few times in a second: what came since the last one, and who lives.
     pub fn lend(&self, now: Time, tier: &Tier, living: &[u16]) {
-        let Some((place, places, boot)) = tier.held() else { return };
         let mut loans = self.loans.borrow_mut();
         if loans.is_none() {
+            let Some((place, places, boot)) = tier.held() else { return };
             let terms = |other: &settings::Other| gaugesaddle_shares::Terms {
                 whole: other.take.per_s,
                 places,
@@ -242,7 +242,7 @@
             .collect();
         let mut letters = Vec::new();
         loans.look(now, &needs, living, &mut letters);
-        tier.note(letters.into_iter().map(|(to, bytes)| (to, bytes.to_vec())));
+        tier.note(letters);
     }
 
     /// What is lent of what may come from a region, where that is done.
@@ -344,11 +344,9 @@
 
 impl Listener for Regions {
     fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>) {
-        let mut letters = Vec::new();
         if let Some((loans, _)) = self.loans.borrow_mut().as_mut() {
-            loans.hear(now, from, body, &mut letters);
+            loans.hear(now, from, body, answers);
         }
-        answers.extend(letters.into_iter().map(|(to, bytes)| (to, bytes.to_vec())));
     }
 }
 
--- a/crates/gaugesaddle/src/shares.rs
+++ b/crates/gaugesaddle/src/shares.rs
@@ -13,6 +13,7 @@
 
 /// The parts are looked at this often: as often as records are published.
 const LOOK: Micros = Micros(500_000);
+
 /// `[shares]`. Wants a restart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
