Call a silent discovery agent anew every fifth of the drain grace

The watch (discovery.rs, `timeout(wait + GRACE)`) waited 4 + 1.5 s for the swallowed call of 5.567 s and paused up to BACKOFF.1 = 1 s after it, where the grace is 0.5 s. Not seen before, as the test bed's agent answered such calls at its return.

Change: the decision when discovery is called anew is a state machine without I/O (`renewal.rs`): waits are parts of the grace that the settings tell; a call that is late has another one beside it, the first answer ends the rest. The test bed's agents swallow calls, and what they have counts as told at once. Changes of a version behind the one asked for are no longer taken for news.

--- a/crates/gaugesaddle-testbed/src/agent.rs
+++ b/crates/gaugesaddle-testbed/src/agent.rs
@@ -59,6 +59,10 @@
     lines: RefCell<BTreeMap<String, (u64, Line)>>,
     version: Cell<u64>,
     down: Cell<bool>,
+    /// How often it has fallen silent: a call that was out then is never answered.
+    silences: Cell<u64>,
+    /// What has happened meanwhile: it learns of it at its return.
+    missed: RefCell<Vec<Line>>,
     changed: Notify,
     listening: RefCell<Option<AbortHandle>>,
     open: RefCell<Vec<AbortHandle>>,
@@ -75,6 +79,8 @@
             lines: RefCell::default(),
             version: Cell::new(1),
             down: Cell::default(),
+            silences: Cell::default(),
+            missed: RefCell::default(),
             changed: Notify::new(),
             listening: RefCell::default(),
             open: RefCell::default(),
@@ -112,14 +118,22 @@
         Ok(())
     }
 
-    /// Silent while true.
+    /// Silent while true; learns nothing, and at its return all at once.
     pub fn set_down(&self, down: bool) {
         self.down.set(down);
+        if down {
+            self.silences.set(self.silences.get() + 1);
+        } else {
+            self.missed.take().into_iter().for_each(|line| self.put(line));
+        }
         self.changed.notify_waiters();
     }
 
     /// Takes news of a node's process; older news of the same name are passed over.
     pub fn put(&self, line: Line) {
+        if self.down.get() {
+            return self.missed.borrow_mut().push(line);
+        }
         let mut lines = self.lines.borrow_mut();
         if let Some((_, held)) = lines.get(&line.name) {
             let older = line.boot.boot < held.boot.boot;
@@ -216,31 +230,33 @@
         let after = number("after").filter(|v| *v <= self.version.get());
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(WAIT_MS));
         let end = tokio::time::Instant::now() + wait;
+        let silences = self.silences.get();
         loop {
-            let changed = self.changed.notified();
-            if !self.down.get() {
-                let version = self.version.get();
-                let (lines, held, whole) = match after {
-                    Some(after) if after < version => {
-                        let lines = self.lines.borrow();
-                        let news = lines.values().filter(|l| l.0 > after);
-                        let held: Vec<Line> = news.map(|l| l.1.clone()).collect();
-                        (held.iter().map(Line::json).collect(), held, false)
-                    }
-                    Some(_) if tokio::time::Instant::now() < end => {
-                        let _ = tokio::time::timeout_at(end, changed).await;
-                        continue;
-                    }
-                    Some(_) => (Vec::new(), Vec::new(), false),
-                    None => {
-                        let (lines, held) = self.whole();
-                        (lines, held, true)
-                    }
-                };
-                let list = json!({"index": version, "snapshot": whole, "endpoints": lines});
-                return Some((list.to_string(), held, whole));
+            // As a connection does whose other side was cut off: what it has swallowed stays swallowed.
+            if self.down.get() || self.silences.get() != silences {
+                std::future::pending::<()>().await;
             }
-            changed.await;
+            let changed = self.changed.notified();
+            let version = self.version.get();
+            let (lines, held, whole) = match after {
+                Some(after) if after < version => {
+                    let lines = self.lines.borrow();
+                    let news = lines.values().filter(|l| l.0 > after);
+                    let held: Vec<Line> = news.map(|l| l.1.clone()).collect();
+                    (held.iter().map(Line::json).collect(), held, false)
+                }
+                Some(_) if tokio::time::Instant::now() < end => {
+                    let _ = tokio::time::timeout_at(end, changed).await;
+                    continue;
+                }
+                Some(_) => (Vec::new(), Vec::new(), false),
+                None => {
+                    let (lines, held) = self.whole();
+                    (lines, held, true)
+                }
+            };
+            let list = json!({"index": version, "snapshot": whole, "endpoints": lines});
+            return Some((list.to_string(), held, whole));
         }
     }
 }
--- a/crates/gaugesaddle-testbed/src/audit.rs
+++ b/crates/gaugesaddle-testbed/src/audit.rs
@@ -532,7 +532,8 @@
     fn drains(&mut self) {
         // From when on each start of a proxy counts as told that a node is not to be sent anything new.
         let mut closed: HashMap<(usize, Boot), Vec<Closed>> = HashMap::new();
-        let latest = (self.s.rules.told_latest_s * 1e6) as u64;
+        // What an agent of the own machine has counts as told, whether or not it was asked.
+        let latest = if self.s.discovery.asked { (self.s.rules.told_latest_s * 1e6) as u64 } else { 0 };
         for news in &self.news {
             let (at, place) = (news.record.at, (news.proxy, news.boot));
             if news.standing != Standing::Ready {
--- a/crates/gaugesaddle-testbed/src/audit/tests.rs
+++ b/crates/gaugesaddle-testbed/src/audit/tests.rs
@@ -47,10 +47,13 @@
         self.answered(ms + 21, id, 200, Some(attempt))
     }
     fn verdict(&self) -> Verdict {
+        self.judged(&scenario())
+    }
+    fn judged(&self, scenario: &Scenario) -> Verdict {
         let mut records = self.0.clone();
         records.sort_by_key(|r| r.at);
         records.push(Record { at: 60_000_000, event: Event::ProxyTerminated { proxy: 0 } });
-        audit(&scenario(), &records, 0)
+        audit(scenario, &records, 0)
     }
     fn broken(&self) -> Vec<Broken> {
         let mut all: Vec<Broken> = self.verdict().findings.iter().map(|f| f.broken).collect();
@@ -191,8 +194,17 @@
     assert_eq!(send(1540, &[(1000, told(Standing::Draining))]), [], "within the grace");
     assert_eq!(send(1560, &[(1000, told(Standing::Draining))]), [Broken::Drain]);
     assert_eq!(send(1560, &[(1000, told(Standing::Gone))]), [Broken::Drain]);
-    assert_eq!(send(3000, &[(1000, published.clone())]), [], "it could not know");
-    assert_eq!(send(7600, &[(1000, published)]), [Broken::Drain], "counts as told 6 s later");
+    assert_eq!(send(1540, &[(1000, published.clone())]), [], "within the grace of what the agent has");
+    assert_eq!(send(1560, &[(1000, published.clone())]), [Broken::Drain], "whether or not it was asked");
+    let asked = |ms: u64| {
+        let mut asked = scenario();
+        asked.discovery.asked = true;
+        let mut script = Script::new();
+        script.at(1000, published.clone()).served(ms, 1, 0, 1);
+        script.judged(&asked).findings.len()
+    };
+    assert_eq!(asked(3000), 0, "the service has it, and the proxy could not know");
+    assert_eq!(asked(7600), 1, "counts as told 6 s later");
     let back = [(1000, told(Standing::Draining)), (1200, told(Standing::Ready))];
     assert_eq!(send(3000, &back), [], "the drain was called off");
     let anew = [
--- a/crates/gaugesaddle-testbed/src/scripted.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -2,6 +2,7 @@
 //! write bytes. For tests of single exchanges; a fleet that behaves like one is in `crate::world`.
 
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -155,9 +156,17 @@
     index: u64,
     /// The next answer, word for word.
     answer: Option<String>,
+    verbatim: bool,
+    /// Calls when it was taken.
+    taken: usize,
+    /// The list as it stands, by name, once all of it was told.
+    whole: Option<BTreeMap<String, Value>>,
+    /// How often it has fallen silent and come back: even, it speaks.
+    turns: u64,
 }
 
-/// Discovery: answers a call once there is news, or after its wait, or never.
+/// Discovery: answers a call once there is news, or after its wait. One that falls silent swallows the calls that are out
+/// and those that come: they are not answered either when it is back.
 #[derive(Clone)]
 pub struct Discovery {
     /// Where it listens.
@@ -186,22 +195,48 @@
 
     fn converse(&self, mut stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while read_message(&mut reader).is_some() {
+        while let Some(message) = read_message(&mut reader) {
             *self.calls.lock().unwrap() += 1;
-            let Some(answer) = self.news(&stream) else { break };
+            let Some(answer) = self.news(&stream, &message.start) else { break };
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
             let _ = stream.write_all((head + &answer).as_bytes());
         }
     }
 
     /// Waits for news; `None` once the other side has closed the connection.
-    fn news(&self, stream: &TcpStream) -> Option<String> {
+    fn news(&self, stream: &TcpStream, call: &str) -> Option<String> {
+        let number = |key: &str| {
+            let (_, rest) = call.split_once(key)?;
+            rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
+        };
+        let (after, wait) = (number("after="), number("wait_ms=").unwrap_or(0));
+        let end = Instant::now() + Duration::from_millis(wait);
         let mut news = self.news.0.lock().unwrap();
+        let turns = news.turns;
         stream.set_nonblocking(true).unwrap();
         while !matches!(stream.peek(&mut [0]), Ok(0)) {
-            if let Some(answer) = news.answer.take() {
-                stream.set_nonblocking(false).unwrap();
-                return Some(answer);
+            if turns % 2 == 0 && turns == news.turns {
+                let answer = news.answer.take();
+                if answer.is_some() {
+                    news.taken = self.calls();
+                }
+                let index = news.index;
+                let list = |whole: bool, lines: Vec<&Value>| {
+                    json!({"index": index, "snapshot": whole, "endpoints": lines}).to_string()
+                };
+                let verbatim = answer.is_some() && std::mem::take(&mut news.verbatim);
+                // Word for word is word for word; news go to one that asks for the whole list as the whole list.
+                let answer = match (after, &news.whole) {
+                    (None, Some(lines)) if !verbatim => Some(list(true, lines.values().collect())),
+                    (Some(_), _) if answer.is_none() && Instant::now() >= end => {
+                        Some(list(false, Vec::new()))
+                    }
+                    _ => answer,
+                };
+                if answer.is_some() {
+                    stream.set_nonblocking(false).unwrap();
+                    return answer;
+                }
             }
             news = self.news.1.wait_timeout(news, Duration::from_millis(5)).unwrap().0;
         }
@@ -214,20 +249,65 @@
         *self.closed.lock().unwrap()
     }
 
+    /// Falls silent; returns once a call that came after that is swallowed.
+    pub fn fall_silent(&self) {
+        let before = {
+            let mut news = self.news.0.lock().unwrap();
+            assert!(news.turns % 2 == 0, "it is silent");
+            news.turns += 1;
+            self.calls()
+        };
+        until("a call in the silence", || self.calls() > before);
+    }
+
+    /// Speaks again and has something to tell from this moment on, whether or not it is asked.
+    pub fn come_back(&self, whole: bool, lines: &[Value]) {
+        let mut news = self.news.0.lock().unwrap();
+        assert!(news.turns % 2 == 1, "it speaks");
+        news.turns += 1;
+        Discovery::take_up(&mut news, whole, lines);
+        self.news.1.notify_all();
+    }
+
+    fn take_up(news: &mut News, whole: bool, lines: &[Value]) {
+        news.index += 1;
+        if whole {
+            news.whole = Some(BTreeMap::new());
+        }
+        if let Some(all) = &mut news.whole {
+            for line in lines {
+                let name = line["name"].as_str().unwrap_or_default().to_string();
+                match line["status"].as_str() {
+                    Some("gone") => _ = all.remove(&name),
+                    _ => _ = all.insert(name, line.clone()),
+                }
+            }
+        }
+        let answer = json!({"index": news.index, "snapshot": whole, "endpoints": lines}).to_string();
+        (news.answer, news.verbatim) = (Some(answer), false);
+    }
+
     /// Tells the whole list or changes, and waits until the proxy has asked again: it holds them then.
     pub fn tell(&self, whole: bool, lines: &[Value]) {
-        let index = self.news.0.lock().unwrap().index + 1;
-        self.news.0.lock().unwrap().index = index;
-        self.say(&json!({"index": index, "snapshot": whole, "endpoints": lines}).to_string());
+        Discovery::take_up(&mut self.news.0.lock().unwrap(), whole, lines);
+        self.until_held();
     }
 
-    /// The same, word for word.
+    /// The same, word for word, to whoever asks next.
     pub fn say(&self, answer: &str) {
-        let before = self.calls();
-        self.news.0.lock().unwrap().answer = Some(answer.into());
+        {
+            let mut news = self.news.0.lock().unwrap();
+            (news.answer, news.verbatim) = (Some(answer.into()), true);
+        }
+        self.until_held();
+    }
+
+    fn until_held(&self) {
         self.news.1.notify_all();
-        let least = if before == 0 { 2 } else { before + 1 };
-        until("the next call of discovery", || self.calls() >= least);
+        until("the next call of discovery", || {
+            let news = self.news.0.lock().unwrap();
+            news.answer.is_none() && self.calls() > news.taken
+        });
     }
 
     /// Calls so far.
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -7,6 +7,7 @@
 use crate::peers::{self, PeerWatch, Tier};
 use crate::region::{Own, RegionWatch, Regions};
 use crate::registry::{Bounds, Registry};
+use crate::renewal::Renewal;
 use crate::seam::Subsystem;
 use crate::shares::ShareWatch;
 use crate::storm::StormWatch;
@@ -142,21 +143,16 @@
         ids: RefCell::default(),
         freed: Notify::new(),
     });
-    let watch = discovery::Watch {
-        mode: config.module.discovery,
-        watching: config.module.discovery == beechworks::Discovery::Push,
-        index: config.known.as_ref().map(|k| k.index),
-        follow: follow.clone(),
-        inputs: sender.clone(),
-        first: true,
-        pacing: match config.module.discovery {
-            beechworks::Discovery::Push => pacing::Pacing::new(0, Duration::ZERO, config.seed),
-            beechworks::Discovery::Subscribe(within) => {
-                let within = clock::duration(within);
-                pacing::Pacing::new(config.module.proxies, within, config.seed).among(registry.living.clone())
-            }
-        },
+    let index = config.known.as_ref().map(|k| k.index);
+    let renewal = match config.module.discovery {
+        beechworks::Discovery::Push => Renewal::pushed(config.drain_grace, index),
+        beechworks::Discovery::Subscribe(within) => {
+            let (proxies, within) = (config.module.proxies, clock::duration(within));
+            let pacing = pacing::Pacing::new(proxies, within, config.seed).among(registry.living.clone());
+            Renewal::asked(pacing, index)
+        }
     };
+    let watch = discovery::Watch { renewal, clock, follow: follow.clone(), inputs: sender.clone() };
     let (heard, orders) = mpsc::unbounded_channel();
     let listening = Rc::new(Notify::new());
     let replaces = before.is_some();
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -31,6 +31,8 @@
     pub conn_idle: Micros,
     /// A connection that is not up after this time counts as failed.
     pub dial_timeout: Micros,
+    /// Sends to a backend that drains or is gone must stop within this time.
+    pub drain_grace: Micros,
     /// The longest `Retry-After` that clients follow, where the settings tell it.
     pub max_retry_after: Option<Micros>,
     /// The longest time that a client waits.
@@ -65,6 +67,8 @@
     }
 }
 
+/// Where the settings do not tell the time in which sends to a backend that leaves must stop: the strictest one known.
+const DRAIN_GRACE: Micros = Micros(500_000);
 /// Fewer descriptors leave no room for clients, backends and discovery.
 const LEAST_SOCKETS: u32 = 64;
 
@@ -147,6 +151,10 @@
         open_cap: limits.get("open_cap").count()? as usize,
         conn_idle: limits.get("conn_idle_us").micros()?,
         dial_timeout: limits.get("dial_timeout_us").micros()?,
+        drain_grace: match settings.get("rules").get("stop_sending_within_us") {
+            key if key.value().is_some() => key.micros()?,
+            _ => DRAIN_GRACE,
+        },
         max_retry_after: limits.get("max_retry_after_us").value().and_then(Value::as_u64).map(Micros),
         longest,
         peers,
--- a/crates/gaugesaddle/src/discovery.rs
+++ b/crates/gaugesaddle/src/discovery.rs
@@ -1,20 +1,21 @@
 //! The list of backends: its form, and the watch on it.
 
+use crate::clock::Clock;
 use crate::exchange::{Input, Target};
-use crate::pacing::Pacing;
+use crate::renewal::{Ask, Failure, Heard, Renewal, Step};
 use beechworks::settings::{number, Key, KeyError};
-use beechworks::{Backend, BackendId, BackendState, CellId, Discovery, KindId, ListUpdate, Time, ZoneId};
+use beechworks::{Backend, BackendId, BackendState, CellId, KindId, ListUpdate, Time, ZoneId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::convert::Infallible;
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle, JoinSet};
 
 /// What discovery told.
 #[derive(Clone)]
@@ -25,13 +26,6 @@
     pub targets: Vec<Target>,
 }
 
-/// A pushed list costs its agent nothing: short waits notice one that fell silent.
-const PUSH_WAIT: Duration = Duration::from_secs(4);
-/// Where all proxies ask one service, each call costs it work.
-const ASK_WAIT: Duration = Duration::from_secs(20);
-/// An answer that is this late does not come.
-const GRACE: Duration = Duration::from_millis(1500);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// The longest list that is read: some thousand lines.
 const LIST_BYTES: usize = 4 << 20;
 
@@ -97,8 +91,6 @@
     Json(#[from] serde_json::Error),
     #[error(transparent)]
     Key(#[from] KeyError),
-    #[error("no answer in time")]
-    Late,
 }
 
 async fn dial(to: SocketAddr) -> Result<Line, CallError> {
@@ -128,95 +120,133 @@
 
 /// How discovery is used.
 pub struct Watch {
-    pub mode: Discovery,
-    /// The version last had.
-    pub index: Option<u64>,
-    /// Changes are asked for: from the start where lists are pushed, else from when the module asks.
-    pub watching: bool,
-    pub follow: std::rc::Rc<Notify>,
+    /// When it is called, and how often.
+    pub renewal: Renewal,
+    pub clock: Clock,
+    /// Told when the module wants to be told of changes.
+    pub follow: Rc<Notify>,
     pub inputs: mpsc::UnboundedSender<Input>,
-    /// No call has been made yet.
-    pub first: bool,
-    /// Gaps between calls, where all proxies ask one service.
-    pub pacing: Pacing,
 }
 
+/// A call that has ended, with the connection if that is of further use.
+type Done = (u64, Result<(Line, List), CallError>);
+
 impl Watch {
-    /// Watches for ever, at the address that was told last. Another address drops the call that is out, its
-    /// connection, the pause after a failure and the version, which only the old service could tell.
+    /// Watches for ever, at the address that was told last. Another address drops the calls that are out, their
+    /// connections, the pauses and the version, which only the old service could tell.
     pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
+        let mut address = *addresses.borrow_and_update();
+        let mut line: Option<Line> = None;
+        let mut calls: JoinSet<Done> = JoinSet::new();
+        let mut out: HashMap<u64, AbortHandle> = HashMap::new();
+        let mut silent: Option<Time> = None;
         loop {
-            let address = *addresses.borrow_and_update();
-            tokio::select! {
-                never = self.watch(address) => match never {},
-                told = addresses.changed() => match told {
-                    Ok(()) => self.index = None,
-                    Err(_) => return, // the program ends
-                },
+            let now = self.clock.now();
+            match self.renewal.step(now) {
+                Step::Call(ask) => {
+                    let held = line.take().filter(|l| !l.sender.is_closed());
+                    let number = ask.number;
+                    let call = async move { (number, call(held, address, ask).await) };
+                    out.insert(number, calls.spawn_local(call));
+                }
+                Step::Drop(number) => out.remove(&number).iter().for_each(AbortHandle::abort),
+                Step::Wait(until) => {
+                    let sleep = tokio::time::sleep_until(self.clock.instant(until));
+                    tokio::select! {
+                        Some(done) = calls.join_next(), if !calls.is_empty() => {
+                            // One that was dropped has nothing to say.
+                            if let Ok((number, result)) = done {
+                                out.remove(&number);
+                                line = self.ended(number, result).or(line);
+                            }
+                        }
+                        () = self.follow.notified() => self.renewal.order(self.clock.now()),
+                        told = addresses.changed() => match told {
+                            Ok(()) => {
+                                (address, line) = (*addresses.borrow_and_update(), None);
+                                self.renewal.moved(self.clock.now());
+                            }
+                            Err(_) => return, // the program ends
+                        },
+                        () = sleep => {}
+                    }
+                }
+            }
+            if self.renewal.take_lost() {
+                let lost = Input::List { update: ListUpdate::Lost, index: None, targets: Vec::new() };
+                let _ = self.inputs.send(lost);
+            }
+            // Said when it begins and when it is over: a line a call would bury the rest.
+            match (self.renewal.unanswered(), silent) {
+                (1.., None) => {
+                    silent = Some(now);
+                    tracing::warn!("discovery: no answer in time, called anew until there is one");
+                }
+                (0, Some(since)) => {
+                    silent = None;
+                    tracing::info!(
+                        "discovery: answers again after {:.2} s",
+                        (self.clock.now() - since).secs()
+                    );
+                }
+                _ => {}
             }
         }
     }
 
-    /// Each next call goes out at once, so that no change falls between two watches, but where so many proxies ask one
-    /// service that its answers would come later for it.
-    async fn watch(&mut self, address: SocketAddr) -> Infallible {
-        let pushed = self.mode == Discovery::Push;
-        let wait = if pushed { PUSH_WAIT } else { ASK_WAIT };
-        let (mut line, mut backoff) = (None, BACKOFF.0);
-        loop {
-            if !self.watching {
-                self.follow.notified().await;
-                if std::mem::take(&mut self.first) {
-                    tokio::time::sleep(self.pacing.first()).await;
-                }
-            }
-            // An agent that never answers must not hold the watch: every call has its time.
-            let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, address, wait));
-            match call.await.unwrap_or_else(|_| Err(CallError::Late)) {
-                Ok(list) => {
-                    (self.watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
-                    let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
-                    if list.whole || !list.targets.is_empty() || !pushed {
-                        let (index, targets) = (Some(list.index), list.targets);
-                        let _ = self.inputs.send(Input::List { update, index, targets });
+    /// Takes up what a call brought; returns its connection if that is of further use.
+    fn ended(&mut self, number: u64, result: Result<(Line, List), CallError>) -> Option<Line> {
+        let now = self.clock.now();
+        match result {
+            Ok((line, list)) => {
+                let news = list.whole || !list.targets.is_empty();
+                match self.renewal.answered(now, number, list.index, list.whole, news) {
+                    Heard::Late => return None,
+                    Heard::Foreign => {
+                        tracing::warn!(
+                            "discovery: version {} is behind, the whole list is asked for",
+                            list.index
+                        );
                     }
-                    if !pushed {
-                        tokio::time::sleep(self.pacing.answered()).await;
+                    Heard::Good => {
+                        tracing::debug!(
+                            index = list.index,
+                            whole = list.whole,
+                            lines = list.targets.len(),
+                            "list"
+                        );
+                        let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
+                        if news || !self.renewal.is_pushed() {
+                            let (index, targets) = (Some(list.index), list.targets);
+                            let _ = self.inputs.send(Input::List { update, index, targets });
+                        }
                     }
                 }
-                Err(why) => {
-                    // The list held stays in force.
-                    line = None;
+                Some(line)
+            }
+            Err(why) => {
+                // The list held stays in force.
+                if self.renewal.unanswered() == 0 {
                     tracing::warn!("discovery: {why}");
-                    if pushed {
-                        // An agent that starts again may count from anew; the whole list costs it nothing.
-                        self.index = None;
-                        tokio::time::sleep(backoff).await;
-                        backoff = (backoff * 2).min(BACKOFF.1);
-                    } else {
-                        self.watching = false;
-                        let lost = Input::List { update: ListUpdate::Lost, index: None, targets: Vec::new() };
-                        let _ = self.inputs.send(lost);
-                        tokio::time::sleep(self.pacing.failed()).await;
-                    }
+                } else {
+                    tracing::debug!("discovery: {why}");
                 }
+                self.renewal.failed(now, number, Failure::Broken);
+                None
             }
         }
     }
+}
 
-    async fn call(
-        &self, line: &mut Option<Line>, address: SocketAddr, wait: Duration,
-    ) -> Result<List, CallError> {
-        let mut held = match line.take().filter(|l| !l.sender.is_closed()) {
-            Some(held) => held,
-            None => dial(address).await?,
-        };
-        let path = match self.index {
-            Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
-            None => "/api/targets".into(),
-        };
-        let list = ask(&mut held, address, &path).await?;
-        *line = Some(held);
-        Ok(list)
-    }
+async fn call(held: Option<Line>, address: SocketAddr, call: Ask) -> Result<(Line, List), CallError> {
+    let mut line = match held {
+        Some(held) => held,
+        None => dial(address).await?,
+    };
+    let path = match call.after {
+        Some(index) => format!("/api/targets?after={index}&wait_ms={}", call.wait.0 / 1000),
+        None => "/api/targets".into(),
+    };
+    let list = ask(&mut line, address, &path).await?;
+    Ok((line, list))
 }
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -385,6 +385,7 @@
         for target in targets {
             let id = target.backend.id;
             let seen = self.roster.told(&target.backend);
+            tracing::debug!(server = %target.name, state = ?seen.state, "listed");
             let ready = seen.state == BackendState::Ready;
             entries.push(seen);
             let known = old.remove(&id).or_else(|| self.backends.remove(&id));
@@ -622,6 +623,13 @@
             }
         }
         let (call, deadline) = (r.call.clone(), r.deadline);
+        let id = call
+            .head
+            .headers()
+            .get(crate::form::CORRELATION)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default();
+        tracing::debug!(id, server = %upstream.target().name, attempt = attempt.0, "sent");
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
             report.tell(upstream.attempt(call, deadline).await);
--- a/crates/gaugesaddle/src/form.rs
+++ b/crates/gaugesaddle/src/form.rs
@@ -13,7 +13,7 @@
 const TENANT: HeaderName = HeaderName::from_static("x-account");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const HINT: HeaderName = HeaderName::from_static("x-weight-hint");
-const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
+pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
 const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Ids are kept while their request is open; a longer one is no id.
 const ID_BYTES: usize = 128;
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod region;
 pub mod registry;
+mod renewal;
 mod roster;
 mod seam;
 mod server;
--- a/crates/gaugesaddle/src/pacing.rs
+++ b/crates/gaugesaddle/src/pacing.rs
@@ -79,6 +79,15 @@
         self.draw()
     }
 
+    /// From 0 up to 1 where there are gaps, so that what many do alike falls apart in time; else 0.
+    pub fn spread(&mut self) -> f64 {
+        if self.least() > Duration::ZERO {
+            self.unit()
+        } else {
+            0.0
+        }
+    }
+
     /// Half of the gap up to one and a half of it.
     fn draw(&mut self) -> Duration {
         self.gap.mul_f64(0.5 + self.unit())
