Send what is held once a silent backend has answered, not a whole aim later

Seen: with one of two backends gone, a proxy held three requests for seconds beside an idle, ready backend (`standing: out=0 held=3 ready=1`), in one of some twenty runs of tests/drains.rs on a busy machine. Traced in `pump`: blocked=f64::MAX, silent=false, room=4, out=0, budget=inf, pull=1.0. Cause: the answer that ends the last attempt resets `blocked`, but its backend still counts as silent until `suspect` looks again, so the draw fails and `blocked` is set anew; with nothing out no further event resets it before the next `solve`, which comes after the least aim (5 s there, 0.25 s on the site). Ruled out: ejection (ejected=None), the cold budget (inf), the turn (few users). Change: `suspect` resets it when the silence is over and nothing is out.

--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -413,8 +413,9 @@
 
     /// Marks the backends that owe an answer for suspiciously long.
     fn suspect(&mut self, now: Time) {
-        for id in std::mem::take(&mut self.silent) {
-            self.peers.get_mut(&id).into_iter().for_each(|p| p.silent = false);
+        let before = std::mem::take(&mut self.silent);
+        for id in &before {
+            self.peers.get_mut(id).into_iter().for_each(|p| p.silent = false);
         }
         let mut attempts = std::mem::take(&mut self.attempts);
         for Flight { backend, class, sent, late, .. } in attempts.values_mut() {
@@ -435,6 +436,9 @@
             }
         }
         self.attempts = attempts;
+        if self.attempts.is_empty() && !before.is_empty() {
+            self.blocked = 0.0; // the last answer came to a silence: no other event will tell of its room
+        }
     }
 
     /// The backends that this proxy uses.
--- a/crates/beechworks/tests/failures.rs
+++ b/crates/beechworks/tests/failures.rs
@@ -632,3 +632,20 @@
     };
     assert_eq!((copies(false), copies(true)), (1, 0));
 }
+
+/// The only backend pauses, counts as silent, and answers: what is held must go out then, and not only when the shares
+/// are next reckoned, which an aim of seconds puts off for as long.
+#[test]
+fn a_backend_that_was_silent_for_a_moment_gets_what_is_held() {
+    let slow = Class { aim: Micros(5_000_000), ..class(Effect::Free) };
+    let mut host = host(config(vec![slow]), fleet(1));
+    serve(&mut host, 40, 0, |_| 5_000);
+    let first = host.arrive(0, 7_000_000);
+    assert_eq!(host.sent_to(first).len(), 1);
+    host.advance(200_000);
+    let held = host.arrive(0, 7_000_000);
+    assert!(host.sent_to(held).is_empty(), "it owes an answer for suspiciously long");
+    host.end(first, 0, Outcome::Ok);
+    host.advance(100_000);
+    assert_eq!(host.sent_to(held).len(), 1, "held beside an idle backend");
+}
