Hold every way in which a drain counts as told by a test, and bound lists by memory

Need: what counts as told is not only what arrived.

The socket to a server looks once more right before the first byte. A list is read a line at a time, has room by the memory told, and an answer that can't be used is asked for again after growing pauses; a configuration over 5 MB is refused by name.

--- a/crates/beechworks/src/settings.rs
+++ b/crates/beechworks/src/settings.rs
@@ -93,6 +93,10 @@
     pub fn root(value: &'a Value) -> Key<'a> {
         Key { path: String::new(), value: Some(value) }
     }
+    /// A part of a document that is read by itself, by the path at which it stands.
+    pub fn at(path: String, value: &'a Value) -> Key<'a> {
+        Key { path, value: Some(value) }
+    }
     /// The value itself, if it is there and not null.
     pub fn value(&self) -> Option<&'a Value> {
         self.value.filter(|v| !v.is_null())
--- a/crates/gaugesaddle-measure/src/main.rs
+++ b/crates/gaugesaddle-measure/src/main.rs
@@ -3,6 +3,7 @@
 //! measure. Figures in time are ratios within one call, from runs that alternate: a machine's speed drops out.
 
 mod bare;
+mod drains;
 mod fleet;
 mod limits;
 mod load;
@@ -107,6 +108,16 @@
         #[arg(long, default_value_t = 2)]
         lanes: usize,
     },
+    /// Told is told: a tier whose discovery is lost and comes back into a release with most proxies killed, and what the
+    /// largest lists and tiers take.
+    Drains {
+        /// Seeds of the tier.
+        #[arg(long, default_value_t = 50)]
+        seeds: u64,
+        /// Of these so many side by side; each takes about two cores.
+        #[arg(long, default_value_t = 1)]
+        lanes: usize,
+    },
     /// The cost of the stand-ins themselves: what no other measurement may mistake for the proxy's.
     Testbed,
     /// The bare relay itself, as a process of its own; `relay` starts it.
@@ -139,6 +150,7 @@
         Command::Shares { seeds, scenarios, lanes } => {
             shares::measure(seeds.max(1), scenarios, lanes.clamp(1, 16))
         }
+        Command::Drains { seeds, lanes } => drains::measure(seeds, lanes.clamp(1, 16)),
         Command::Testbed => rig::measure(),
         Command::Bare { listen, nodes } => return bare::serve(listen, nodes),
     };
--- a/crates/gaugesaddle-testbed/src/scripted.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -154,15 +154,61 @@
 #[derive(Default)]
 struct News {
     index: u64,
+    /// By name, with the version that brought it.
+    lines: BTreeMap<String, (u64, Value)>,
+    /// The version that was told as a whole list; 0: none was, and `lines` are changes of a list that it never told.
+    whole: u64,
     /// The next answer, word for word.
-    answer: Option<String>,
-    verbatim: bool,
-    /// Calls when it was taken.
-    taken: usize,
-    /// The list as it stands, by name, once all of it was told.
-    whole: Option<BTreeMap<String, Value>>,
+    said: Option<String>,
+    /// Lists come in many lines.
+    indented: bool,
+    /// The next list stops in its middle.
+    half: bool,
+    /// The last version given, and calls when it was.
+    given: (u64, usize),
     /// How often it has fallen silent and come back: even, it speaks.
     turns: u64,
+    /// In place of silence it closes what is open and what comes.
+    resets: bool,
+}
+
+impl News {
+    /// What a call is answered; `None`: nothing yet. `over`: it may wait no longer.
+    fn answer(&mut self, after: Option<u64>, over: bool, calls: usize) -> Option<String> {
+        if let Some(said) = self.said.take() {
+            self.given = (self.index, calls);
+            return Some(said);
+        }
+        let whole = after.is_none_or(|after| after < self.whole);
+        match after {
+            None if self.whole == 0 => return None,
+            Some(after) if after >= self.index && !over => return None,
+            Some(after) if after >= self.index => {}
+            _ => self.given = (self.index, calls),
+        }
+        let is_gone = |line: &Value| line["status"] == "gone";
+        let told = self.lines.values().filter(|(version, line)| match whole {
+            true => !is_gone(line),
+            false => after.is_some_and(|after| *version > after),
+        });
+        let lines: Vec<&Value> = told.map(|l| &l.1).collect();
+        let list = json!({"index": self.index, "snapshot": whole, "endpoints": lines});
+        if self.indented {
+            return serde_json::to_string_pretty(&list).ok();
+        }
+        Some(list.to_string())
+    }
+
+    fn take_up(&mut self, whole: bool, lines: &[Value]) {
+        self.index += 1;
+        if whole {
+            (self.lines, self.whole) = (BTreeMap::new(), self.index);
+        }
+        for line in lines {
+            let name = line["name"].as_str().unwrap_or_default().to_string();
+            self.lines.insert(name, (self.index, line.clone()));
+        }
+    }
 }
 
 /// Discovery: answers a call once there is news, or after its wait. One that falls silent swallows the calls that are out
@@ -179,7 +225,17 @@
 impl Discovery {
     /// Starts one that has nothing to tell.
     pub fn start() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Discovery::listen(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// Starts one at an address that refused until now, with the whole list to tell.
+    pub fn start_at(address: SocketAddr, lines: &[Value]) -> Discovery {
+        let discovery = Discovery::listen(TcpListener::bind(address).unwrap());
+        discovery.news.0.lock().unwrap().take_up(true, lines);
+        discovery
+    }
+
+    fn listen(listener: TcpListener) -> Discovery {
         let address = listener.local_addr().unwrap();
         let discovery =
             Discovery { address, news: Arc::default(), calls: Arc::default(), closed: Arc::default() };
@@ -199,7 +255,9 @@
             *self.calls.lock().unwrap() += 1;
             let Some(answer) = self.news(&stream, &message.start) else { break };
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
-            let _ = stream.write_all((head + &answer).as_bytes());
+            let half = std::mem::take(&mut self.news.0.lock().unwrap().half);
+            let shown = if half { &answer[..answer.len() / 2] } else { &answer[..] };
+            let _ = stream.write_all((head + shown).as_bytes());
         }
     }
 
@@ -216,28 +274,14 @@
         stream.set_nonblocking(true).unwrap();
         while !matches!(stream.peek(&mut [0]), Ok(0)) {
             if turns % 2 == 0 && turns == news.turns {
-                let answer = news.answer.take();
-                if answer.is_some() {
-                    news.taken = self.calls();
-                }
-                let index = news.index;
-                let list = |whole: bool, lines: Vec<&Value>| {
-                    json!({"index": index, "snapshot": whole, "endpoints": lines}).to_string()
-                };
-                let verbatim = answer.is_some() && std::mem::take(&mut news.verbatim);
-                // Word for word is word for word; news go to one that asks for the whole list as the whole list.
-                let answer = match (after, &news.whole) {
-                    (None, Some(lines)) if !verbatim => Some(list(true, lines.values().collect())),
-                    (Some(_), _) if answer.is_none() && Instant::now() >= end => {
-                        Some(list(false, Vec::new()))
-                    }
-                    _ => answer,
-                };
-                if answer.is_some() {
+                if let Some(answer) = news.answer(after, Instant::now() >= end, self.calls()) {
                     stream.set_nonblocking(false).unwrap();
-                    return answer;
+                    return Some(answer);
                 }
             }
+            if news.resets && news.turns % 2 == 1 {
+                return None;
+            }
             news = self.news.1.wait_timeout(news, Duration::from_millis(5)).unwrap().0;
         }
         *self.closed.lock().unwrap() += 1;
@@ -251,13 +295,38 @@
 
     /// Falls silent; returns once a call that came after that is swallowed.
     pub fn fall_silent(&self) {
+        self.fail(false);
+    }
+
+    /// Closes what is open and what comes; returns once one that came after that is closed.
+    pub fn reset(&self) {
+        self.fail(true);
+    }
+
+    fn fail(&self, resets: bool) {
         let before = {
             let mut news = self.news.0.lock().unwrap();
-            assert!(news.turns % 2 == 0, "it is silent");
-            news.turns += 1;
+            assert!(news.turns % 2 == 0, "it speaks no more");
+            (news.turns, news.resets) = (news.turns + 1, resets);
             self.calls()
         };
-        until("a call in the silence", || self.calls() > before);
+        until("a call in vain", || self.calls() > before);
+    }
+
+    /// Counts from the start again, and has this list.
+    pub fn began_anew(&self, lines: &[Value]) {
+        let mut news = self.news.0.lock().unwrap();
+        news.index = 0;
+        news.take_up(true, lines);
+        self.news.1.notify_all();
+    }
+
+    /// Has something to tell from this moment on, of which the next answer brings half and then nothing.
+    pub fn tell_half(&self, whole: bool, lines: &[Value]) {
+        let mut news = self.news.0.lock().unwrap();
+        news.take_up(whole, lines);
+        news.half = true;
+        self.news.1.notify_all();
     }
 
     /// Speaks again and has something to tell from this moment on, whether or not it is asked.
@@ -265,48 +334,32 @@
         let mut news = self.news.0.lock().unwrap();
         assert!(news.turns % 2 == 1, "it speaks");
         news.turns += 1;
-        Discovery::take_up(&mut news, whole, lines);
+        news.take_up(whole, lines);
         self.news.1.notify_all();
     }
 
-    fn take_up(news: &mut News, whole: bool, lines: &[Value]) {
-        news.index += 1;
-        if whole {
-            news.whole = Some(BTreeMap::new());
-        }
-        if let Some(all) = &mut news.whole {
-            for line in lines {
-                let name = line["name"].as_str().unwrap_or_default().to_string();
-                match line["status"].as_str() {
-                    Some("gone") => _ = all.remove(&name),
-                    _ => _ = all.insert(name, line.clone()),
-                }
-            }
-        }
-        let answer = json!({"index": news.index, "snapshot": whole, "endpoints": lines}).to_string();
-        (news.answer, news.verbatim) = (Some(answer), false);
-    }
-
     /// Tells the whole list or changes, and waits until the proxy has asked again: it holds them then.
     pub fn tell(&self, whole: bool, lines: &[Value]) {
-        Discovery::take_up(&mut self.news.0.lock().unwrap(), whole, lines);
+        self.news.0.lock().unwrap().take_up(whole, lines);
         self.until_held();
     }
 
     /// The same, word for word, to whoever asks next.
     pub fn say(&self, answer: &str) {
-        {
-            let mut news = self.news.0.lock().unwrap();
-            (news.answer, news.verbatim) = (Some(answer.into()), true);
-        }
+        self.news.0.lock().unwrap().said = Some(answer.into());
         self.until_held();
     }
 
+    /// Lists come in many lines from now on.
+    pub fn indent(&self) {
+        self.news.0.lock().unwrap().indented = true;
+    }
+
     fn until_held(&self) {
         self.news.1.notify_all();
         until("the next call of discovery", || {
             let news = self.news.0.lock().unwrap();
-            news.answer.is_none() && self.calls() > news.taken
+            news.said.is_none() && news.given.0 >= news.index && self.calls() > news.given.1
         });
     }
 
@@ -420,6 +473,11 @@
         Proxy { child, address, log }
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The status of its readiness, 0 if it does not answer.
     pub fn ready(&self) -> u16 {
         let Ok(mut client) = Client::try_open(self.address) else { return 0 };
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -152,7 +152,8 @@
             Renewal::asked(pacing, index)
         }
     };
-    let watch = discovery::Watch { renewal, clock, follow: follow.clone(), inputs: sender.clone() };
+    let room = config.room;
+    let watch = discovery::Watch { renewal, clock, room, follow: follow.clone(), inputs: sender.clone() };
     let (heard, orders) = mpsc::unbounded_channel();
     let listening = Rc::new(Notify::new());
     let replaces = before.is_some();
@@ -227,6 +228,7 @@
         config: beechworks::Config { limits: operator.limits.bounds(), ..config.module },
         seed: config.seed,
         open_cap: config.open_cap,
+        most_backends: room.lines,
         upstreams: Rc::new(upstream::Http1(pool)),
         inputs: sender.clone(),
         follow,
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -1,11 +1,12 @@
 //! `$BALANCER_CONFIG` into a checked struct.
 
-use crate::discovery::{self, List};
+use crate::discovery::{self, List, Room};
 use crate::error::Error;
 use crate::peers::Platform;
 use beechworks::settings::{self, Key, KeyError, Names};
 use beechworks::Micros;
 use serde_json::Value;
+use std::io::Read;
 use std::net::SocketAddr;
 
 /// Everything that the deployment tells a proxy.
@@ -23,6 +24,8 @@
     pub memory: usize,
     /// The list of backends as this proxy last had it.
     pub known: Option<List>,
+    /// What a list of discovery may have.
+    pub room: Room,
     pub module: beechworks::Config,
     pub names: Names,
     /// Requests that may be open at once; more are turned away before the module.
@@ -43,12 +46,12 @@
     pub document: Value,
 }
 
-/// The keys whose new values a running proxy does not take up. `known` is none of them: the list that the
-/// proxy holds is newer.
+/// The keys whose new values a running proxy does not take up. `known` is none of them, and stands in neither: the list
+/// that the proxy holds is newer.
 pub fn not_taken_up(running: &Value, newer: &Value) -> Vec<String> {
     let mut keys = Vec::new();
     differences(String::new(), running, newer, &mut keys);
-    keys.retain(|k| k != "discovery" && k != "known" && !k.starts_with("known."));
+    keys.retain(|k| k != "discovery");
     keys
 }
 
@@ -67,6 +70,9 @@
     }
 }
 
+/// The longest file that is read: the longest list that any memory has room for, and settings beside it. As a document it
+/// takes some ten times its length, for a moment.
+const MOST_BYTES: u64 = 5 << 20;
 /// Where the settings do not tell the time in which sends to a backend that leaves must stop: the strictest one known.
 const DRAIN_GRACE: Micros = Micros(500_000);
 /// Fewer descriptors leave no room for clients, backends and discovery.
@@ -76,10 +82,14 @@
 pub fn load() -> Result<Config, Error> {
     let path = std::env::var_os("BALANCER_CONFIG").ok_or(Error::NoConfig)?;
     let (what, path) = ("BALANCER_CONFIG", std::path::PathBuf::from(path));
-    let text = match std::fs::read(&path) {
-        Ok(text) => text,
-        Err(source) => return Err(Error::Read { what, path, source }),
-    };
+    let mut text = Vec::new();
+    let read = std::fs::File::open(&path).and_then(|f| f.take(MOST_BYTES + 1).read_to_end(&mut text));
+    if let Err(source) = read {
+        return Err(Error::Read { what, path, source });
+    }
+    if text.len() as u64 > MOST_BYTES {
+        return Err(Error::Long { what, path, most: MOST_BYTES });
+    }
     match serde_json::from_slice(&text) {
         Ok(value) => parse(value),
         Err(source) => Err(Error::Json { what, path, source }),
@@ -123,9 +133,12 @@
     Ok(Some(Platform { listen: told("peer_listen")?, addresses, all: told("peers_all")? }))
 }
 
-fn parse(document: Value) -> Result<Config, Error> {
+fn parse(mut document: Value) -> Result<Config, Error> {
     let root = Key::root(&document);
     let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
+    let memory = (root.get("limits").get("memory_mb").count()? as usize).saturating_mul(1 << 20);
+    let room = Room::of(memory);
+    let known = known.value().map(|_| discovery::list(&known, room)).transpose()?;
     let sockets = root.get("limits").get("sockets");
     let enough = Some(sockets.count()?).filter(|n| *n >= LEAST_SOCKETS);
     let (module, names) = settings::read(&settings)?;
@@ -137,15 +150,16 @@
     }
     let peers = peers(&root, &limits)?;
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
-    Ok(Config {
+    let mut config = Config {
         name: root.get("name").value().and_then(Value::as_str).unwrap_or_default().into(),
         listen: address(&root.get("listen"))?,
         discovery: address(&root.get("discovery"))?,
         admin: admin(&root.get("admin"))?,
         seed: seed.want(hex, "up to 16 hex digits")?,
         sockets: sockets.want(enough, "at least 64")? as usize,
-        memory: (root.get("limits").get("memory_mb").count()? as usize).saturating_mul(1 << 20),
-        known: known.value().map(|_| discovery::list(&known)).transpose()?,
+        memory,
+        known,
+        room,
         module,
         names,
         open_cap: limits.get("open_cap").count()? as usize,
@@ -158,6 +172,12 @@
         max_retry_after: limits.get("max_retry_after_us").value().and_then(Value::as_u64).map(Micros),
         longest,
         peers,
-        document,
-    })
+        document: Value::Null,
+    };
+    // The list is held elsewhere, and is nothing that a running proxy takes up.
+    if let Some(document) = document.as_object_mut() {
+        document.remove("known");
+    }
+    config.document = document;
+    Ok(config)
 }
--- a/crates/gaugesaddle/src/discovery.rs
+++ b/crates/gaugesaddle/src/discovery.rs
@@ -10,6 +10,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde_json::value::RawValue;
+use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,42 +28,98 @@
     pub targets: Vec<Target>,
 }
 
-/// The longest list that is read: some thousand lines.
-const LIST_BYTES: usize = 4 << 20;
+/// What a list may have, by the memory that the proxy is told.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Its bytes, indented or not.
+    pub bytes: usize,
+    /// Its lines, and the backends that are held at once.
+    pub lines: usize,
+}
+
+impl Room {
+    /// A line is some 150 bytes, 300 where it is indented, and a backend takes some 4 KB once it is in use (its row in
+    /// the module, the driver, the registry); a quarter of the memory may go there. No less than what the largest fleets
+    /// need: a thousand of either.
+    pub fn of(memory: usize) -> Room {
+        Room { bytes: (memory / 16).clamp(1 << 20, 4 << 20), lines: (memory / (16 << 10)).max(2_048) }
+    }
+}
 
 /// Reads a list; one bad line refuses the whole of it, for a half-read list would drop backends.
-pub fn list(root: &Key) -> Result<List, KeyError> {
-    let index = root.get("index");
-    let version = index.value().and_then(serde_json::Value::as_u64);
-    let mut targets = Vec::new();
-    for line in root.get("endpoints").list()? {
-        let (status, since) = (line.get("status"), line.get("since_ms"));
-        let state = match status.text()? {
-            "ready" => BackendState::Ready,
-            "draining" => BackendState::Draining,
-            "gone" => BackendState::Gone,
-            _ => return status.want(None, "ready, draining or gone"),
-        };
-        let started = since.want(since.value().map_or(Some(0), |v| v.as_u64()), "whole milliseconds")?;
-        let address = line.get("address");
-        let (name, zone, kind) =
-            (line.get("name").text()?, line.get("zone").text()?, line.get("type").text()?);
-        let (cell, weight) = (line.get("group"), line.get("weight"));
-        let backend = Backend {
-            id: BackendId(number(name)),
-            zone: ZoneId(number(zone)),
-            cell: CellId(cell.want(cell.value().and_then(serde_json::Value::as_u64), "a group number")?),
-            kind: KindId(number(kind)),
-            state,
-            booted: Some(Time(started.saturating_mul(1000))).filter(|t| t.0 > 0),
-            weight: weight.want(Some(weight.real()?).filter(|w| *w >= 0.0), "a weight of 0 or more")?,
-        };
-        let address = address.want(address.text()?.parse().ok(), "an address")?;
-        targets.push(Target { backend, address, name: name.into(), zone: zone.into(), kind: kind.into() });
+pub fn list(root: &Key, room: Room) -> Result<List, KeyError> {
+    let endpoints = root.get("endpoints");
+    let lines = endpoints.list()?;
+    fits(&endpoints, lines.len(), room)?;
+    let targets = lines.iter().map(target).collect::<Result<_, _>>()?;
+    head(root, targets)
+}
+
+/// Reads a list off the wire. Only one line at a time is held as a document: a thousand of them take less than the text.
+fn read(text: &[u8], room: Room) -> Result<List, CallError> {
+    #[derive(serde::Deserialize)]
+    struct Document<'a> {
+        #[serde(default)]
+        index: Value,
+        #[serde(default)]
+        snapshot: Value,
+        #[serde(borrow)]
+        endpoints: Option<&'a RawValue>,
     }
+    let document: Document = serde_json::from_slice(text)?;
+    let head_only = json!({"index": document.index, "snapshot": document.snapshot});
+    let root = Key::root(&head_only);
+    let endpoints = root.get("endpoints");
+    let raw = endpoints.want(document.endpoints, "an array")?;
+    let lines: Option<Vec<&RawValue>> = serde_json::from_str(raw.get()).ok();
+    let lines = root.get("endpoints").want(lines, "an array")?;
+    fits(&endpoints, lines.len(), room)?;
+    let mut targets = Vec::with_capacity(lines.len());
+    for (n, line) in lines.iter().enumerate() {
+        let value: Value = serde_json::from_str(line.get())?;
+        targets.push(target(&Key::at(format!("endpoints[{n}]"), &value))?);
+    }
+    Ok(head(&root, targets)?)
+}
+
+fn fits(endpoints: &Key, lines: usize, room: Room) -> Result<(), KeyError> {
+    let fits = Some(()).filter(|()| lines <= room.lines);
+    endpoints
+        .want(fits, &format!("no more than {} lines for the memory told, of which {lines} came", room.lines))
+}
+
+fn head(root: &Key, targets: Vec<Target>) -> Result<List, KeyError> {
+    let index = root.get("index");
+    let version = index.value().and_then(Value::as_u64);
     Ok(List { index: index.want(version, "a version")?, whole: root.get("snapshot").flag()?, targets })
 }
 
+/// A line of a list.
+fn target(line: &Key) -> Result<Target, KeyError> {
+    let (status, since) = (line.get("status"), line.get("since_ms"));
+    let state = match status.text()? {
+        "ready" => BackendState::Ready,
+        "draining" => BackendState::Draining,
+        "gone" => BackendState::Gone,
+        _ => return status.want(None, "ready, draining or gone"),
+    };
+    let started = since.want(since.value().map_or(Some(0), |v| v.as_u64()), "whole milliseconds")?;
+    let address = line.get("address");
+    let (name, zone, kind) = (line.get("name").text()?, line.get("zone").text()?, line.get("type").text()?);
+    let (cell, weight) = (line.get("group"), line.get("weight"));
+    let backend = Backend {
+        id: BackendId(number(name)),
+        zone: ZoneId(number(zone)),
+        cell: CellId(cell.want(cell.value().and_then(Value::as_u64), "a group number")?),
+        kind: KindId(number(kind)),
+        state,
+        booted: Some(Time(started.saturating_mul(1000))).filter(|t| t.0 > 0),
+        weight: weight.want(Some(weight.real()?).filter(|w| *w >= 0.0), "a weight of 0 or more")?,
+    };
+    let address = address.want(address.text()?.parse().ok(), "an address")?;
+    Ok(Target { backend, address, name: name.into(), zone: zone.into(), kind: kind.into() })
+}
+
 /// One connection to discovery; dropping it closes it.
 struct Line {
     sender: SendRequest<Empty<Bytes>>,
@@ -105,17 +163,16 @@
     Ok(Line { sender, driving })
 }
 
-async fn ask(line: &mut Line, host: SocketAddr, path: &str) -> Result<List, CallError> {
+async fn ask(line: &mut Line, host: SocketAddr, path: &str, room: Room) -> Result<List, CallError> {
     line.sender.ready().await?;
     let request = Request::get(path).header(hyper::header::HOST, host.to_string()).body(Empty::new())?;
     let answer = line.sender.send_request(request).await?;
     let status = answer.status();
-    let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await.map_err(CallError::Body)?;
+    let body = Limited::new(answer.into_body(), room.bytes).collect().await.map_err(CallError::Body)?;
     if status != StatusCode::OK {
         return Err(CallError::Status(status));
     }
-    let value = serde_json::from_slice(&body.to_bytes())?;
-    Ok(list(&Key::root(&value))?)
+    read(&body.to_bytes(), room)
 }
 
 /// How discovery is used.
@@ -123,6 +180,7 @@
     /// When it is called, and how often.
     pub renewal: Renewal,
     pub clock: Clock,
+    pub room: Room,
     /// Told when the module wants to be told of changes.
     pub follow: Rc<Notify>,
     pub inputs: mpsc::UnboundedSender<Input>,
@@ -146,7 +204,8 @@
                 Step::Call(ask) => {
                     let held = line.take().filter(|l| !l.sender.is_closed());
                     let number = ask.number;
-                    let call = async move { (number, call(held, address, ask).await) };
+                    let room = self.room;
+                    let call = async move { (number, call(held, address, ask, room).await) };
                     out.insert(number, calls.spawn_local(call));
                 }
                 Step::Drop(number) => out.remove(&number).iter().for_each(AbortHandle::abort),
@@ -231,14 +290,22 @@
                 } else {
                     tracing::debug!("discovery: {why}");
                 }
-                self.renewal.failed(now, number, Failure::Broken);
+                let failure = match why {
+                    CallError::Connect(_) | CallError::Http(_) | CallError::Request(_) => Failure::Broken,
+                    CallError::Body(_) | CallError::Status(_) | CallError::Json(_) | CallError::Key(_) => {
+                        Failure::Unusable
+                    }
+                };
+                self.renewal.failed(now, number, failure);
                 None
             }
         }
     }
 }
 
-async fn call(held: Option<Line>, address: SocketAddr, call: Ask) -> Result<(Line, List), CallError> {
+async fn call(
+    held: Option<Line>, address: SocketAddr, call: Ask, room: Room,
+) -> Result<(Line, List), CallError> {
     let mut line = match held {
         Some(held) => held,
         None => dial(address).await?,
@@ -247,6 +314,6 @@
         Some(index) => format!("/api/targets?after={index}&wait_ms={}", call.wait.0 / 1000),
         None => "/api/targets".into(),
     };
-    let list = ask(&mut line, address, &path).await?;
+    let list = ask(&mut line, address, &path, room).await?;
     Ok((line, list))
 }
--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -68,6 +68,8 @@
     pub seed: u64,
     /// Requests that may be open at once.
     pub open_cap: usize,
+    /// Backends that may be held at once; the rest of a list is left out, and said.
+    pub most_backends: usize,
     pub upstreams: Rc<dyn Upstreams>,
     /// Where the ends of attempts are told.
     pub inputs: mpsc::UnboundedSender<Input>,
@@ -83,6 +85,7 @@
     config: Config,
     seed: u64,
     open_cap: usize,
+    most_backends: usize,
     balancer: Balancer,
     upstreams: Rc<dyn Upstreams>,
     backends: HashMap<BackendId, Rc<dyn Upstream>>,
@@ -133,13 +136,25 @@
 
 impl Driver {
     pub fn new(parts: Parts) -> Result<Driver, ConfigError> {
-        let Parts { clock, config, seed, open_cap, upstreams, inputs, follow, registry, subsystems } = parts;
+        let Parts {
+            clock,
+            config,
+            seed,
+            open_cap,
+            most_backends,
+            upstreams,
+            inputs,
+            follow,
+            registry,
+            subsystems,
+        } = parts;
         Ok(Driver {
             clock,
             balancer: Balancer::new(config.clone(), seed)?,
             config,
             seed,
             open_cap,
+            most_backends,
             upstreams,
             backends: HashMap::new(),
             requests: HashMap::new(),
@@ -382,8 +397,14 @@
             self.roster.restart();
         }
         let mut entries = Vec::with_capacity(targets.len());
+        let mut left_out = 0;
         for target in targets {
             let id = target.backend.id;
+            // Changes that name ever new backends must not fill the memory.
+            if self.backends.len() >= self.most_backends && !self.backends.contains_key(&id) {
+                left_out += 1;
+                continue;
+            }
             let seen = self.roster.told(&target.backend);
             tracing::debug!(server = %target.name, state = ?seen.state, "listed");
             let ready = seen.state == BackendState::Ready;
@@ -411,6 +432,12 @@
                 self.backends.insert(id, upstream);
             }
         }
+        if left_out > 0 {
+            tracing::error!(
+                "{left_out} backends beyond the {} that are held are left out",
+                self.most_backends
+            );
+        }
         old.values().for_each(|upstream| upstream.shut());
         self.registry.serving.set(self.backends.values().any(|u| u.is_open()));
         let now = self.clock.now();
@@ -666,6 +693,7 @@
             config: Config::example(),
             seed: 1,
             open_cap: 8,
+            most_backends: 8,
             upstreams: Rc::new(Http1(pool)),
             inputs,
             follow: Rc::default(),
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -20,6 +20,16 @@
         /// What the system said.
         source: io::Error,
     },
+    /// A file is longer than any that could be used.
+    #[error("{what}: expected at most {most} bytes, {} has more", path.display())]
+    Long {
+        /// The variable, flag or key that named it.
+        what: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// How many bytes are read.
+        most: u64,
+    },
     /// A file of the platform's is no JSON.
     #[error("{what}: expected JSON in {}: {source}", path.display())]
     Json {
--- a/crates/gaugesaddle/src/renewal.rs
+++ b/crates/gaugesaddle/src/renewal.rs
@@ -36,6 +36,9 @@
 const RENEWED: Micros = Micros(300_000);
 /// The oldest call to a pushed agent is kept for so long: one that is slow is heard all the same.
 const PATIENCE: Micros = Micros(5_000_000);
+/// The longest pause of an agent whose answers can't be used, each twice the one before: a list that is too long or spoilt
+/// stays so for a while, and reading it takes time that requests need.
+const LONGEST_PAUSE: Micros = Micros(1_000_000);
 /// Calls that may be out together, each with a connection and room for a list.
 const MOST_OUT: usize = 4;
 
@@ -89,8 +92,10 @@
 pub enum Failure {
     /// No answer when it had to be there.
     Silent,
-    /// Refused, reset, or an answer that can't be used.
+    /// Refused or reset.
     Broken,
+    /// Answered with what is no list: it speaks, and reading the same again costs time.
+    Unusable,
 }
 
 /// What an answered call means.
@@ -150,6 +155,8 @@
     not_before: Time,
     /// Calls without an answer since the last one.
     unanswered: u32,
+    /// Answers that could not be used, one after the other.
+    unusable: u32,
 }
 
 impl Renewal {
@@ -164,7 +171,7 @@
 
     fn new(times: Times, mode: Mode, held: Option<u64>) -> Renewal {
         let (out, dropped) = (Vec::new(), Vec::new());
-        Renewal { times, mode, held, out, dropped, made: 0, not_before: Time(0), unanswered: 0 }
+        Renewal { times, mode, held, out, dropped, made: 0, not_before: Time(0), unanswered: 0, unusable: 0 }
     }
 
     /// Calls without an answer since the last one that had one.
@@ -197,7 +204,7 @@
     /// Discovery has another address: what is out there means nothing here, and its versions neither. An order stands.
     pub fn moved(&mut self, now: Time) {
         self.dropped.extend(self.out.drain(..).map(|o| o.ask.number));
-        (self.held, self.unanswered) = (None, 0);
+        (self.held, self.unanswered, self.unusable) = (None, 0, 0);
         // A watch that was lost at the old address was ordered by nobody yet: the new one may go out all the same.
         if let Mode::Asked { ordered, first, .. } = &mut self.mode {
             *ordered |= !*first;
@@ -210,7 +217,7 @@
         let Some(at) = self.out.iter().position(|o| o.ask.number == number) else { return Heard::Late };
         let out = self.out.remove(at);
         self.dropped.extend(self.out.drain(..).map(|o| o.ask.number));
-        self.unanswered = 0;
+        (self.unanswered, self.unusable) = (0, 0);
         let foreign = !whole && out.ask.after.is_none_or(|after| index < after);
         let early = now < out.began + out.ask.wait;
         self.not_before = match &mut self.mode {
@@ -236,7 +243,10 @@
                 self.unanswered = self.unanswered.saturating_add(1);
                 // An agent that starts again may count from anew; the whole list costs it nothing.
                 self.held = None;
-                self.not_before = self.not_before.max(out.began + self.times.answer);
+                self.unusable = if why == Failure::Unusable { self.unusable + 1 } else { 0 };
+                let pause = self.times.answer.times(f64::from(self.unusable.clamp(1, 8) - 1).exp2());
+                self.not_before =
+                    self.not_before.max(out.began + pause.min(LONGEST_PAUSE.max(self.times.answer)));
             }
             Mode::Asked { pacing, ordered, lost, .. } => {
                 self.unanswered = self.unanswered.saturating_add(1);
--- a/crates/gaugesaddle/src/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -36,13 +36,13 @@
 pub struct Node {
     target: Target,
     pool: Rc<Pool>,
-    open: Cell<bool>,
+    open: Rc<Cell<bool>>,
     idle: RefCell<Vec<(Time, Link)>>,
 }
 
 impl Node {
     pub fn new(target: Target, pool: Rc<Pool>) -> Node {
-        let open = Cell::new(target.backend.state == BackendState::Ready);
+        let open = Rc::new(Cell::new(target.backend.state == BackendState::Ready));
         Node { target, pool, open, idle: RefCell::default() }
     }
 }
@@ -185,7 +185,7 @@
         }
     }
 
-    async fn connect(&self, to: SocketAddr) -> Result<Link, Outcome> {
+    async fn connect(&self, to: SocketAddr, open: Rc<Cell<bool>>) -> Result<Link, Outcome> {
         if self.is_full() {
             return Err(Outcome::NeverSent); // our own want of sockets says nothing against the backend
         }
@@ -198,7 +198,7 @@
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         let _ = stream.set_nodelay(true);
-        let wire = Wire::new(stream);
+        let wire = Wire::new(stream, open);
         let progress = wire.progress.clone();
         let shake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(wire)).await;
         let (sender, connection) = shake.map_err(|_| Outcome::ConnectFailed)?;
@@ -212,7 +212,7 @@
             let fresh = pooled.is_none();
             let link = match pooled {
                 Some(link) => Ok(link),
-                None => self.connect(upstream.target.address).await,
+                None => self.connect(upstream.target.address, upstream.open.clone()).await,
             };
             let mut link = match link {
                 Ok(link) => link,
@@ -243,6 +243,9 @@
                 // A pooled connection that closed, or brought more than its answer, before a byte was written:
                 // the attempt has not begun.
                 Err(()) if link.progress.client_broke.get() => Outcome::NeverSent.into(),
+                Err(()) if link.progress.shut.get() && !link.progress.begun.get() => {
+                    Outcome::NeverSent.into()
+                }
                 Err(()) if !fresh && !link.progress.begun.get() && call.body.is_whole() => continue,
                 Err(()) if !link.progress.whole.get() => Outcome::ConnectFailed.into(),
                 Err(()) if link.progress.broken.get() => Outcome::Reset.into(),
--- a/crates/gaugesaddle/src/wire.rs
+++ b/crates/gaugesaddle/src/wire.rs
@@ -28,6 +28,8 @@
     pub handed_over: Cell<bool>,
     /// The client broke its body off: nothing against the backend.
     pub client_broke: Cell<bool>,
+    /// The backend was told to drain before a byte was written.
+    pub shut: Cell<bool>,
     /// Bytes of the answer so far, and how many are read.
     read: Cell<usize>,
     pub most: Cell<usize>,
@@ -40,6 +42,7 @@
         self.whole.set(false);
         self.handed_over.set(held);
         self.client_broke.set(false);
+        self.shut.set(false);
         self.read.set(0);
         self.most.set(ANSWER_BYTES);
     }
@@ -48,12 +51,14 @@
 /// What was not handed over whole has never run.
 pub struct Wire {
     stream: TcpStream,
+    /// Whether new requests may go to the backend.
+    open: Rc<Cell<bool>>,
     pub progress: Rc<Progress>,
 }
 
 impl Wire {
-    pub fn new(stream: TcpStream) -> Wire {
-        Wire { stream, progress: Rc::default() }
+    pub fn new(stream: TcpStream, open: Rc<Cell<bool>>) -> Wire {
+        Wire { stream, open, progress: Rc::default() }
     }
 
     /// Asked right before the first byte of a request: what has come before it belongs to no answer of its own,
@@ -63,6 +68,11 @@
         if self.progress.begun.get() {
             return Ok(());
         }
+        // The last look: from the first byte on the request has been sent, and the rule on drains goes by that.
+        if !self.open.get() {
+            self.progress.shut.set(true);
+            return Err(io::Error::new(ErrorKind::ConnectionAborted, "the backend is leaving"));
+        }
         match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
             Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(()),
             Err(e) => Err(e),
