--- a/crates/gaugesaddle/src/driver.rs
+++ b/crates/gaugesaddle/src/driver.rs
@@ -645,8 +645,8 @@
         };
         if self.upstreams.is_full() {
             // An idle connection to any backend gives way.
-            if let Some(u) = self.backends.values().find(|u| u.give_way()) {
-                tracing::debug!("sockets are short: closed a connection to {}", u.target().address);
+            if self.upstreams.give_way() {
+                tracing::debug!("sockets are short: closed an idle connection");
             }
         }
         let (call, deadline) = (r.call.clone(), r.deadline);
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -121,8 +121,6 @@
     fn open(&self);
     /// Nothing new goes to it from now on.
     fn shut(&self);
-    /// Closes an idle connection, if there is one.
-    fn give_way(&self) -> bool;
     /// Closes idle connections that are of no use any more.
     fn sweep(self: Rc<Self>) -> Local<()>;
     /// One attempt to one outcome. Dropped, it stops at once and closes what it used; whether it has run by
@@ -136,6 +134,8 @@
     fn make(&self, target: Target) -> Rc<dyn Upstream>;
     /// All sockets are taken: an idle one has to go before another is opened.
     fn is_full(&self) -> bool;
+    /// Closes the connection that has been idle longest, whichever upstream it is to, if there is one.
+    fn give_way(&self) -> bool;
     /// Sockets that are open.
     fn sockets(&self) -> usize;
 }
--- a/crates/gaugesaddle/src/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -14,11 +14,12 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Poll;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -61,9 +62,6 @@
         self.open.set(false);
         self.idle.borrow_mut().clear();
     }
-    fn give_way(&self) -> bool {
-        self.idle.borrow_mut().pop().is_some()
-    }
     fn sweep(self: Rc<Self>) -> Local<()> {
         Box::pin(async move { self.pool.sweep(&self).await })
     }
@@ -82,6 +80,9 @@
     fn is_full(&self) -> bool {
         self.0.is_full()
     }
+    fn give_way(&self) -> bool {
+        self.0.give_way()
+    }
     fn sockets(&self) -> usize {
         self.0.sockets.get()
     }
@@ -147,13 +148,20 @@
     dial_timeout: Micros,
     idle_limit: Micros,
     sockets: Rc<Cell<usize>>,
+    /// Whose connection was put aside, the oldest first: one look finds it, however many backends are listed. Those that
+    /// were used since stand there in vain.
+    aside: RefCell<VecDeque<(Time, Weak<Node>)>>,
     registry: Rc<Registry>,
 }
 
+/// Entries in vain that are looked for when there are so many for each socket.
+const ASIDE_FOR_EACH: usize = 8;
+
 impl Pool {
     /// The registry's bounds say how many sockets it may hold, idle ones included.
     pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, registry: Rc<Registry>) -> Pool {
-        Pool { clock, dial_timeout, idle_limit: conn_idle.times(IDLE_PART), sockets: Rc::default(), registry }
+        let idle_limit = conn_idle.times(IDLE_PART);
+        Pool { clock, dial_timeout, idle_limit, sockets: Rc::default(), aside: RefCell::default(), registry }
     }
 
     /// Closes the connections that have stood idle for too long, or that the other side has closed.
@@ -170,6 +178,33 @@
         }
     }
 
+    /// Puts a connection aside for the next request.
+    fn put_aside(&self, upstream: &Rc<Node>, link: Link) {
+        let now = self.clock.now();
+        upstream.idle.borrow_mut().push((now, link));
+        let mut aside = self.aside.borrow_mut();
+        aside.push_back((now, Rc::downgrade(upstream)));
+        if aside.len() > ASIDE_FOR_EACH * self.registry.bounds().upstream_sockets {
+            aside.retain(|(since, node)| {
+                node.upgrade().is_some_and(|n| n.idle.borrow().iter().any(|l| l.0 == *since))
+            });
+        }
+    }
+
+    /// Closes the one that has been idle longest.
+    fn give_way(&self) -> bool {
+        let mut aside = self.aside.borrow_mut();
+        while let Some((since, node)) = aside.pop_front() {
+            let Some(node) = node.upgrade() else { continue };
+            let mut idle = node.idle.borrow_mut();
+            if let Some(at) = idle.iter().position(|l| l.0 == since) {
+                idle.remove(at);
+                return true;
+            }
+        }
+        false
+    }
+
     /// All sockets are taken: an idle one has to go before another is opened.
     fn is_full(&self) -> bool {
         self.sockets.get() >= self.registry.bounds().upstream_sockets
@@ -258,9 +293,9 @@
 
 impl Pool {
     /// Back among the idle, if it is of use.
-    async fn keep(&self, upstream: &Node, mut link: Link) {
+    async fn keep(&self, upstream: &Rc<Node>, mut link: Link) {
         if link.alive().await && upstream.open.get() {
-            upstream.idle.borrow_mut().push((self.clock.now(), link));
+            self.put_aside(upstream, link);
         }
     }
 
--- a/crates/gaugesaddle/tests/proxy.rs
+++ b/crates/gaugesaddle/tests/proxy.rs
@@ -452,6 +452,27 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// More servers than the descriptors for them: each is served by, and the connection that has been idle longest makes room.
+#[test]
+fn more_servers_than_descriptors_are_all_used() {
+    let servers: Vec<Backend> = (0..40).map(|_| Backend::start(|_| ok("x"))).collect();
+    let discovery = Discovery::start();
+    let names: Vec<String> = (0..servers.len()).map(|n| format!("s{n}")).collect();
+    let lines: Vec<Value> = names.iter().zip(&servers).map(|(n, b)| line(n, b.address, "ready", 0)).collect();
+    let mut config = config(discovery.address, &lines);
+    config["limits"]["sockets"] = json!(64); // 16 of them for servers
+    let proxy = Proxy::start(&config);
+    let mut client = Client::open(proxy.address);
+    for n in 0..600 {
+        client.send(&request("read", 7000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200), "request {n}");
+        let open = || servers.iter().map(|b| b.opened() - b.closed()).sum::<usize>();
+        until("no more than its part", || open() <= 16);
+    }
+    let used = servers.iter().filter(|b| !b.requests().is_empty()).count();
+    assert!(used > 35, "{used} of 40 were used");
+}
+
 /// Neither clients that keep their connection for good nor hundreds that never ask shut others out.
 #[test]
 fn with_its_sockets_taken_a_new_client_still_gets_in() {
--- a/crates/gaugesaddle/tests/rules.rs
+++ b/crates/gaugesaddle/tests/rules.rs
@@ -99,6 +99,12 @@
     let cut = What::Cut { proxy: 0, node: 0, for_s: 2.0 };
     let delay = What::Delay { proxy: 1, node: 1, by_ms: 40.0, for_s: 3.0 };
     let kill = What::KillProxy { proxy: 0, back_after_s: 1.0 };
+    // Discovery is silent for seconds, two of three proxies die in the silence, and it comes back into a release.
+    let lost_and_back = small("most killed while discovery is down, back into a release", 32)
+        .event(0.8, What::DiscoveryDown { for_s: 2.2 })
+        .event(1.3, What::KillProxy { proxy: 0, back_after_s: 0.4 })
+        .event(1.3, What::KillProxy { proxy: 2, back_after_s: 1.9 })
+        .event(2.8, What::Deploy { nodes: 6, group: 2, every_s: 0.9 });
     let deploy = What::Deploy { nodes: 3, group: 1, every_s: 1.0 };
     clean(
         vec![
@@ -132,6 +138,7 @@
                 0.6,
             ),
             (small("an asked list", 29).event(0.5, deploy), 0.6),
+            (lost_and_back, 0.4),
             (slow(small("slow and leaving clients", 30)), 0.6),
             (once(small("clients that ask once and stay", 31)), 0.8),
         ]
