Look through the backends in use for room, not through the whole list

Need: a request that found no room in eight draws, and each repeat, went through every listed backend, of which a proxy among many uses 8 to 20 of hundreds.

--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -455,6 +455,7 @@
             p.used = own.contains(id);
             p.told = self.uses.get(id).copied().filter(|_| told && p.used);
         }
+        self.used = own.into_iter().collect();
     }
 
     /// A backend has more users than it may hold requests: what each may hold of it is less than one.
@@ -656,8 +657,8 @@
                 }
             }
         }
-        let open = self.peers.iter().filter(|(b, _)| self.open_to(now, **b, r));
-        let open: Vec<(BackendId, f64)> = open.map(|(b, p)| (*b, p.pull)).collect();
+        let open = self.used.iter().filter(|b| self.open_to(now, **b, r));
+        let open: Vec<(BackendId, f64)> = open.map(|b| (*b, self.peers[b].pull)).collect();
         self.dice.pick(&open)
     }
 
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -359,6 +359,8 @@
     pub(crate) held_mean: Level,
     /// Groups that the backends are cut into, one for each proxy of a round.
     pub(crate) groups: u64,
+    /// The backends that it uses, in their order: a request looks through no others.
+    pub(crate) used: Vec<BackendId>,
     /// Backends that are in use.
     pub(crate) ready: f64,
     pub(crate) silent: Vec<BackendId>,
@@ -411,6 +413,7 @@
             turnless: false,
             held_mean: Level::default(),
             groups: 1,
+            used: Vec::new(),
             ready: 0.0,
             silent: Vec::new(),
             rate: Rate::default(),
