Read the configuration's list a line at a time, and say why an answer can't be used

Need: a configuration of 38,000 servers took 64 MB before it was refused, where 32 are told: killed for memory in place of a line that names the key. And after one list that could not be used, the reason of the next was at debug only. The log's lines say what is so: no list, and a list again.

--- a/crates/beechworks/src/settings.rs
+++ b/crates/beechworks/src/settings.rs
@@ -97,6 +97,14 @@
     pub fn at(path: String, value: &'a Value) -> Key<'a> {
         Key { path, value: Some(value) }
     }
+    /// Where it stands.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+    /// An item of the array that this is, where items are read one by one.
+    pub fn item<'b>(&self, n: usize, value: &'b Value) -> Key<'b> {
+        Key { path: format!("{}[{n}]", self.path), value: Some(value) }
+    }
     /// The value itself, if it is there and not null.
     pub fn value(&self) -> Option<&'a Value> {
         self.value.filter(|v| !v.is_null())
@@ -138,8 +146,7 @@
     /// The items of an array.
     pub fn list(&self) -> Result<Vec<Key<'a>>, KeyError> {
         let items = self.want(self.value.and_then(Value::as_array), "an array")?;
-        let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v) };
-        Ok(items.iter().enumerate().map(item).collect())
+        Ok(items.iter().enumerate().map(|(n, value)| self.item(n, value)).collect())
     }
 }
 
--- a/crates/gaugesaddle/src/config.rs
+++ b/crates/gaugesaddle/src/config.rs
@@ -5,7 +5,9 @@
 use crate::peers::Platform;
 use beechworks::settings::{self, Key, KeyError, Names};
 use beechworks::Micros;
+use serde_json::value::RawValue;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io::Read;
 use std::net::SocketAddr;
 
@@ -70,8 +72,7 @@
     }
 }
 
-/// The longest file that is read: the longest list that any memory has room for, and settings beside it. As a document it
-/// takes some ten times its length, for a moment.
+/// The longest file that is read: the longest list that any memory has room for, and settings beside it.
 const MOST_BYTES: u64 = 5 << 20;
 /// Where the settings do not tell the time in which sends to a backend that leaves must stop: the strictest one known.
 const DRAIN_GRACE: Micros = Micros(500_000);
@@ -90,10 +91,15 @@
     if text.len() as u64 > MOST_BYTES {
         return Err(Error::Long { what, path, most: MOST_BYTES });
     }
-    match serde_json::from_slice(&text) {
-        Ok(value) => parse(value),
-        Err(source) => Err(Error::Json { what, path, source }),
+    // The list is read by itself, and the rest as a document: whole, a long list would take ten times its length.
+    let json = |source| Error::Json { what, path: path.clone(), source };
+    let mut parts: BTreeMap<String, &RawValue> = serde_json::from_slice(&text).map_err(json)?;
+    let known = parts.remove("known").map(RawValue::get).filter(|text| *text != "null");
+    let mut document = serde_json::Map::new();
+    for (key, part) in parts {
+        document.insert(key, serde_json::from_str(part.get()).map_err(json)?);
     }
+    parse(Value::Object(document), known)
 }
 
 fn address(key: &Key) -> Result<SocketAddr, KeyError> {
@@ -133,12 +139,14 @@
     Ok(Some(Platform { listen: told("peer_listen")?, addresses, all: told("peers_all")? }))
 }
 
-fn parse(mut document: Value) -> Result<Config, Error> {
+/// `known`: the text of that key.
+fn parse(document: Value, known: Option<&str>) -> Result<Config, Error> {
     let root = Key::root(&document);
-    let (seed, known, settings) = (root.get("seed"), root.get("known"), root.get("settings"));
+    let (seed, settings) = (root.get("seed"), root.get("settings"));
     let memory = (root.get("limits").get("memory_mb").count()? as usize).saturating_mul(1 << 20);
     let room = Room::of(memory);
-    let known = known.value().map(|_| discovery::list(&known, room)).transpose()?;
+    let known = known.map(|text| discovery::read(text.as_bytes(), "known", room)).transpose();
+    let known = known.map_err(Error::Known)?;
     let sockets = root.get("limits").get("sockets");
     let enough = Some(sockets.count()?).filter(|n| *n >= LEAST_SOCKETS);
     let (module, names) = settings::read(&settings)?;
@@ -174,10 +182,6 @@
         peers,
         document: Value::Null,
     };
-    // The list is held elsewhere, and is nothing that a running proxy takes up.
-    if let Some(document) = document.as_object_mut() {
-        document.remove("known");
-    }
     config.document = document;
     Ok(config)
 }
--- a/crates/gaugesaddle/src/discovery.rs
+++ b/crates/gaugesaddle/src/discovery.rs
@@ -46,17 +46,9 @@
     }
 }
 
-/// Reads a list; one bad line refuses the whole of it, for a half-read list would drop backends.
-pub fn list(root: &Key, room: Room) -> Result<List, KeyError> {
-    let endpoints = root.get("endpoints");
-    let lines = endpoints.list()?;
-    fits(&endpoints, lines.len(), room)?;
-    let targets = lines.iter().map(target).collect::<Result<_, _>>()?;
-    head(root, targets)
-}
-
-/// Reads a list off the wire. Only one line at a time is held as a document: a thousand of them take less than the text.
-fn read(text: &[u8], room: Room) -> Result<List, CallError> {
+/// Reads a list that stands at `path` in its document; one bad line refuses the whole of it, for a half-read list would drop
+/// backends. Only one line at a time is held as a document: a thousand of them take less than the text.
+pub fn read(text: &[u8], path: &str, room: Room) -> Result<List, ListError> {
     #[derive(serde::Deserialize)]
     struct Document<'a> {
         #[serde(default)]
@@ -68,24 +60,30 @@
     }
     let document: Document = serde_json::from_slice(text)?;
     let head_only = json!({"index": document.index, "snapshot": document.snapshot});
-    let root = Key::root(&head_only);
+    let root = Key::at(path.into(), &head_only);
     let endpoints = root.get("endpoints");
     let raw = endpoints.want(document.endpoints, "an array")?;
     let lines: Option<Vec<&RawValue>> = serde_json::from_str(raw.get()).ok();
-    let lines = root.get("endpoints").want(lines, "an array")?;
-    fits(&endpoints, lines.len(), room)?;
+    let lines = endpoints.want(lines, "an array")?;
+    if lines.len() > room.lines {
+        let (at, came) = (endpoints.path().to_string(), json!(lines.len()));
+        Key::at(at, &came).want(None, &format!("no more than {} lines for the memory told", room.lines))?
+    }
     let mut targets = Vec::with_capacity(lines.len());
     for (n, line) in lines.iter().enumerate() {
         let value: Value = serde_json::from_str(line.get())?;
-        targets.push(target(&Key::at(format!("endpoints[{n}]"), &value))?);
+        targets.push(target(&endpoints.item(n, &value))?);
     }
     Ok(head(&root, targets)?)
 }
 
-fn fits(endpoints: &Key, lines: usize, room: Room) -> Result<(), KeyError> {
-    let fits = Some(()).filter(|()| lines <= room.lines);
-    endpoints
-        .want(fits, &format!("no more than {} lines for the memory told, of which {lines} came", room.lines))
+/// Why a list can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ListError {
+    #[error("expected JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Key(#[from] KeyError),
 }
 
 fn head(root: &Key, targets: Vec<Target>) -> Result<List, KeyError> {
@@ -145,10 +143,8 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("status {0}")]
     Status(StatusCode),
-    #[error("expected JSON: {0}")]
-    Json(#[from] serde_json::Error),
     #[error(transparent)]
-    Key(#[from] KeyError),
+    List(#[from] ListError),
 }
 
 async fn dial(to: SocketAddr) -> Result<Line, CallError> {
@@ -172,7 +168,7 @@
     if status != StatusCode::OK {
         return Err(CallError::Status(status));
     }
-    read(&body.to_bytes(), room)
+    Ok(read(&body.to_bytes(), "", room)?)
 }
 
 /// How discovery is used.
@@ -239,12 +235,12 @@
             match (self.renewal.unanswered(), silent) {
                 (1.., None) => {
                     silent = Some(now);
-                    tracing::warn!("discovery: no answer in time, called anew until there is one");
+                    tracing::warn!("discovery: no list, called anew until there is one");
                 }
                 (0, Some(since)) => {
                     silent = None;
                     tracing::info!(
-                        "discovery: answers again after {:.2} s",
+                        "discovery: tells a list again after {:.2} s",
                         (self.clock.now() - since).secs()
                     );
                 }
@@ -284,18 +280,16 @@
                 Some(line)
             }
             Err(why) => {
-                // The list held stays in force.
-                if self.renewal.unanswered() == 0 {
+                let failure = match why {
+                    CallError::Connect(_) | CallError::Http(_) | CallError::Request(_) => Failure::Broken,
+                    CallError::Body(_) | CallError::Status(_) | CallError::List(_) => Failure::Unusable,
+                };
+                // The list held stays in force. Each answer that can't be used says why: the pauses after them grow.
+                if self.renewal.unanswered() == 0 || failure == Failure::Unusable {
                     tracing::warn!("discovery: {why}");
                 } else {
                     tracing::debug!("discovery: {why}");
                 }
-                let failure = match why {
-                    CallError::Connect(_) | CallError::Http(_) | CallError::Request(_) => Failure::Broken,
-                    CallError::Body(_) | CallError::Status(_) | CallError::Json(_) | CallError::Key(_) => {
-                        Failure::Unusable
-                    }
-                };
                 self.renewal.failed(now, number, failure);
                 None
             }
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -43,6 +43,9 @@
     /// A key of the platform's configuration.
     #[error(transparent)]
     Key(#[from] KeyError),
+    /// The list in it can't be used.
+    #[error("{0}")]
+    Known(#[source] crate::discovery::ListError),
     /// A setting that the module does not accept.
     #[error("settings: {0}")]
     Module(#[from] beechworks::ConfigError),
--- a/crates/gaugesaddle/tests/drains.rs
+++ b/crates/gaugesaddle/tests/drains.rs
@@ -239,3 +239,42 @@
     both_serve(&pair.a, &pair.b);
     pair.traffic.end();
 }
+
+/// Peak memory of a process so far, in megabytes.
+fn peak_mb(proxy: &Proxy) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.id())).expect("it runs");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+    line.trim().trim_end_matches("kB").trim().parse::<u64>().expect("kilobytes") >> 10
+}
+
+/// A list of a hundred thousand servers, and one that fits by its bytes and not by its lines: both are refused by name, the
+/// list held serves on, memory stays within what is told, and the next list that can be used is known in time.
+#[test]
+fn a_list_beyond_all_measure_costs_little_and_changes_nothing() {
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &lines(&a, "ready", &b));
+    config["limits"]["memory_mb"] = json!(32);
+    let proxy = Proxy::start(&config);
+    discovery.tell(true, &lines(&a, "ready", &b));
+    let traffic = Traffic::at(&proxy);
+    both_serve(&a, &b);
+    let many = |count: usize| {
+        let all: Vec<Value> = (0..count).map(|n| line(&format!("s{n}"), b.address, "draining", 0)).collect();
+        json!({"index": 9_000, "snapshot": true, "endpoints": all}).to_string()
+    };
+    discovery.say(&many(100_000));
+    until("it is refused by its bytes", || {
+        proxy.log().contains("discovery: the list: length limit exceeded")
+    });
+    discovery.say(&many(2_500));
+    let refused = "endpoints: expected no more than 2048 lines for the memory told, got 2500";
+    until("it is refused by its lines", || proxy.log().contains(refused));
+    both_serve(&a, &b);
+    let peak = peak_mb(&proxy);
+    assert!(peak < 32, "{peak} MB");
+    let told = Instant::now();
+    discovery.tell(true, &lines(&a, "draining", &b));
+    nothing_after_the_grace(told, &a, &b);
+    traffic.end();
+}
