Give each test addresses that nobody else can draw

The last check of a landing failed in two tests of service.rs at once: a call to the second address of one proxy got no answer (service.rs:152), and the other proxy refused connections in the middle of its test (scripted.rs:541).

Cause: free_address() let the system draw a port and let it go again. The next test could be given the same one before the first had bound it, and two proxies then serve on one address without a complaint, since they share it by SO_REUSEPORT as an upgrade's two processes do; whoever ends first takes the other's clients along, and both read the one configuration file that is named by the address.

Addresses now come from a network of the process's own (the lease that runs of a scenario have had all along), by number, at ports that the system gives to nobody. A lease's 256th address no longer overflows.

--- a/crates/gaugesaddle-testbed/src/lease.rs
+++ b/crates/gaugesaddle-testbed/src/lease.rs
@@ -9,10 +9,12 @@
 const GUARD_PORT: u16 = 4009;
 /// Where proxies listen.
 const PROXY_PORT: u16 = 5000;
+/// Addresses that are asked for one by one have ports from here on, on a host of their own.
+const NAMED_PORTS: std::ops::Range<u16> = 5001..32_000;
 /// Networks that are tried before giving up.
 const TRIES: u64 = 200;
 
-/// The addresses 127.a.b.1 to 127.a.b.253, held until it is dropped.
+/// The addresses 127.a.b.x, held until it is dropped.
 pub struct Lease {
     net: [u8; 2],
     _guard: TcpListener,
@@ -41,7 +43,13 @@
 
     /// Where a proxy listens, at each of its starts.
     pub fn proxy(&self, number: usize) -> SocketAddr {
-        SocketAddr::new(self.host(1 + number as u8), PROXY_PORT)
+        SocketAddr::new(self.host((number as u8).wrapping_add(1)), PROXY_PORT)
+    }
+
+    /// Another address for each number; the system gives none of them to anybody.
+    pub fn named(&self, number: usize) -> SocketAddr {
+        let port = NAMED_PORTS.start + (number % NAMED_PORTS.len()) as u16;
+        SocketAddr::new(self.host(252), port)
     }
 
     /// Where a peer may bind; the system gives the port.
@@ -59,6 +67,9 @@
         let (one, two) = (Lease::take().unwrap(), Lease::take().unwrap());
         assert_ne!(one.proxy(0), two.proxy(0));
         assert_ne!(one.peer(), two.peer());
+        let named: std::collections::BTreeSet<SocketAddr> =
+            (0..2000).flat_map(|n| [one.named(n), two.named(n)]).collect();
+        assert_eq!(named.len(), 4000);
         drop(TcpListener::bind(one.proxy(0)).unwrap());
     }
 }
--- a/crates/gaugesaddle-testbed/src/scripted.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -1,14 +1,15 @@
 //! Scripted peers: backends whose every answer the test words, discovery that says what it is told, clients that
 //! write bytes. For tests of single exchanges; a fleet that behaves like one is in `crate::world`.
 
+use crate::lease::Lease;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, LazyLock, Mutex};
 use std::time::{Duration, Instant};
 
 /// Far longer than anything here takes; only a failure waits so long.
@@ -395,9 +396,13 @@
     })
 }
 
-/// A free address; the listener that held it is gone, so the next to bind it gets it.
+/// An address that nobody has or gets: each call gives another, on a network of this process's own. (One that the system
+/// draws and that is let go may be drawn again by the next test before its proxy binds it, and two proxies then serve on
+/// one address without a complaint, for they share it as an upgrade's two processes do.)
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static OWN: LazyLock<Lease> = LazyLock::new(|| Lease::take().expect("a network of its own"));
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    OWN.named(NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
 /// A proxy's configuration in that deployment, listening on a free address.
@@ -593,3 +598,14 @@
     client.send(text);
     client.answer().expect("a whole answer")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_address_is_given_to_two() {
+        let all: std::collections::BTreeSet<SocketAddr> = (0..2000).map(|_| free_address()).collect();
+        assert_eq!(all.len(), 2000);
+    }
+}
