Judge zones in common in the running proxy, and tell the front of one that is cut off

Need: each proxy judges a lost zone alone, and a proxy whose own link is cut can't be told from a hall that is lost. The crate gaugesaddle-failover had the decisions and no host.

Change: failover.rs beside the driver makes voices of the tier's records, judges ten times a second, runs the ladders of trust and passes the decision on; [failover] (off by default, target_percent), gaugesaddle state zones, a log line for each decision. A proxy that for a second alone does not reach its own zone, or most zones that stand, says no to the front and serves on. A plan that differs by less than a twentieth from what holds keeps its number. The tier's notes go to several listeners now. No traffic is moved by a decision yet: the module's event is missing, see docs/design/failover.md.

Seen on the way: at a start the first voice alone held a zone lost (trust 0.13 after it); judged only once awake now.

--- a/crates/gaugesaddle-failover/src/decision.rs
+++ b/crates/gaugesaddle-failover/src/decision.rs
@@ -114,6 +114,19 @@
         (self.level, self.placed, &self.zones) == (other.level, other.placed, &other.zones)
     }
 
+    /// Whether the other gives about the same orders: no figure is off by more than so many 255ths, and trust by none.
+    pub fn says_about(&self, other: &Decision, within: u8) -> bool {
+        let cut = |c: Cut| u32::from(c.whole) * 255 + u32::from(c.part);
+        let near = |a: u32, b: u32| a.abs_diff(b) <= u32::from(within);
+        let zone = |(a, b): (&Order, &Order)| {
+            a.trust == b.trust && a.to.abs_diff(b.to) <= within && near(cut(a.near), cut(b.near))
+        };
+        self.level.abs_diff(other.level) <= within
+            && near(cut(self.placed), cut(other.placed))
+            && self.zones.len() == other.zones.len()
+            && self.zones.iter().zip(&other.zones).all(zone)
+    }
+
     /// As bytes.
     pub fn encode(&self) -> Vec<u8> {
         let mut out = vec![TAG];
--- a/crates/gaugesaddle/src/app.rs
+++ b/crates/gaugesaddle/src/app.rs
@@ -3,6 +3,7 @@
 use crate::driver::{Driver, Parts};
 use crate::error::Error;
 use crate::exchange::Input;
+use crate::failover::ZoneWatch;
 use crate::operator::{self, Operator};
 use crate::peers::{self, PeerWatch, Tier};
 use crate::region::{Own, RegionWatch, Regions};
@@ -220,6 +221,15 @@
             let (tier, registry) = (tier.clone(), registry.clone());
             subsystems.push(Box::new(ShareWatch::new(operator.shares, tier, registry, regions.clone())));
         }
+        if operator.failover.enabled {
+            let (tier, registry) = (tier.clone(), registry.clone());
+            let (names, classes) = (server.rules.names.zones(), &config.module.classes);
+            let watch = ZoneWatch::new(operator.failover, tier, registry, names, classes, config.seed);
+            match watch {
+                Some(watch) => subsystems.push(Box::new(watch)),
+                None => tracing::error!("failover: {} zones, expected up to 8: off", names.len()),
+            }
+        }
         tokio::task::spawn_local(tier.clone().run(socket));
     }
     let driver = Driver::new(Parts {
--- a/crates/gaugesaddle/src/cli.rs
+++ b/crates/gaugesaddle/src/cli.rs
@@ -49,6 +49,8 @@
     Peers,
     /// This proxy's part of what all of them may do.
     Shares,
+    /// Zones as all proxies together find them.
+    Zones,
 }
 
 /// Runs the program.
@@ -101,6 +103,10 @@
                     let view = state.shares.as_ref().ok_or(Error::Usage("this proxy goes by even parts"))?;
                     print(json, view, || state::render_shares(view));
                 }
+                Some(Part::Zones) => {
+                    let view = state.zones.as_ref().ok_or(Error::Usage("this proxy judges zones alone"))?;
+                    print(json, view, || state::render_zones(view));
+                }
                 None => print(json, &state, || state::render(&state)),
             }
             Ok(())
--- /dev/null
+++ b/crates/gaugesaddle/src/failover.rs
@@ -0,0 +1,235 @@
+//! Zones judged and decided in common, in the running proxy: the file beside the driver. What the others say is the tier's
+//! to carry, what follows is `gaugesaddle_failover`'s. Begun: what is decided is shown, and moves no traffic yet.
+
+use crate::peers::{Listener, Tier};
+use crate::registry::{Registry, ZoneRow, ZonesView};
+use crate::seam::Subsystem;
+use beechworks::{Balancer, Class, Event, Micros, Time};
+use gaugesaddle_failover::{
+    judge, plan, Blind, Council, Decision, Find, Judgement, Ladder, Number, Rule, Rungs, Seen, Voice,
+    MOST_ZONES,
+};
+use gaugesaddle_peers::Signals;
+use gaugesaddle_shares::{parts, Law, AWAKE};
+use serde::Deserialize;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Judged and passed on this often: a decision is with all of a great tier after some such looks, within a second.
+const LOOK: Micros = Micros(100_000);
+/// A proxy is cut off after so long of being found so without a break: two records, for one look may be of a moment.
+const CUT_AFTER: Micros = Micros(1_000_000);
+/// What differs by less than this from what holds, in 255ths, is noise: a twentieth.
+const NOISE: u8 = 13;
+
+/// `[failover]`. Wants a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Failover {
+    /// Zones are judged in common.
+    pub enabled: bool,
+    /// The load in hundredths of what it can do that a zone is kept at or under while all together can.
+    pub target_percent: u32,
+}
+
+impl Default for Failover {
+    fn default() -> Failover {
+        // Over four fifths answers wait for one another, and a zone that takes another's excess must not wait as well.
+        Failover { enabled: false, target_percent: 80 }
+    }
+}
+
+impl Failover {
+    /// The first key that can't be. `peers`: whether the tier is known.
+    pub fn check(&self, peers: bool) -> Result<(), (String, String)> {
+        if self.enabled && !peers {
+            return Err(("failover.enabled".into(), "expected peers.enabled = true beside it".into()));
+        }
+        match self.target_percent {
+            10..=100 => Ok(()),
+            n => Err(("failover.target_percent".into(), format!("expected 10 to 100, got {n}"))),
+        }
+    }
+}
+
+/// What the notes of others meet: the decision that is held, and who lives as of the last look.
+pub struct Zones {
+    council: RefCell<Council>,
+    living: RefCell<(Vec<u16>, bool, bool)>,
+}
+
+impl Zones {
+    fn with<T>(&self, act: impl FnOnce(&mut Council, &Seen) -> T) -> T {
+        self.with_seen(|seen| act(&mut self.council.borrow_mut(), seen))
+    }
+
+    fn with_seen<T>(&self, look: impl FnOnce(&Seen) -> T) -> T {
+        let living = self.living.borrow();
+        look(&Seen { living: &living.0, most: living.1, awake: living.2 })
+    }
+}
+
+impl Listener for Zones {
+    fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>) {
+        let moved = self.with(|council, seen| council.hear(now, from, body, seen, answers));
+        if moved {
+            self.council.borrow().held().iter().for_each(|(d, _)| told(d));
+        }
+    }
+}
+
+fn told(d: &Decision) {
+    let Number { epoch, round } = d.number;
+    let trust: Vec<String> = d.zones.iter().map(|z| format!("{:.2}", f64::from(z.trust) / 255.0)).collect();
+    tracing::info!("zones: decision {epoch}.{round} of place {} holds, trust {}", d.by, trust.join(" "));
+}
+
+pub struct ZoneWatch {
+    settings: Failover,
+    tier: Rc<Tier>,
+    registry: Rc<Registry>,
+    zones: Rc<Zones>,
+    names: Vec<String>,
+    worth: Vec<f64>,
+    /// Classes by worth, the greatest first.
+    order: Vec<usize>,
+    ladders: Vec<Ladder>,
+    /// Since when most find this proxy cut off.
+    cut: Option<Time>,
+    next: Time,
+}
+
+impl ZoneWatch {
+    /// `None` where there are more zones than a decision has room for.
+    pub fn new(
+        settings: Failover, tier: Rc<Tier>, registry: Rc<Registry>, names: &[String], classes: &[Class],
+        seed: u64,
+    ) -> Option<ZoneWatch> {
+        if names.len() > MOST_ZONES {
+            return None;
+        }
+        let council = RefCell::new(Council::new(tier.place(), names.len(), seed));
+        let zones = Rc::new(Zones { council, living: RefCell::default() });
+        tier.listen_to(zones.clone());
+        let worth: Vec<f64> = classes.iter().map(|c| c.worth).collect();
+        let mut order: Vec<usize> = (0..worth.len()).collect();
+        order.sort_by(|a, b| worth[*b].total_cmp(&worth[*a]).then(a.cmp(b)));
+        let ladders = vec![Ladder::new(Rungs::default()); names.len()];
+        let (names, next) = (names.to_vec(), Time(0));
+        Some(ZoneWatch { settings, tier, registry, zones, names, worth, order, ladders, cut: None, next })
+    }
+
+    fn voices(&self, now: Time) -> Vec<Voice> {
+        let records = self.tier.records(now);
+        let needs: Vec<Option<f64>> = records.iter().map(|r| r.signals.need).collect();
+        let parts = parts(&Law::default(), &needs);
+        let voice = |(r, part): (crate::peers::Said, f64)| {
+            let Signals { arrivals, zones, .. } = r.signals;
+            let find = |z: gaugesaddle_peers::ZoneSignal| Find {
+                backends: z.backends,
+                ill: z.ill,
+                can_per_s: z.can_per_s,
+            };
+            Some(Voice {
+                place: r.place,
+                zone: self.names.iter().position(|n| *n == r.zone)?,
+                part,
+                needs: arrivals,
+                finds: zones.into_iter().map(find).collect(),
+                age: r.age,
+            })
+        };
+        records.into_iter().zip(parts).filter_map(voice).collect()
+    }
+
+    /// What should hold by this judgement; `None` while nobody knows what some zone can do.
+    fn should(&self, judged: &Judgement) -> Option<Decision> {
+        let trust: Vec<f64> = self.ladders.iter().map(Ladder::part).collect();
+        let can: Option<Vec<f64>> =
+            judged.zones.iter().zip(&trust).map(|(z, part)| z.can.map(|can| can * part)).collect();
+        let needs: Vec<Vec<f64>> = judged.zones.iter().map(|z| z.needs.clone()).collect();
+        let target = f64::from(self.settings.target_percent) / 100.0;
+        let plan = plan(target, &needs, &can?, &self.worth);
+        let new = Decision::of(Number::default(), self.tier.place(), &plan, &trust, &self.order)?;
+        let held = self.zones.council.borrow().held().map(|h| h.0.clone());
+        Some(held.filter(|held| held.says_about(&new, NOISE)).unwrap_or(new))
+    }
+
+    /// Whether most find this proxy blind to what they see. It serves on, and asks for no more clients.
+    fn look_at_self(&mut self, now: Time, judged: &Judgement) -> Option<String> {
+        let place = self.tier.place();
+        let is_cut = judged.cut.contains(&place);
+        self.cut = if is_cut { self.cut.or(Some(now)) } else { None };
+        let cut = self.cut.is_some_and(|since| now - since >= CUT_AFTER);
+        let blind = judged.blind.iter().filter(|b: &&Blind| b.place == place);
+        let names: Vec<&str> = blind.map(|b| self.names[b.zone].as_str()).collect();
+        if self.registry.cut_off.replace(cut) != cut {
+            match cut {
+                true => tracing::warn!("zones: cut off from {}, which most see: not ready", names.join(", ")),
+                false => tracing::info!("zones: sees what most see again: ready"),
+            }
+        }
+        cut.then(|| names.join(", "))
+    }
+
+    fn view(&self, now: Time, judged: &Judgement, cut: Option<String>) -> ZonesView {
+        let council = self.zones.council.borrow();
+        let held = council.held();
+        let row = |(z, name): (usize, &String)| {
+            let (zone, order) = (&judged.zones[z], held.map(|h| h.0.zones[z]).unwrap_or_default());
+            ZoneRow {
+                name: name.clone(),
+                voices: zone.voices,
+                against: zone.against,
+                lost: zone.lost,
+                needs: zone.needs.iter().sum(),
+                can: zone.can,
+                trust: f64::from(order.trust) / 255.0,
+                near: (0..self.order.len()).map(|rank| order.near.part(rank)).collect(),
+                to: f64::from(order.to) / 255.0,
+            }
+        };
+        ZonesView {
+            epoch: held.map_or(0, |h| h.0.number.epoch),
+            round: held.map_or(0, |h| h.0.number.round),
+            by: held.map(|h| h.0.by),
+            held_us: held.map_or(0, |h| (now - h.1).0),
+            decides: self.zones.with_seen(|seen| council.decides(seen)),
+            cut_off: cut,
+            blind: judged.blind.iter().map(|b| (b.place, self.names[b.zone].clone())).collect(),
+            zones: self.names.iter().enumerate().map(row).collect(),
+        }
+    }
+}
+
+impl Subsystem for ZoneWatch {
+    fn turn(&mut self, now: Time, _: &Balancer, _: &mut Vec<Event>) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + LOOK;
+        let needs = self.tier.needs(now);
+        let most = needs.places.len() * 2 > needs.told;
+        let awake = needs.awake >= AWAKE;
+        *self.zones.living.borrow_mut() = (needs.places, most, awake);
+        let voices = self.voices(now);
+        let judged = judge(&Rule::default(), self.names.len(), self.worth.len(), &voices);
+        // Before that its own voice may be the only one, and most of one is no judgement.
+        for (ladder, zone) in self.ladders.iter_mut().zip(&judged.zones).filter(|_| awake) {
+            ladder.look(now, zone.lost);
+        }
+        let should = self.should(&judged);
+        let mut notes = Vec::new();
+        let moved = self.zones.with(|council, seen| council.look(now, seen, should.as_ref(), &mut notes));
+        if moved {
+            self.zones.council.borrow().held().iter().for_each(|(d, _)| told(d));
+        }
+        self.tier.note(notes);
+        let cut = self.look_at_self(now, &judged);
+        *self.registry.zones.borrow_mut() = Some(self.view(now, &judged, cut));
+    }
+
+    fn wake(&self) -> Time {
+        self.next
+    }
+}
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -18,6 +18,7 @@
 mod driver;
 mod error;
 mod exchange;
+mod failover;
 mod form;
 pub mod operator;
 mod pacing;
--- a/crates/gaugesaddle/src/operator.rs
+++ b/crates/gaugesaddle/src/operator.rs
@@ -4,6 +4,7 @@
 //! `deploy/gaugesaddle.toml` lists every key with its unit, range, default and reason; a test holds it to this
 //! type. Each subsystem adds a section of its own.
 
+use crate::failover::Failover;
 use crate::peers::settings::Peers;
 use crate::region::settings::Region;
 use crate::shares::Shares;
@@ -34,6 +35,8 @@
     pub peers: Peers,
     /// Parts by need.
     pub shares: Shares,
+    /// Zones judged and decided in common.
+    pub failover: Failover,
 }
 
 /// `[limits]`. Wants a restart. What all proxies together may hold on one backend.
@@ -255,6 +258,7 @@
     read.region.check().map_err(|(key, what)| (None, key, what))?;
     read.peers.check().map_err(|(key, what)| (None, key, what))?;
     read.shares.check(read.peers.enabled).map_err(|(key, what)| (None, key, what))?;
+    read.failover.check(read.peers.enabled).map_err(|(key, what)| (None, key, what))?;
     Ok(read)
 }
 
@@ -309,6 +313,9 @@
     if running.shares != newer.shares {
         keys.push("shares");
     }
+    if running.failover != newer.failover {
+        keys.push("failover");
+    }
     keys
 }
 
@@ -434,6 +441,11 @@
             ("[shares]\nfloor_percent = 101\n".into(), "shares.floor_percent: expected 0 to 100, got 101"),
             ("[shares]\nmost_times = 0\n".into(), "shares.most_times: expected 1 to 1000, got 0"),
             ("[shares]\nover_ms = 5\n".into(), "shares.over_ms: expected 100 to 60000, got 5"),
+            ("[failover]\nenabled = true\n".into(), "failover.enabled: expected peers.enabled = true"),
+            (
+                "[failover]\ntarget_percent = 101\n".into(),
+                "failover.target_percent: expected 10 to 100, got 101",
+            ),
             ("[peers]\nenabled = true\naddresses = [\"127.0.0.1:1\"]\n".into(), "peers.listen: missing"),
         ] {
             let told = flaw(&text);
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -12,6 +12,7 @@
 use settings::PeersError;
 use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -65,6 +66,18 @@
     pub needs: Vec<Option<f64>>,
 }
 
+/// What one that lives says of itself.
+pub struct Said {
+    /// Its place.
+    pub place: u16,
+    /// The zone that it stands in; empty before it has told.
+    pub zone: String,
+    /// How old it is.
+    pub age: Micros,
+    /// What.
+    pub signals: Signals,
+}
+
 /// Who takes what other proxies' hosts have to say, and answers; the answers go to places.
 pub trait Listener {
     fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>);
@@ -83,7 +96,10 @@
     /// Datagrams that the system did not take.
     unsent: Cell<u64>,
     classes: Vec<String>,
-    listener: RefCell<Option<Rc<dyn Listener>>>,
+    /// Each takes those notes that are for it, by their form.
+    listeners: RefCell<Vec<Rc<dyn Listener>>>,
+    /// The zone that this proxy stands in.
+    zone: String,
 }
 
 fn key(key: &str, what: &str) -> PeersError {
@@ -133,7 +149,7 @@
             |n: String| Some(n).filter(|n| n.bytes().all(|b| b.is_ascii_graphic())).unwrap_or_default();
         let cut = |n: String| n.chars().take(gaugesaddle_peers::NAME_BYTES).collect::<String>();
         let (name, zone) = (cut(sound(own.name)), cut(sound(own.zone)));
-        let told = Told { addresses, own: place as u16, all, name, zone };
+        let told = Told { addresses, own: place as u16, all, name, zone: zone.clone() };
         let drawn = || {
             OsRng.try_next_u64().map_err(|e| key("peers.enabled", &format!("expected random numbers: {e}")))
         };
@@ -143,8 +159,8 @@
         let peers = gaugesaddle_peers::Peers::new(settings, seal, told, boot, drawn()?, clock.now());
         let peers = peers.map_err(|e| key("peers.addresses", &e.to_string()))?;
         let (record, socket, unsent) = (RefCell::default(), RefCell::default(), Cell::default());
-        let (peers, classes, listener) = (RefCell::new(peers), classes.to_vec(), RefCell::default());
-        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes, listener }))
+        let (peers, classes, listeners) = (RefCell::new(peers), classes.to_vec(), RefCell::default());
+        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes, listeners, zone }))
     }
 
     /// Takes the address.
@@ -228,9 +244,27 @@
         }
     }
 
-    /// From now on this one takes the notes.
+    /// From now on this one takes notes, too.
     pub fn listen_to(&self, listener: Rc<dyn Listener>) {
-        *self.listener.borrow_mut() = Some(listener);
+        self.listeners.borrow_mut().push(listener);
+    }
+
+    /// This proxy's place.
+    pub fn place(&self) -> u16 {
+        self.peers.borrow().place()
+    }
+
+    /// What all that live say of themselves, this one among them, as far as it has come.
+    pub fn records(&self, now: Time) -> Vec<Said> {
+        let peers = self.peers.borrow();
+        let own = peers.place();
+        let zones: BTreeMap<u16, String> = peers.all(now).into_iter().map(|p| (p.place, p.zone)).collect();
+        let said = |place: u16| {
+            let record = peers.record(place)?;
+            let zone = if place == own { self.zone.clone() } else { zones.get(&place)?.clone() };
+            Some(Said { place, zone, age: record.age(now), signals: Signals::decode(&record.body)? })
+        };
+        peers.living().into_iter().filter_map(said).collect()
     }
 
     /// This proxy's place, how many there are, and its process; `None` until the address is held: the process before this
@@ -254,9 +288,9 @@
     }
 
     fn noted(&self, from: u16, body: &[u8]) {
-        let listener = self.listener.borrow().clone();
+        let listeners = self.listeners.borrow().clone();
         let mut answers = Vec::new();
-        listener.iter().for_each(|l| l.noted(self.clock.now(), from, body, &mut answers));
+        listeners.iter().for_each(|l| l.noted(self.clock.now(), from, body, &mut answers));
         if !answers.is_empty() {
             self.note(answers);
         }
--- a/crates/gaugesaddle/src/registry.rs
+++ b/crates/gaugesaddle/src/registry.rs
@@ -164,6 +164,9 @@
     pub(crate) peers: RefCell<Option<Rc<crate::peers::Tier>>>,
     /// This proxy's part, where parts go by need.
     pub(crate) shares: RefCell<Option<SharesView>>,
+    pub(crate) zones: RefCell<Option<ZonesView>>,
+    /// Most see what this proxy does not: it asks for no more clients.
+    pub(crate) cut_off: Cell<bool>,
     /// Proxies that live, where parts go by that; else 0.
     pub(crate) living: Rc<Cell<u32>>,
     pub(crate) connections: Cell<usize>,
@@ -204,6 +207,8 @@
             region: RefCell::default(),
             peers: RefCell::default(),
             shares: RefCell::default(),
+            zones: RefCell::default(),
+            cut_off: Cell::new(false),
             living: Rc::default(),
             connections: Cell::default(),
             upstream_sockets: Cell::default(),
@@ -242,6 +247,7 @@
         (self.serving.get() || self.elsewhere.get())
             && self.listening.get()
             && self.lifecycle.get().welcomes()
+            && !self.cut_off.get()
     }
 
     /// Another region's requests may be sent here: they go no further than to backends of this one.
@@ -349,6 +355,7 @@
             region: self.region.borrow().clone(),
             peers: self.peers.borrow().as_ref().map(|tier| tier.view(now)),
             shares: self.shares.borrow().clone(),
+            zones: self.zones.borrow().clone(),
         }
     }
 }
@@ -470,6 +477,53 @@
     /// This proxy's part, where parts go by need.
     #[serde(default)]
     pub shares: Option<SharesView>,
+    /// Zones as all proxies together find them, where that is on.
+    #[serde(default)]
+    pub zones: Option<ZonesView>,
+}
+
+/// What the tier holds of its zones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ZonesView {
+    /// The decision that is held; 0 and 0: none yet.
+    pub epoch: u32,
+    /// See `epoch`.
+    pub round: u16,
+    /// The place of who decided it.
+    pub by: Option<u16>,
+    /// Held for so long.
+    pub held_us: u64,
+    /// This proxy decides.
+    pub decides: bool,
+    /// The zones that most see and this proxy does not, where it is so cut off that it is not ready.
+    pub cut_off: Option<String>,
+    /// Places that are blind to a zone that most see.
+    pub blind: Vec<(u16, String)>,
+    /// One row a zone.
+    pub zones: Vec<ZoneRow>,
+}
+
+/// One zone of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ZoneRow {
+    /// Its name.
+    pub name: String,
+    /// Proxies whose word counts.
+    pub voices: u32,
+    /// Of these those that find it lost.
+    pub against: u32,
+    /// Most do.
+    pub lost: bool,
+    /// What comes to its proxies, in requests a second.
+    pub needs: f64,
+    /// What its backends can do; `None`: nobody knows.
+    pub can: Option<f64>,
+    /// The part of that which it is trusted with.
+    pub trust: f64,
+    /// What of its own stays, by class, those worth most first.
+    pub near: Vec<f64>,
+    /// Its part of all that leaves a zone for another.
+    pub to: f64,
 }
 
 /// This proxy's part of what all of them may do, twice a second.
--- a/crates/gaugesaddle/src/state.rs
+++ b/crates/gaugesaddle/src/state.rs
@@ -6,7 +6,9 @@
 
 use crate::error::Error;
 use crate::operator::State;
-use crate::registry::{LentView, PeersView, RegionView, Registry, SharesView, Snapshot, SoftView};
+use crate::registry::{
+    LentView, PeersView, RegionView, Registry, SharesView, Snapshot, SoftView, ZoneRow, ZonesView,
+};
 use crate::{clock::Clock, table};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
@@ -338,6 +340,37 @@
     text
 }
 
+/// What the tier holds of its zones, for people to read.
+pub fn render_zones(view: &ZonesView) -> String {
+    let by = view.by.map_or("nobody yet".into(), |by| format!("place {by}"));
+    let mut text = format!(
+        "zones: decision {}.{} by {by}, held for {:.1} s{}\n",
+        view.epoch,
+        view.round,
+        view.held_us as f64 / 1e6,
+        if view.decides { "; this proxy decides" } else { "" },
+    );
+    view.cut_off
+        .iter()
+        .for_each(|zones| text += &format!("not ready: cut off from {zones}, which most see\n"));
+    view.blind.iter().for_each(|(place, zone)| text += &format!("place {place} is blind to {zone}\n"));
+    let head = ["zone", "find it lost", "needs/s", "can/s", "trust", "stays near", "takes"];
+    let row = |z: &ZoneRow| {
+        let near: Vec<String> = z.near.iter().map(|n| format!("{n:.2}")).collect();
+        vec![
+            if z.lost { format!("{} (lost)", z.name) } else { z.name.clone() },
+            format!("{} of {}", z.against, z.voices),
+            format!("{:.1}", z.needs),
+            z.can.map_or("-".into(), |can| format!("{can:.1}")),
+            format!("{:.2}", z.trust),
+            near.join(" "),
+            format!("{:.2}", z.to),
+        ]
+    };
+    text += &table::render(&head, view.zones.iter().map(row));
+    text
+}
+
 /// The state for people to read.
 pub fn render(state: &Snapshot) -> String {
     let seconds = |us: u64| format!("{:.1} s", us as f64 / 1e6);
@@ -387,6 +420,9 @@
     if let Some(p) = &state.peers {
         text += &format!("peers: {} of {} live, {}; `state peers` tells more\n\n", p.living, p.told, p.shape);
     }
+    if let Some(view) = &state.zones {
+        text += &render_zones(view);
+    }
     if let Some(view) = &state.shares {
         text += &render_shares(view);
         text.push('\n');
--- a/crates/gaugesaddle/tests/tier/mod.rs
+++ b/crates/gaugesaddle/tests/tier/mod.rs
@@ -130,9 +130,28 @@
         until("its state", || self.state(state_of).is_some());
     }
 
+    /// Adds to each operator's file.
+    pub fn add(&mut self, more: &str) {
+        self.more += more;
+    }
+
+    /// One that stands in a zone and has a list, and an agent, of its own.
+    pub fn run_in(&mut self, place: usize, zone: &str, discovery: SocketAddr, lines: &[serde_json::Value]) {
+        let mut config = self.config(place);
+        config["settings"]["my_zone"] = zone.into();
+        config["discovery"] = discovery.to_string().into();
+        config["known"]["endpoints"] = lines.into();
+        self.run_with(place, &config);
+    }
+
     pub fn run(&mut self, place: usize) {
-        let (config, file) = (self.config(place), self.file(place));
-        let proxy = Proxy::spawn_with(&config, "unlimited", &["--config", file.to_str().unwrap()]);
+        let config = self.config(place);
+        self.run_with(place, &config);
+    }
+
+    fn run_with(&mut self, place: usize, config: &serde_json::Value) {
+        let file = self.file(place);
+        let proxy = Proxy::spawn_with(config, "unlimited", &["--config", file.to_str().unwrap()]);
         self.proxies[place] = Some(proxy);
         until("its state", || self.state(place).is_some());
     }
--- /dev/null
+++ b/crates/gaugesaddle/tests/zones.rs
@@ -0,0 +1,171 @@
+//! Zones judged in common, as processes: one proxy's own link is cut, a zone is lost to most, who decides dies, a side is cut
+//! off. What each holds is read from its state.
+
+mod tier;
+
+use gaugesaddle::registry::{ZoneRow, ZonesView};
+use gaugesaddle_testbed::datagrams::Links;
+use gaugesaddle_testbed::scripted::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use tier::Tier;
+
+const ON: &str = "[failover]\nenabled = true\n";
+
+/// Two backends in each of two zones.
+struct Fleet(Vec<(&'static str, &'static str, Backend)>);
+
+impl Fleet {
+    fn start() -> Fleet {
+        let names = [("e1", "east"), ("e2", "east"), ("w1", "west"), ("w2", "west")];
+        Fleet(names.into_iter().map(|(n, zone)| (n, zone, Backend::start(|_| ok("x")))).collect())
+    }
+
+    /// The list of them, as one reads it to whom these zones can't be reached.
+    fn lines(&self, lost: &[&str]) -> Vec<Value> {
+        let one = |(name, zone, backend): &(&str, &str, Backend)| {
+            let address = if lost.contains(zone) { free_address() } else { backend.address };
+            let mut line = line(name, address, "ready", 0);
+            line["zone"] = (*zone).into();
+            line
+        };
+        self.0.iter().map(one).collect()
+    }
+}
+
+/// Clients of all these proxies, who take every answer, until it is dropped.
+struct Asking(Arc<AtomicBool>, Vec<std::thread::JoinHandle<()>>);
+
+impl Asking {
+    fn of(addresses: Vec<SocketAddr>) -> Asking {
+        let stop = Arc::new(AtomicBool::new(false));
+        let one = |address: SocketAddr| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    if let Ok(mut client) = Client::try_open(address) {
+                        client.send(&request("read", 2000));
+                        client.answer();
+                    }
+                    std::thread::sleep(std::time::Duration::from_millis(10));
+                }
+            })
+        };
+        Asking(stop.clone(), addresses.into_iter().map(one).collect())
+    }
+}
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+        self.1.drain(..).for_each(|t| drop(t.join()));
+    }
+}
+
+/// A tier whose even places stand in the east, the odd ones in the west; `blind`: the first does not reach the east.
+fn start(name: &str, places: usize, fleet: &Fleet, blind: bool) -> (Tier, Vec<Discovery>, Asking) {
+    let mut tier = Tier::told(name, places, true);
+    tier.add(ON);
+    let discoveries: Vec<Discovery> = (0..places).map(|_| Discovery::start()).collect();
+    for (place, discovery) in discoveries.iter().enumerate() {
+        let lost: &[&str] = if blind && place == 0 { &["east"] } else { &[] };
+        let zone = ["east", "west"][place % 2];
+        tier.run_in(place, zone, discovery.address, &fleet.lines(lost));
+    }
+    tier.agree("all know one another");
+    let asking = Asking::of((0..places).map(|p| tier.proxy(p).address).collect());
+    (tier, discoveries, asking)
+}
+
+fn zones(tier: &Tier, place: usize) -> ZonesView {
+    tier.state(place).and_then(|s| s.zones).unwrap_or_default()
+}
+
+fn zone(tier: &Tier, place: usize, name: &str) -> ZoneRow {
+    zones(tier, place).zones.into_iter().find(|z| z.name == name).unwrap_or_default()
+}
+
+/// All of these hold one decision, which trusts that zone so far.
+fn trusted(tier: &Tier, places: &[usize], name: &str, far: impl Fn(f64) -> bool) -> bool {
+    let views: Vec<ZonesView> = places.iter().map(|p| zones(tier, *p)).collect();
+    let number = |v: &ZonesView| (v.epoch, v.round, v.by);
+    views.iter().all(|v| v.by.is_some() && number(v) == number(&views[0]))
+        && views[0].zones.iter().any(|z| z.name == name && far(z.trust))
+}
+
+#[test]
+fn one_that_alone_does_not_reach_its_zone_is_not_ready_and_its_voice_counts_against_nobody() {
+    let fleet = Fleet::start();
+    let (tier, discoveries, _asking) = start("blind", 5, &fleet, true);
+    until("it knows that it is cut off", || zones(&tier, 0).cut_off.as_deref() == Some("east"));
+    assert_eq!(tier.proxy(0).ready(), 503);
+    assert!(tier.proxy(0).log().contains("zones: cut off from east, which most see: not ready"));
+    until("the others know, too", || (1..5).all(|p| zones(&tier, p).blind == [(0, "east".to_string())]));
+    for place in 1..5 {
+        assert!(!zone(&tier, place, "east").lost, "one of five is not most");
+        assert_eq!(tier.proxy(place).ready(), 200);
+    }
+    assert_eq!(ask(tier.proxy(0), &request("read", 7000)).status(), 200, "what comes is served by the west");
+    let table = std::process::Command::new(gaugesaddle_testbed::program::path("gaugesaddle"))
+        .args(["state", "zones", "--socket"])
+        .arg(tier.socket(0))
+        .output()
+        .unwrap();
+    let table = String::from_utf8_lossy(&table.stdout).into_owned();
+    assert!(table.contains("not ready: cut off from east, which most see"), "{table}");
+    discoveries[0].tell(true, &fleet.lines(&[]));
+    until("it is ready again", || tier.proxy(0).ready() == 200 && zones(&tier, 0).cut_off.is_none());
+}
+
+#[test]
+fn a_zone_lost_to_most_is_lost_for_all_and_comes_back_in_steps_though_who_decided_dies() {
+    let fleet = Fleet::start();
+    let (mut tier, discoveries, _asking) = start("zone-lost", 5, &fleet, false);
+    let all = [0, 1, 2, 3, 4];
+    until("all hold one decision", || trusted(&tier, &all, "west", |t| t == 1.0));
+    discoveries.iter().for_each(|d| d.tell(true, &fleet.lines(&["west"])));
+    until("all hold it lost", || trusted(&tier, &all, "west", |t| t == 0.0));
+    for place in all {
+        assert_eq!(tier.proxy(place).ready(), 200, "who sees what most see is ready");
+        assert_eq!(zones(&tier, place).by, Some(0), "the lowest place decides");
+        assert_eq!(zone(&tier, place, "west").near.iter().sum::<f64>(), 0.0, "nothing stays there");
+        assert_eq!(zone(&tier, place, "east").to, 1.0);
+    }
+    let before = zones(&tier, 1).epoch;
+    tier.kill(0);
+    let rest = [1, 2, 3, 4];
+    discoveries[1..].iter().for_each(|d| d.tell(true, &fleet.lines(&[])));
+    until("the next one decides", || {
+        trusted(&tier, &rest, "west", |t| t > 0.0) && zones(&tier, 1).by == Some(1)
+    });
+    assert!(zone(&tier, 1, "west").trust < 0.2, "an eighth first: {:?}", zone(&tier, 1, "west"));
+    assert!(zones(&tier, 1).epoch > before);
+    until("it is trusted whole", || trusted(&tier, &rest, "west", |t| t == 1.0));
+}
+
+#[test]
+fn of_two_sides_the_greater_one_decides_and_the_other_takes_it_up_at_the_heal() {
+    let fleet = Fleet::start();
+    let (tier, discoveries, _asking) = start("zone-torn", 5, &fleet, false);
+    until("all hold one decision", || trusted(&tier, &[0, 1, 2, 3, 4], "west", |t| t == 1.0));
+    let before = zones(&tier, 0).epoch;
+    // The decider is on the smaller side, and only there the west is lost.
+    tier.ways.set(Links { parts: vec![0, 0, 1, 1, 1], ..Links::default() });
+    until("the sides have parted", || {
+        tier.view(0).living == 2 && tier.view(4).living == 3 && tier.view(1).living == 2
+    });
+    discoveries[..2].iter().for_each(|d| d.tell(true, &fleet.lines(&["west"])));
+    until("the smaller side has its own", || trusted(&tier, &[0, 1], "west", |t| t == 0.0));
+    assert!(zones(&tier, 0).round > 0, "a round and no epoch: {:?}", zones(&tier, 0));
+    assert!(trusted(&tier, &[2, 3, 4], "west", |t| t == 1.0), "the greater side holds what it sees");
+    discoveries[2..].iter().for_each(|d| d.tell(true, &fleet.lines(&["east"])));
+    until("the greater side decides anew", || trusted(&tier, &[2, 3, 4], "east", |t| t == 0.0));
+    let greater = zones(&tier, 2);
+    assert!(greater.by == Some(2) && greater.epoch > before, "{greater:?}");
+    tier.ways.set(Links::default());
+    until("all hold the greater side's, or one after it", || {
+        (0..5).all(|p| zones(&tier, p).epoch >= greater.epoch)
+    });
+}
