Let one of two decisions with one number hold at all proxies

Found by reading: the deciding proxy starts anew, knows of no decision and gives the first number to another one. Both have the number and the place, neither was over the other (Decision::over), and each proxy went on showing its own for ever. Of two alike the greater bytes count now, so all come to hold one, and the deciding proxy makes what it wants the next. The new test of the council never ends as one without it (red: panics after two seconds).

--- a/crates/gaugesaddle-failover/src/council.rs
+++ b/crates/gaugesaddle-failover/src/council.rs
@@ -258,6 +258,24 @@
         }
     }
 
+    #[test]
+    fn a_number_given_twice_by_two_processes_of_one_place_ends_as_one_decision() {
+        let mut tier = Tier::new(5, 0);
+        tier.should = vec![says(7); 5];
+        tier.until_same(0, 7);
+        // The deciding process starts anew, knows of no decision, and gives the first number to another one.
+        tier.all[0] = Some(Council::new(0, 3, 77));
+        tier.should = vec![says(3); 5];
+        let living = tier.of_side(0);
+        let seen = Seen { living: &living, most: true, awake: true };
+        let alone = tier.all[0].as_mut().expect("it lives");
+        assert!(alone.look(Time(tier.now), &seen, Some(&says(3)), &mut Vec::new()));
+        let (its, theirs) = (tier.held(0).expect("its own"), tier.held(1).expect("the former"));
+        assert!(its.number == theirs.number && its != theirs);
+        // It has said what it wants, and the others hold that number: only what is shown can make it one.
+        tier.until_same(0, 3);
+    }
+
     #[test]
     fn all_hold_the_same_within_a_second_whoever_decides_and_a_third_is_lost() {
         for (count, loss) in [(3, 0), (30, 33), (300, 0), (300, 33)] {
--- a/crates/gaugesaddle-failover/src/decision.rs
+++ b/crates/gaugesaddle-failover/src/decision.rs
@@ -104,9 +104,14 @@
         Some(Decision { number, by, level: byte(plan.level), placed, zones })
     }
 
-    /// Whether it counts instead of another: the newer one does, of two alike that of the lower place.
+    /// Whether it counts instead of another: the newer one does, of two alike that of the lower place. Two processes of one
+    /// place may have given one number to two decisions; which of them all come to hold must not depend on the way.
     pub fn over(&self, other: &Decision) -> bool {
-        (self.number, std::cmp::Reverse(self.by)) > (other.number, std::cmp::Reverse(other.by))
+        let rank = |d: &Decision| (d.number, std::cmp::Reverse(d.by));
+        match rank(self).cmp(&rank(other)) {
+            std::cmp::Ordering::Equal => self.encode() > other.encode(),
+            order => order.is_gt(),
+        }
     }
 
     /// Whether the other gives the same orders, whatever its number.
