--- a/crates/gaugesaddle-testbed/src/hunt.rs
+++ b/crates/gaugesaddle-testbed/src/hunt.rs
@@ -80,6 +80,7 @@
         seconds: FAULTS_S + CALM_S,
         proxies,
         peers: true,
+        failover: true,
         clients: Clients {
             per_s: 40.0,
             // Some get three times the mean, and which ones moves.
@@ -122,6 +123,11 @@
             s.events.push(Planned { at_s: at, what });
         }
     }
+    // A whole hall, beside all else: none that sees it may send its clients away for that.
+    if dice.chance(0.4) {
+        let (at_s, hall, for_s) = (QUIET_S + 1.0, dice.below(s.halls), 1.0 + 3.0 * dice.unit());
+        s.events.push(Planned { at_s, what: What::HallOut { hall, for_s } });
+    }
     s.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     s
 }
--- a/crates/gaugesaddle-testbed/src/scenario.rs
+++ b/crates/gaugesaddle-testbed/src/scenario.rs
@@ -28,6 +28,8 @@
     pub peers: bool,
     /// Their parts go by need.
     pub shares: bool,
+    /// They judge zones in common.
+    pub failover: bool,
     /// What it costs the goal when every request crosses zones once, as the proxies are told.
     pub cross_zone: f64,
     /// What a proxy is told that it may use.
@@ -545,6 +547,7 @@
             halls: 3,
             peers: false,
             shares: false,
+            failover: false,
             cross_zone: 0.0,
             limits: Limits::default(),
             kinds: vec![kind("fast", 4, 1.8), kind("slow", 8, 0.9)],
@@ -691,6 +694,7 @@
                 "parts above 0, and a time",
             ),
             (self.peers || !self.shares, "shares", "peers beside it"),
+            (self.peers || !self.failover, "failover", "peers beside it"),
             (range([0.0, self.cross_zone]), "cross_zone", "0 or more"),
             (range(c.backoff_ms) && range(c.patience), "clients", "ranges from the less to the more"),
             (
--- a/crates/gaugesaddle-testbed/src/world.rs
+++ b/crates/gaugesaddle-testbed/src/world.rs
@@ -337,6 +337,9 @@
         if self.s.shares {
             text += "[shares]\nenabled = true\n";
         }
+        if self.s.failover {
+            text += "[failover]\nenabled = true\n";
+        }
         if text.is_empty() {
             return Ok(None);
         }
--- a/crates/gaugesaddle/tests/shares.rs
+++ b/crates/gaugesaddle/tests/shares.rs
@@ -147,3 +147,45 @@
     let parts: Vec<f64> = [0, 1, 3].iter().map(|p| shares(&tier, *p).part).collect();
     assert!(parts.iter().all(|p| (p - 1.0 / 3.0).abs() < 0.05), "{parts:?}");
 }
+
+/// The sum of what these take for their parts, as they say at about one moment.
+fn sum(tier: &Tier, places: &[usize]) -> f64 {
+    places.iter().map(|p| shares(tier, *p).part).sum()
+}
+
+#[test]
+fn half_of_the_tier_killed_and_back_at_once_has_its_parts_again() {
+    let mut tier = Tier::start_with("parts-half", 6, ON);
+    let all = [0, 1, 2, 3, 4, 5];
+    until("all go by need", || by_need(&tier, &all));
+    [1, 3, 5].into_iter().for_each(|p| tier.kill(p));
+    [1, 3, 5].into_iter().for_each(|p| tier.run(p));
+    // Those that live on may not have missed them: nobody's part is ever more than what the survivors alone would have.
+    until("all go by need again", || {
+        assert!(all.iter().all(|p| shares(&tier, *p).part < 1.0 / 3.0 + 0.05), "of three at most");
+        by_need(&tier, &all)
+    });
+    until("even parts, for nobody needs more", || {
+        all.iter().all(|p| (shares(&tier, *p).part - 1.0 / 6.0).abs() < 0.02)
+    });
+    assert!((sum(&tier, &all) - 1.0).abs() < 0.1);
+}
+
+#[test]
+fn a_member_that_flaps_moves_the_others_between_two_parts_and_no_further() {
+    let mut tier = Tier::start_with("parts-flap", 4, ON);
+    until("all go by need", || by_need(&tier, &[0, 1, 2, 3]));
+    let steady = [0, 1, 2];
+    for _ in 0..4 {
+        tier.kill(3);
+        let asked = tier.view(0).asked;
+        until("a second of questions", || {
+            let sum = sum(&tier, &steady);
+            assert!((0.7..1.1).contains(&sum), "three parts of three or of four: {sum}");
+            tier.view(0).asked >= asked + 5
+        });
+        tier.run(3);
+    }
+    until("it counts again", || by_need(&tier, &[0, 1, 2, 3]));
+    until("four parts", || (sum(&tier, &steady) - 0.75).abs() < 0.03);
+}
