--- a/crates/gaugesaddle/tests/tier/mod.rs
+++ b/crates/gaugesaddle/tests/tier/mod.rs
@@ -172,6 +172,14 @@
         gaugesaddle::state::ask(&self.socket(place)).ok()
     }
 
+    /// A part of its state as people read it.
+    pub fn table(&self, place: usize, part: &str) -> String {
+        let program = gaugesaddle_testbed::program::path("gaugesaddle");
+        let mut command = std::process::Command::new(program);
+        let shown = command.args(["state", part, "--socket"]).arg(self.socket(place)).output().unwrap();
+        String::from_utf8_lossy(&shown.stdout).into_owned()
+    }
+
     pub fn view(&self, place: usize) -> PeersView {
         self.state(place).and_then(|s| s.peers).expect("its view")
     }
