Decode each record once a look, and let the council itself know what is noise

Read again, behaviour as before. What was there twice or in the wrong place: - ten times a second the watch on zones decoded every record twice and copied name and zone of every told place: who lives is asked for by itself now (Tier::living), needs and records for those places, and Peers has the zone of a place, which the host had kept a copy of; - the host of zones held back plans that say about the same: the council takes that bound and has one test for it (says_as was says_about within 0); a decision that is taken up is told by one piece of code; - the module's list was built twice a look for state shares; - the tests' tier wrote an operator's file and replaced text in it, and had three ways to start; measure shares kept unnamed fours of figures beside Spread.

--- a/crates/gaugesaddle-failover/src/council.rs
+++ b/crates/gaugesaddle-failover/src/council.rs
@@ -38,6 +38,8 @@
 pub struct Council {
     place: u16,
     zones: usize,
+    /// What should hold and differs by no more than so many 255ths from what does is no news.
+    noise: u8,
     held: Option<Decision>,
     since: Time,
     show: Time,
@@ -48,12 +50,13 @@
 }
 
 impl Council {
-    /// One that holds nothing yet; `seed`: for whom it tells first.
-    pub fn new(place: u16, zones: usize, seed: u64) -> Council {
+    /// One that holds nothing yet; `noise`: in 255ths, what is too little to be decided anew; `seed`: for whom it tells first.
+    pub fn new(place: u16, zones: usize, noise: u8, seed: u64) -> Council {
         let (since, show) = (Time(0), Time(0));
         Council {
             place,
             zones,
+            noise,
             held: None,
             since,
             show,
@@ -85,7 +88,7 @@
     ) -> bool {
         let mut moved = false;
         if let Some(should) = should.filter(|_| self.decides(seen)) {
-            let news = self.held.as_ref().is_none_or(|held| !held.says_as(should));
+            let news = self.held.as_ref().is_none_or(|held| !held.says_about(should, self.noise));
             let soon = self.held.is_some() && now - self.since < APART;
             // A decision that was taken over by another proxy of this side becomes its own with the next that is new.
             if news && !soon {
@@ -188,7 +191,7 @@
 
     impl Tier {
         fn new(count: u16, loss: u64) -> Tier {
-            let council = |p| Some(Council::new(p, 3, 900 + u64::from(p)));
+            let council = |p| Some(Council::new(p, 3, 0, 900 + u64::from(p)));
             let side = vec![0; usize::from(count)];
             let should = vec![says(1); usize::from(count)];
             let all = (0..count).map(council).collect();
@@ -264,7 +267,7 @@
         tier.should = vec![says(7); 5];
         tier.until_same(0, 7);
         // The deciding process starts anew, knows of no decision, and gives the first number to another one.
-        tier.all[0] = Some(Council::new(0, 3, 77));
+        tier.all[0] = Some(Council::new(0, 3, 0, 77));
         tier.should = vec![says(3); 5];
         let living = tier.of_side(0);
         let seen = Seen { living: &living, most: true, awake: true };
@@ -349,6 +352,9 @@
             assert!(!council.hear(Time(99_000_000), 2, bytes, &seen, &mut out));
         }
         assert!(out.is_empty() && council.held().map(|h| h.0.clone()) == held);
-        assert!(!Council::new(0, 3, 1).decides(&Seen { living: &[0], most: true, awake: false }), "it slept");
+        assert!(
+            !Council::new(0, 3, 0, 1).decides(&Seen { living: &[0], most: true, awake: false }),
+            "it slept"
+        );
     }
 }
--- a/crates/gaugesaddle-failover/src/decision.rs
+++ b/crates/gaugesaddle-failover/src/decision.rs
@@ -107,19 +107,12 @@
     /// Whether it counts instead of another: the newer one does, of two alike that of the lower place. Two processes of one
     /// place may have given one number to two decisions; which of them all come to hold must not depend on the way.
     pub fn over(&self, other: &Decision) -> bool {
-        let rank = |d: &Decision| (d.number, std::cmp::Reverse(d.by));
-        match rank(self).cmp(&rank(other)) {
-            std::cmp::Ordering::Equal => self.encode() > other.encode(),
-            order => order.is_gt(),
-        }
-    }
-
-    /// Whether the other gives the same orders, whatever its number.
-    pub fn says_as(&self, other: &Decision) -> bool {
-        (self.level, self.placed, &self.zones) == (other.level, other.placed, &other.zones)
+        let rank = |d: &Decision| (d.number, std::cmp::Reverse(d.by), d.encode());
+        rank(self) > rank(other)
     }
 
-    /// Whether the other gives about the same orders: no figure is off by more than so many 255ths, and trust by none.
+    /// Whether the other gives about the same orders, whatever its number: no figure is off by more than so many 255ths, and
+    /// trust by none.
     pub fn says_about(&self, other: &Decision, within: u8) -> bool {
         let cut = |c: Cut| u32::from(c.whole) * 255 + u32::from(c.part);
         let near = |a: u32, b: u32| a.abs_diff(b) <= u32::from(within);
--- a/crates/gaugesaddle-measure/src/shares.rs
+++ b/crates/gaugesaddle-measure/src/shares.rs
@@ -73,6 +73,8 @@
 
 /// What a run came to over time and over proxies.
 struct Spread {
+    /// Of all worth the part that was in time.
+    g: f64,
     /// The least part of the worth that was in time in any window.
     window: f64,
     /// The same of any proxy.
@@ -95,6 +97,7 @@
     let least = |all: &[(u64, f64)]| all.iter().fold(1.0, |m: f64, x| m.min(x.1));
     let (sum, squares) = proxies.iter().fold((0.0, 0.0), |(s, q), (_, x)| (s + x, q + x * x));
     Spread {
+        g: outcome.verdict.g,
         window: least(&windows),
         proxy: least(&proxies),
         jain: sum * sum / (proxies.len() as f64 * squares).max(1e-9),
@@ -255,8 +258,7 @@
 /// Says what a run came to.
 fn told(seed: u64, name: &str, s: &Scenario, outcome: &Outcome) -> Spread {
     let spread = spread(s, outcome);
-    let Spread { window, proxy, jain, dips } = &spread;
-    let g = outcome.verdict.g;
+    let Spread { g, window, proxy, jain, dips } = &spread;
     println!(
         "seed {seed}, {name}: G {g:.4}, worst 5 s {window:.3}, worst proxy {proxy:.3}, Jain {jain:.4}{}",
         dips.iter().map(|(at, part)| format!(", {part:.3} from {at} s")).collect::<String>()
@@ -290,8 +292,8 @@
             told(seed, name, &s, &outcome);
             seconds(&s, &outcome);
             print!("{}", outcome.verdict);
-            let of_region = outcome.verdict.regions.first().map(|r| r.g);
-            g.entry(name).or_default().push(of_region.unwrap_or(outcome.verdict.g));
+            let of_region = outcome.verdict.regions.first().map_or(outcome.verdict.g, |r| r.g);
+            g.entry(name).or_default().push(of_region);
         }
     }
     let figures: BTreeMap<&str, Value> = g.iter().map(|(name, all)| (*name, with_interval(all))).collect();
@@ -315,7 +317,7 @@
             .insert(format!("{proxies} over {nodes}"), json!({"even": round(even), "need": round(need)}));
     }
     let mut clean = true;
-    let mut all: HashMap<&str, Vec<(f64, f64, f64, f64)>> = HashMap::new();
+    let mut all: HashMap<&str, Vec<Spread>> = HashMap::new();
     let mut check = |outcome: &Outcome| {
         if !outcome.is_clean() {
             clean = false;
@@ -329,7 +331,7 @@
         for ((name, s), outcome) in names.into_iter().zip(&runs).zip(&outcomes) {
             let spread = told(seed, name, s, outcome);
             check(outcome);
-            all.entry(name).or_default().push((outcome.verdict.g, spread.window, spread.proxy, spread.jain));
+            all.entry(name).or_default().push(spread);
         }
     }
     let mut regions: HashMap<(bool, bool), Vec<f64>> = HashMap::new();
@@ -358,15 +360,15 @@
     println!("{scenarios} scenarios with {proxies} proxies and {faults} faults: {bad} not clean");
     let region_g = |key: (bool, bool)| mean(regions.get(&key).map_or(&[][..], Vec::as_slice));
     let kept = |by_need: bool| region_g((by_need, true)) / region_g((by_need, false)).max(1e-9);
-    let of = |name: &str, pick: fn(&(f64, f64, f64, f64)) -> f64| -> Vec<f64> {
+    let of = |name: &str, pick: fn(&Spread) -> f64| -> Vec<f64> {
         all.get(name).map(|runs| runs.iter().map(pick).collect()).unwrap_or_default()
     };
-    let g = |name: &str| of(name, |r| r.0);
+    let g = |name: &str| of(name, |r| r.g);
     let (need, even) = ("uneven traffic, by need", "even traffic, by need");
     let cost = mean(&g(even)) - mean(&g(need));
-    let behind = mean(&g(need)) - mean(&of(need, |r| r.2));
-    let dip = 1.0 - mean(&of("growing, by need", |r| r.1));
-    let jain = mean(&of(need, |r| r.3));
+    let behind = mean(&g(need)) - mean(&of(need, |r| r.proxy));
+    let dip = 1.0 - mean(&of("growing, by need", |r| r.window));
+    let jain = mean(&of(need, |r| r.jain));
     let held = [
         ("killed", mean(&g("killed, by need")) >= KILLED),
         ("uneven", cost <= UNEVEN),
@@ -383,8 +385,8 @@
         .map(|name| {
             (
                 name.to_string(),
-                json!({"g": with_interval(&g(name)), "worst_5_s": round(mean(&of(name, |r| r.1))),
-            "worst_proxy": round(mean(&of(name, |r| r.2))), "jain": round(mean(&of(name, |r| r.3)))}),
+                json!({"g": with_interval(&g(name)), "worst_5_s": round(mean(&of(name, |r| r.window))),
+            "worst_proxy": round(mean(&of(name, |r| r.proxy))), "jain": round(mean(&of(name, |r| r.jain)))}),
             )
         })
         .collect();
--- a/crates/gaugesaddle-peers/src/peers.rs
+++ b/crates/gaugesaddle-peers/src/peers.rs
@@ -709,6 +709,14 @@
         self.records.get(place)
     }
 
+    /// The zone that a place stands in; empty before it was told.
+    pub fn zone(&self, place: u16) -> &str {
+        match self.members.get(usize::from(place)) {
+            _ if place == self.told.own => &self.told.zone,
+            member => member.map_or("", |m| &m.zone),
+        }
+    }
+
     /// All places of the list, in their order.
     pub fn all(&self, now: Time) -> Vec<PeerView> {
         let view = |(place, m): (usize, &Member)| {
@@ -718,7 +726,7 @@
                 place: place as u16,
                 address: self.told.addresses[place],
                 name: if own { self.told.name.clone() } else { m.name.clone() },
-                zone: if own { self.told.zone.clone() } else { m.zone.clone() },
+                zone: self.zone(place as u16).into(),
                 standing: claim.map_or(Standing::Unseen, |c| c.standing),
                 since: m.since,
                 boot: claim.map(|c| c.boot),
--- a/crates/gaugesaddle/src/failover.rs
+++ b/crates/gaugesaddle/src/failover.rs
@@ -1,7 +1,7 @@
 //! Zones judged and decided in common, in the running proxy: the file beside the driver. What the others say is the tier's
 //! to carry, what follows is `gaugesaddle_failover`'s. Begun: what is decided is shown, and moves no traffic yet.
 
-use crate::peers::{Listener, Tier};
+use crate::peers::{Listener, Living, Said, Tier};
 use crate::registry::{Registry, ZoneRow, ZonesView};
 use crate::seam::Subsystem;
 use beechworks::{Balancer, Class, Event, Micros, Time};
@@ -9,7 +9,7 @@
     judge, plan, Blind, Council, Decision, Find, Judgement, Ladder, Number, Rule, Rungs, Seen, Voice,
     MOST_ZONES,
 };
-use gaugesaddle_peers::Signals;
+use gaugesaddle_peers::{Signals, ZoneSignal};
 use gaugesaddle_shares::{parts, Law, AWAKE};
 use serde::Deserialize;
 use std::cell::RefCell;
@@ -52,29 +52,38 @@
     }
 }
 
-/// What the notes of others meet: the decision that is held, and who lives as of the last look.
+/// Who lives, as of the last look; see [`Seen`].
+#[derive(Default)]
+struct Looked {
+    living: Vec<u16>,
+    most: bool,
+    awake: bool,
+}
+
+/// What the notes of others meet: the decision that is held, and who lives.
 pub struct Zones {
     council: RefCell<Council>,
-    living: RefCell<(Vec<u16>, bool, bool)>,
+    looked: RefCell<Looked>,
 }
 
 impl Zones {
     fn with<T>(&self, act: impl FnOnce(&mut Council, &Seen) -> T) -> T {
-        self.with_seen(|seen| act(&mut self.council.borrow_mut(), seen))
+        let looked = self.looked.borrow();
+        let seen = Seen { living: &looked.living, most: looked.most, awake: looked.awake };
+        act(&mut self.council.borrow_mut(), &seen)
     }
 
-    fn with_seen<T>(&self, look: impl FnOnce(&Seen) -> T) -> T {
-        let living = self.living.borrow();
-        look(&Seen { living: &living.0, most: living.1, awake: living.2 })
+    /// The same, where another decision may be held after it: that is said.
+    fn step(&self, act: impl FnOnce(&mut Council, &Seen) -> bool) {
+        if self.with(act) {
+            self.council.borrow().held().iter().for_each(|(d, _)| told(d));
+        }
     }
 }
 
 impl Listener for Zones {
     fn noted(&self, now: Time, from: u16, body: &[u8], answers: &mut Vec<(u16, Vec<u8>)>) {
-        let moved = self.with(|council, seen| council.hear(now, from, body, seen, answers));
-        if moved {
-            self.council.borrow().held().iter().for_each(|(d, _)| told(d));
-        }
+        self.step(|council, seen| council.hear(now, from, body, seen, answers));
     }
 }
 
@@ -108,8 +117,8 @@
         if names.len() > MOST_ZONES {
             return None;
         }
-        let council = RefCell::new(Council::new(tier.place(), names.len(), seed));
-        let zones = Rc::new(Zones { council, living: RefCell::default() });
+        let council = RefCell::new(Council::new(tier.place(), names.len(), NOISE, seed));
+        let zones = Rc::new(Zones { council, looked: RefCell::default() });
         tier.listen_to(zones.clone());
         let worth: Vec<f64> = classes.iter().map(|c| c.worth).collect();
         let mut order: Vec<usize> = (0..worth.len()).collect();
@@ -119,17 +128,13 @@
         Some(ZoneWatch { settings, tier, registry, zones, names, worth, order, ladders, cut: None, next })
     }
 
-    fn voices(&self, now: Time) -> Vec<Voice> {
-        let records = self.tier.records(now);
+    fn voices(&self, now: Time, living: &[u16]) -> Vec<Voice> {
+        let records = self.tier.records(now, living);
         let needs: Vec<Option<f64>> = records.iter().map(|r| r.signals.need).collect();
         let parts = parts(&Law::default(), &needs);
-        let voice = |(r, part): (crate::peers::Said, f64)| {
+        let voice = |(r, part): (Said, f64)| {
             let Signals { arrivals, zones, .. } = r.signals;
-            let find = |z: gaugesaddle_peers::ZoneSignal| Find {
-                backends: z.backends,
-                ill: z.ill,
-                can_per_s: z.can_per_s,
-            };
+            let find = |z: ZoneSignal| Find { backends: z.backends, ill: z.ill, can_per_s: z.can_per_s };
             Some(Voice {
                 place: r.place,
                 zone: self.names.iter().position(|n| *n == r.zone)?,
@@ -150,9 +155,7 @@
         let needs: Vec<Vec<f64>> = judged.zones.iter().map(|z| z.needs.clone()).collect();
         let target = f64::from(self.settings.target_percent) / 100.0;
         let plan = plan(target, &needs, &can?, &self.worth);
-        let new = Decision::of(Number::default(), self.tier.place(), &plan, &trust, &self.order)?;
-        let held = self.zones.council.borrow().held().map(|h| h.0.clone());
-        Some(held.filter(|held| held.says_about(&new, NOISE)).unwrap_or(new))
+        Decision::of(Number::default(), self.tier.place(), &plan, &trust, &self.order)
     }
 
     /// Whether most find this proxy blind to what they see. It serves on, and asks for no more clients.
@@ -173,6 +176,7 @@
     }
 
     fn view(&self, now: Time, judged: &Judgement, cut: Option<String>) -> ZonesView {
+        let decides = self.zones.with(|council, seen| council.decides(seen));
         let council = self.zones.council.borrow();
         let held = council.held();
         let row = |(z, name): (usize, &String)| {
@@ -194,7 +198,7 @@
             round: held.map_or(0, |h| h.0.number.round),
             by: held.map(|h| h.0.by),
             held_us: held.map_or(0, |h| (now - h.1).0),
-            decides: self.zones.with_seen(|seen| council.decides(seen)),
+            decides,
             cut_off: cut,
             blind: judged.blind.iter().map(|b| (b.place, self.names[b.zone].clone())).collect(),
             zones: self.names.iter().enumerate().map(row).collect(),
@@ -208,11 +212,10 @@
             return;
         }
         self.next = now + LOOK;
-        let needs = self.tier.needs(now);
-        let most = needs.places.len() * 2 > needs.told;
-        let awake = needs.awake >= AWAKE;
-        *self.zones.living.borrow_mut() = (needs.places, most, awake);
-        let voices = self.voices(now);
+        let Living { told, awake, places, .. } = self.tier.living(now);
+        let (most, awake) = (places.len() * 2 > told, awake >= AWAKE);
+        let voices = self.voices(now, &places);
+        *self.zones.looked.borrow_mut() = Looked { living: places, most, awake };
         let judged = judge(&Rule::default(), self.names.len(), self.worth.len(), &voices);
         // Before that its own voice may be the only one, and most of one is no judgement.
         for (ladder, zone) in self.ladders.iter_mut().zip(&judged.zones).filter(|_| awake) {
@@ -220,10 +223,7 @@
         }
         let should = self.should(&judged);
         let mut notes = Vec::new();
-        let moved = self.zones.with(|council, seen| council.look(now, seen, should.as_ref(), &mut notes));
-        if moved {
-            self.zones.council.borrow().held().iter().for_each(|(d, _)| told(d));
-        }
+        self.zones.step(|council, seen| council.look(now, seen, should.as_ref(), &mut notes));
         self.tier.note(notes);
         let cut = self.look_at_self(now, &judged);
         *self.registry.zones.borrow_mut() = Some(self.view(now, &judged, cut));
--- a/crates/gaugesaddle/src/peers/mod.rs
+++ b/crates/gaugesaddle/src/peers/mod.rs
@@ -12,7 +12,6 @@
 use settings::PeersError;
 use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -50,8 +49,8 @@
     pub position: u32,
 }
 
-/// What all that live need, in an order that all share.
-pub struct Needs {
+/// Who lives, in an order that all share, and how sure that is.
+pub struct Living {
     /// Places of the told list.
     pub told: usize,
     /// So long this process has been awake.
@@ -62,8 +61,6 @@
     pub own: usize,
     /// Their places in the told list.
     pub places: Vec<u16>,
-    /// Requests a second; `None`: not told yet.
-    pub needs: Vec<Option<f64>>,
 }
 
 /// What one that lives says of itself.
@@ -98,8 +95,6 @@
     classes: Vec<String>,
     /// Each takes those notes that are for it, by their form.
     listeners: RefCell<Vec<Rc<dyn Listener>>>,
-    /// The zone that this proxy stands in.
-    zone: String,
 }
 
 fn key(key: &str, what: &str) -> PeersError {
@@ -149,7 +144,7 @@
             |n: String| Some(n).filter(|n| n.bytes().all(|b| b.is_ascii_graphic())).unwrap_or_default();
         let cut = |n: String| n.chars().take(gaugesaddle_peers::NAME_BYTES).collect::<String>();
         let (name, zone) = (cut(sound(own.name)), cut(sound(own.zone)));
-        let told = Told { addresses, own: place as u16, all, name, zone: zone.clone() };
+        let told = Told { addresses, own: place as u16, all, name, zone };
         let drawn = || {
             OsRng.try_next_u64().map_err(|e| key("peers.enabled", &format!("expected random numbers: {e}")))
         };
@@ -160,7 +155,7 @@
         let peers = peers.map_err(|e| key("peers.addresses", &e.to_string()))?;
         let (record, socket, unsent) = (RefCell::default(), RefCell::default(), Cell::default());
         let (peers, classes, listeners) = (RefCell::new(peers), classes.to_vec(), RefCell::default());
-        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes, listeners, zone }))
+        Ok(Rc::new(Tier { clock, listen, peers, publish, record, socket, unsent, classes, listeners }))
     }
 
     /// Takes the address.
@@ -254,17 +249,15 @@
         self.peers.borrow().place()
     }
 
-    /// What all that live say of themselves, this one among them, as far as it has come.
-    pub fn records(&self, now: Time) -> Vec<Said> {
+    /// What these say of themselves, as far as it has come.
+    pub fn records(&self, now: Time, places: &[u16]) -> Vec<Said> {
         let peers = self.peers.borrow();
-        let own = peers.place();
-        let zones: BTreeMap<u16, String> = peers.all(now).into_iter().map(|p| (p.place, p.zone)).collect();
-        let said = |place: u16| {
-            let record = peers.record(place)?;
-            let zone = if place == own { self.zone.clone() } else { zones.get(&place)?.clone() };
+        let said = |place: &u16| {
+            let record = peers.record(*place)?;
+            let (place, zone) = (*place, peers.zone(*place).into());
             Some(Said { place, zone, age: record.age(now), signals: Signals::decode(&record.body)? })
         };
-        peers.living().into_iter().filter_map(said).collect()
+        places.iter().filter_map(said).collect()
     }
 
     /// This proxy's place, how many there are, and its process; `None` until the address is held: the process before this
@@ -338,16 +331,20 @@
         self.publish
     }
 
-    /// Who lives, in the order of places, and what comes to each.
-    pub fn needs(&self, now: Time) -> Needs {
+    /// Who lives, in the order of places.
+    pub fn living(&self, now: Time) -> Living {
         let peers = self.peers.borrow();
-        let (living, view) = (peers.living(), peers.view(now));
-        let need = |place: &u16| Signals::decode(&peers.record(*place)?.body)?.need;
-        let own = living.iter().position(|p| *p == peers.place()).unwrap_or(0);
-        let needs = living.iter().map(need).collect();
+        let (places, view) = (peers.living(), peers.view(now));
+        let own = places.iter().position(|p| *p == peers.place()).unwrap_or(0);
         // Who has not the address yet hears nobody, and would take itself for the only one.
         let awake = if self.socket.borrow().is_some() { view.awake } else { Micros(0) };
-        Needs { told: view.told, awake, still: view.unchanged, own, places: living, needs }
+        Living { told: view.told, awake, still: view.unchanged, own, places }
+    }
+
+    /// What comes to each of these, in requests a second; `None`: not told yet.
+    pub fn needs(&self, places: &[u16]) -> Vec<Option<f64>> {
+        let peers = self.peers.borrow();
+        places.iter().map(|p| Signals::decode(&peers.record(*p)?.body)?.need).collect()
     }
 
     /// What can be read of the tier.
--- a/crates/gaugesaddle/src/shares.rs
+++ b/crates/gaugesaddle/src/shares.rs
@@ -1,7 +1,7 @@
 //! This proxy's part of what all of them may do, by need, in the running proxy: the file beside the driver. Who lives and
 //! what each gets is the tier's to say, what follows is `gaugesaddle_shares`'; here the module is told.
 
-use crate::peers::{Needs, Tier};
+use crate::peers::{Living, Tier};
 use crate::region::Regions;
 use crate::registry::{LentView, Registry, SharesView, SoftView};
 use crate::seam::Subsystem;
@@ -117,20 +117,14 @@
 
 /// What goes by this part, as the module stands.
 fn soft(part: f64, by: &str, used: usize, listed: usize, s: &Standing) -> Vec<SoftView> {
-    let view = |name: &str, whole: f64, own: f64, used: f64, by: &str| SoftView {
-        name: name.into(),
-        whole,
-        own,
-        used,
-        by: by.into(),
-    };
+    let view = |name: &str, whole, own, used| SoftView { name: name.into(), whole, own, used, by: by.into() };
     let whole = |own: f64| own / part.max(1e-6);
     // Before the backends have been dealt out the module uses those of its own way.
     let uses = if used > 0 { used as f64 } else { s.ready };
     vec![
-        view("attempts out", whole(s.pool), s.pool, s.out as f64, by),
-        view("requests a second", whole(s.arrivals), s.arrivals, s.rate, by),
-        view("backends", listed as f64, uses, s.ready, by),
+        view("attempts out", whole(s.pool), s.pool, s.out as f64),
+        view("requests a second", whole(s.arrivals), s.arrivals, s.rate),
+        view("backends", listed as f64, uses, s.ready),
     ]
 }
 
@@ -140,14 +134,15 @@
             return;
         }
         self.next = now + LOOK;
-        let needs = self.tier.needs(now);
-        let living = needs.needs.len();
-        let Needs { told, awake, still, own, .. } = needs;
-        let seen = Seen { told, awake, still, own, places: &needs.places, needs: &needs.needs };
-        let (state, part) = match self.dealer.look(now, &seen, module.listed()) {
+        let Living { told, awake, still, own, places } = self.tier.living(now);
+        let (needs, living) = (self.tier.needs(&places), places.len());
+        let seen = Seen { told, awake, still, own, places: &places, needs: &needs };
+        let listed = module.listed();
+        let ready = listed.len();
+        let (state, part) = match self.dealer.look(now, &seen, listed) {
             Look::Waking(weight) => {
                 self.next = now + WAKING_LOOK;
-                ("waking", weight / needs.told.max(1) as f64)
+                ("waking", weight / told.max(1) as f64)
             }
             Look::ByNeed(tier) => {
                 // Told each time: a module that had to start anew knows nothing of it.
@@ -163,21 +158,21 @@
         if now >= self.lend {
             // Counts of less than a look are chance.
             self.lend = now + LOOK;
-            self.regions.iter().for_each(|r| r.lend(now, &self.tier, &needs.places));
+            self.regions.iter().for_each(|r| r.lend(now, &self.tier, &places));
         }
         let by = if state == "by need" { "need, of the living" } else { "the told number" };
         let dealt = self.dealer.uses().len();
-        let soft = soft(part, by, dealt, module.listed().len(), &module.standing());
+        let soft = soft(part, by, dealt, ready, &module.standing());
         *self.registry.shares.borrow_mut() = Some(SharesView {
             state: state.into(),
-            told: needs.told,
+            told,
             living,
-            position: needs.own,
+            position: own,
             part,
             even: 1.0 / living.max(1) as f64,
-            need: needs.needs.get(needs.own).copied().flatten().unwrap_or(0.0),
-            needs: needs.needs.iter().flatten().sum(),
-            unknown: needs.needs.iter().filter(|n| n.is_none()).count(),
+            need: needs.get(own).copied().flatten().unwrap_or(0.0),
+            needs: needs.iter().flatten().sum(),
+            unknown: needs.iter().filter(|n| n.is_none()).count(),
             uses: dealt,
             soft,
             listed: self.dealer.listed(),
--- a/crates/gaugesaddle/tests/tier/mod.rs
+++ b/crates/gaugesaddle/tests/tier/mod.rs
@@ -56,25 +56,21 @@
 
     /// All of them run and hold one another alive.
     pub fn start(name: &str, places: usize) -> Tier {
-        let mut tier = Tier::told(name, places, true);
-        (0..places).for_each(|p| tier.run(p));
-        tier.agree("all know one another");
-        tier
+        Tier::start_with(name, places, "")
     }
 
     /// All but the last place, which the test has; with more in each operator's file.
     pub fn start_but_last(name: &str, places: usize, more: &str) -> Tier {
         let mut tier = Tier::told(name, places, true);
-        tier.more = more.into();
+        tier.add(more);
         (0..places - 1).for_each(|p| tier.run(p));
         tier
     }
 
-    /// The same, with more in each operator's file.
+    /// All of them, with more in each operator's file.
     pub fn start_with(name: &str, places: usize, more: &str) -> Tier {
-        let mut tier = Tier::told(name, places, true);
-        tier.more = more.into();
-        (0..places).for_each(|p| tier.run(p));
+        let mut tier = Tier::start_but_last(name, places, more);
+        tier.run(places - 1);
         tier.agree("all know one another");
         tier
     }
@@ -84,17 +80,22 @@
     }
 
     pub fn file(&self, place: usize) -> PathBuf {
+        self.file_with(place, place)
+    }
+
+    /// Of a process whose state is read at another place.
+    fn file_with(&self, place: usize, state_of: usize) -> PathBuf {
         let addresses: Vec<String> = self.ways.addresses().iter().map(|a| format!("\"{a}\"")).collect();
         let key = if self.keyed { format!("key = {:?}\n", self.folder.join("key")) } else { String::new() };
         let text = format!(
             "[state]\nsocket = {:?}\n[peers]\nenabled = true\nlisten = \"{}\"\nown = {}\naddresses = [{}]\n{key}{}",
-            self.socket(place),
+            self.socket(state_of),
             self.listens[place],
             addresses[place],
             addresses.join(", "),
             self.more
         );
-        let file = self.folder.join(format!("{place}.toml"));
+        let file = self.folder.join(format!("{state_of}.toml"));
         std::fs::write(&file, text).unwrap();
         file
     }
@@ -114,11 +115,7 @@
     pub fn run_for_upgrade(&mut self, place: usize, state_of: usize) {
         let mut config = self.config(place);
         config["admin"] = free_address().to_string().into();
-        let file = self.file(place);
-        let text = std::fs::read_to_string(&file).unwrap();
-        let (own, its) = (self.socket(place), self.socket(state_of));
-        let file = self.folder.join(format!("{state_of}.toml"));
-        std::fs::write(&file, text.replace(own.to_str().unwrap(), its.to_str().unwrap())).unwrap();
+        let file = self.file_with(place, state_of);
         let proxy = Proxy::spawn_in(
             &config,
             &[("TMPDIR", self.folder.as_os_str()), ("GAUGESADDLE_CONFIG", file.as_os_str())],
