Leave a server that nobody answered at alone until discovery is heard again

Cause: `solve` lets an ejected backend come back when its term is over, whoever answers there by then. With the watch lost nobody has said that it may be used again. Pushed lists are not touched: their watch is never lost.

--- a/crates/beechworks/src/logic.rs
+++ b/crates/beechworks/src/logic.rs
@@ -168,7 +168,10 @@
                 self.wake_by(at);
                 self.log(now, "discovery lost, asking again".into());
             }
-            (ListUpdate::Changes | ListUpdate::Full, _) => self.ask = (None, 0.0),
+            (ListUpdate::Changes | ListUpdate::Full, _) => {
+                self.ask = (None, 0.0);
+                self.peers.values_mut().for_each(|p| p.absent = false);
+            }
             _ => {}
         }
         if self.take_list(update, list) {
@@ -355,6 +358,7 @@
         if p.ejected.is_none_or(|until| now >= until) {
             p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2()));
             (p.strikes, p.ready) = (p.strikes + 1, 0.0);
+            p.absent = why == Outcome::ConnectFailed && p.strikes > 1;
             self.wake_by(now + self.cfg.tick);
             self.log(now, format!("backend {} ejected: {why:?}", id.0));
         }
@@ -488,7 +492,8 @@
         self.ready = all - out;
         self.kinds.values_mut().for_each(|k| (k.ready, k.own) = (0.0, 0.0));
         for p in self.peers.values_mut() {
-            if p.ejected.is_some_and(|until| now >= until) {
+            // With discovery out of hearing nobody says that who is back there may be used.
+            if p.ejected.is_some_and(|until| now >= until && !(p.absent && self.ask.0.is_some())) {
                 // It comes back as it is: the next failure ejects it for longer.
                 (p.ejected, p.errors) = (None, 0.0);
             }
--- a/crates/beechworks/src/state.rs
+++ b/crates/beechworks/src/state.rs
@@ -229,6 +229,8 @@
     pub ejected: Option<Time>,
     /// Ejections without a good answer between them.
     pub strikes: i32,
+    /// Nobody took its connections time and again: its process has left, and who comes back there is another one.
+    pub absent: bool,
     /// Work sent inside the fall window.
     pub spent: Vec<(Time, f64)>,
     /// What it may hold.
--- a/crates/beechworks/tests/failures.rs
+++ b/crates/beechworks/tests/failures.rs
@@ -484,6 +484,43 @@
     assert_eq!(host.follows, 3, "an unanswered call is repeated");
 }
 
+/// A server leaves and another process comes to its address while discovery is out of hearing: that it left counts as told
+/// after 6 s, though nobody told it. Before, it was used again as soon as somebody answered there.
+#[test]
+fn a_server_that_left_unheard_is_not_used_before_discovery_is_heard() {
+    let subscribed = |list: Vec<Backend>| {
+        let discovery = Discovery::Subscribe(Micros(10_000_000));
+        host(Config { discovery, ..config(vec![class(Effect::Free)]) }, list)
+    };
+    let gone_for_4_s = |host: &mut Host| {
+        let mut refused = 0;
+        for _ in 0..400 {
+            let id = host.arrive(0, 900_000);
+            while let Some(no) = host.sent_to(id).iter().position(|b| *b == 3) {
+                if no + 1 < host.sent_to(id).len() {
+                    break;
+                }
+                refused += 1;
+                host.end(id, no, Outcome::ConnectFailed);
+            }
+            host.advance(10_000);
+            let last = host.sent_to(id).len() - 1;
+            host.end(id, last, Outcome::Ok);
+        }
+        refused
+    };
+    let lost = || Event::Members { update: ListUpdate::Lost, backends: Vec::new() };
+    let mut unheard = subscribed(fleet(6));
+    unheard.event(lost());
+    assert!(gone_for_4_s(&mut unheard) >= 2, "it was tried");
+    assert!(!serve(&mut unheard, 600, 0, |_| 10_000).contains(&3), "used though nobody said so");
+    unheard.members(ListUpdate::Changes, Vec::new());
+    assert!(serve(&mut unheard, 200, 0, |_| 10_000).contains(&3), "heard, it serves again");
+    let mut heard = subscribed(fleet(6));
+    gone_for_4_s(&mut heard);
+    assert!(serve(&mut heard, 600, 0, |_| 10_000).contains(&3), "with a watch in force its term decides");
+}
+
 #[test]
 fn a_stream_once_begun_is_left_alone() {
     let mut host = host(config(vec![class(Effect::Free)]), fleet(2));
