--- a/crates/gaugesaddle/src/server.rs
+++ b/crates/gaugesaddle/src/server.rs
@@ -67,6 +67,9 @@
 const QUIET: Duration = Duration::from_millis(500);
 /// After a failed accept (out of descriptors, say) the next is tried this much later.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Half a request on a connection between requests is waited for so much longer when the process ends: one that comes later
+/// may find it killed before its answer, while its client asks another proxy if the connection is closed.
+const HALF_HEAD: Micros = Micros(200_000);
 /// Ticks between the answer to a client and the end of its patience, for the way there and back.
 const MARGIN_TICKS: u64 = 2;
 
@@ -302,7 +305,12 @@
         }
         let why = if lifecycle.is_stopping() { Reason::ClosedStopping } else { Reason::ClosedDraining };
         let between = |l: &&Rc<Link>| l.is_used() && matches!(l.phase.get(), Phase::Waiting(_));
-        self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now, why));
+        for link in self.links.borrow().values().filter(between) {
+            match link.told.get() {
+                Some((at, _)) if lifecycle.is_stopping() && now - at >= HALF_HEAD => link.close.notify_one(),
+                _ => link.tell_to_close(now, why),
+            }
+        }
     }
 
     fn close_overdue(&self) {
--- a/crates/gaugesaddle/tests/crossings.rs
+++ b/crates/gaugesaddle/tests/crossings.rs
@@ -344,6 +344,132 @@
     assert!(sent.elapsed() < Duration::from_millis(2_900), "{:?}", sent.elapsed());
 }
 
+/// Half a request, of which the rest does not come: the end does not wait for it, and whoever sends it later finds a
+/// closed connection while the process could still answer elsewhere.
+#[test]
+fn half_a_request_that_never_ends_does_not_hold_up_the_end() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut proxy = Proxy::start(&config(discovery.address, &[ready("a", &backend)]));
+    discovery.tell(true, &[ready("a", &backend)]);
+    let mut half = Client::open(proxy.address);
+    half.send(&request("read", 7000));
+    assert_eq!(half.answer().map(|a| a.status()), Some(200));
+    half.send("GET /read/a?b=c HTTP/1.1\r\nHost: back");
+    let before = Instant::now();
+    proxy.terminate();
+    assert!(half.ends());
+    assert!(proxy.exit().success());
+    assert!(before.elapsed() < Duration::from_millis(1_500), "{:?}", before.elapsed());
+}
+
+// Hand-overs.
+
+/// A new configuration comes while a request is at work: its classes stand in another order and have other effects, its
+/// limits and tenants are others. All that goes on under the one of the start, and the log says what did not change.
+#[test]
+fn settings_that_change_under_a_request_change_nothing_before_a_restart() {
+    let gated = Gated::start();
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[ready("a", &gated.backend)]);
+    let proxy = Proxy::start(&config);
+    discovery.tell(true, &[ready("a", &gated.backend)]);
+    let mut client = open(&proxy);
+    client.write_all(request("pay", 7000).as_bytes()).unwrap();
+    gated.has_one();
+    let settings = &mut config["settings"];
+    let mut profiles = settings["profiles"].as_array().unwrap().clone();
+    profiles.reverse();
+    (profiles[0]["effect"], profiles[2]["effect"]) = (json!("free"), json!("single_shot"));
+    settings["profiles"] = json!(profiles);
+    settings["customers"] = json!([{"name": "acme", "quota_rps": 1.0}]);
+    proxy.reload(&config.to_string());
+    until("what is not taken up", || {
+        let log = proxy.log();
+        ["settings.profiles", "settings.customers"].iter().all(|key| log.contains(key))
+    });
+    // Under the new one it might be sent again, for there it may.
+    gated.go.send(Reply::SayAndClose(String::new())).unwrap();
+    let mut answer = [0; 12];
+    client.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 502");
+    for _ in 0..3 {
+        gated.go.send(ok("x")).unwrap();
+        assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200, "as it was, with no account");
+    }
+    assert_eq!(gated.backend.requests().len(), 4, "each was sent once");
+    // Another proxy's file moves nothing: its discovery is not this one's.
+    let other = Discovery::start();
+    config["name"] = json!("n2");
+    config["discovery"] = json!(other.address.to_string());
+    proxy.reload(&config.to_string());
+    until("the refusal", || proxy.log().contains("name: expected \"n1\", got \"n2\""));
+    discovery.tell(false, &[]);
+    assert_eq!(other.calls(), 0);
+}
+
+/// A process that starts with a list is ready at once, whatever discovery does: silent, refusing, or asked and down.
+#[test]
+fn a_start_is_ready_without_discovery() {
+    let backend = Backend::start(|_| ok("x"));
+    let silent = Discovery::start();
+    for (mode, address) in [
+        ("automatic", silent.address),
+        ("automatic", free_address()),
+        ("subscribe", silent.address),
+        ("subscribe", free_address()),
+    ] {
+        let mut config = config(address, &[ready("a", &backend)]);
+        config["settings"]["discovery"] = json!(mode);
+        config["settings"]["group_size"] = json!(300);
+        let start = Instant::now();
+        let proxy = Proxy::start(&config);
+        assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+        assert!(start.elapsed() < Duration::from_secs(10), "{mode}: {:?}", start.elapsed());
+    }
+}
+
+// Descriptors.
+
+/// Idle clients hold every descriptor that clients may have while discovery is down, and go on coming: the server that
+/// leaves at its return is known in time, and who has something to ask gets in.
+#[test]
+fn a_crowd_of_idle_clients_takes_no_descriptor_from_discovery_or_backends() {
+    const GRACE: Duration = Duration::from_millis(550);
+    let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[ready("a", &a), ready("b", &b)]);
+    config["limits"]["sockets"] = json!(64);
+    // The system's own limit is the one that is told.
+    let proxy = Proxy::spawn_with(&config, "64", &[]);
+    until("ready", || proxy.ready() == 200);
+    discovery.tell(true, &[ready("a", &a), ready("b", &b)]);
+    let (stop, stopped) = mpsc::channel::<()>();
+    let address = proxy.address;
+    let crowd = std::thread::spawn(move || {
+        let mut idle = Vec::new();
+        while matches!(stopped.try_recv(), Err(mpsc::TryRecvError::Empty)) {
+            idle.extend(TcpStream::connect(address));
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        idle.len()
+    });
+    discovery.reset();
+    let down = Instant::now();
+    while down.elapsed() < Duration::from_millis(1_200) {
+        assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+    }
+    let told = Instant::now();
+    discovery.come_back(false, &[line("a", a.address, "draining", 0)]);
+    std::thread::sleep((told + GRACE).saturating_duration_since(Instant::now()));
+    let before = a.requests().len();
+    (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200));
+    assert_eq!(a.requests().len(), before, "sent to a server that has left");
+    drop(stop);
+    assert!(crowd.join().unwrap() > 64, "it was no crowd");
+    assert!(!proxy.log().contains("accept: failed"), "{}", proxy.log());
+}
+
 // What may have run.
 
 /// A long body with a stated length has gone to the backend whole, which then breaks off: it may have run. Its client
