--- /dev/null
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -0,0 +1,198 @@
+//! Elections: pre-votes, votes, and the end of a leadership.
+
+use crate::pending::AfterWrite;
+use crate::replica::{NotLeading, Progress};
+use crate::{Output, ProposalResult, Replica, Role};
+use gaugesaddle_protocol::{ReplicaId, ReplicaMessage, Stamp};
+
+/// The next pseudo-random number after one (xorshift); elections need no better one.
+fn next_random(mut x: u64) -> u64 {
+    x ^= x << 13;
+    x ^= x >> 7;
+    x ^ (x << 17)
+}
+
+impl Replica {
+    pub(crate) fn set_election_time(&mut self, now: u64) {
+        self.random = next_random(self.random);
+        let spread = self.random % self.settings.election_spread.max(1);
+        self.election_at = now + self.settings.election + spread;
+    }
+
+    /// Whether a leader has been heard so lately that nobody else should stand.
+    fn follows_living_leader(&self, now: u64) -> bool {
+        self.leader.is_some() && self.heard.is_some_and(|at| now < at + self.settings.election)
+    }
+
+    pub(crate) fn begin_election(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.set_election_time(now);
+        self.leader = None;
+        // A replica whose disk hangs could not keep its vote.
+        if !self.is_voter() || self.disk_hangs(now) {
+            return;
+        }
+        self.role = Role::Follower;
+        self.pre_votes = [self.ballot.me].into();
+        let message = ReplicaMessage::PreVote { term: self.ballot.term + 1, last: self.state.stamp };
+        for other in self.others() {
+            out.push(Output::Send(other, message.clone()));
+        }
+        self.stand_if_wanted(now, out);
+    }
+
+    pub(crate) fn pre_vote(
+        &mut self, now: u64, from: ReplicaId, term: u64, last: Stamp, out: &mut Vec<Output>,
+    ) {
+        let led = self.role == Role::Leader || self.follows_living_leader(now);
+        let known = self.state.voters.contains(&from);
+        let granted = !led && known && self.is_voter() && term > self.ballot.term && last >= self.state.stamp;
+        let term = if granted { term } else { self.ballot.term };
+        out.push(Output::Send(from, ReplicaMessage::PreVoteReply { term, granted }));
+    }
+
+    pub(crate) fn pre_vote_reply(
+        &mut self, now: u64, from: ReplicaId, term: u64, granted: bool, out: &mut Vec<Output>,
+    ) {
+        if granted && self.role == Role::Follower && term == self.ballot.term + 1 && self.leader.is_none() {
+            self.pre_votes.insert(from);
+            self.stand_if_wanted(now, out);
+        } else if !granted && term > self.ballot.term {
+            self.observe_term(now, term, out);
+        }
+    }
+
+    fn stand_if_wanted(&mut self, now: u64, out: &mut Vec<Output>) {
+        let wanted = self.pre_votes.iter().filter(|v| self.state.voters.contains(v)).count();
+        if wanted < self.majority() {
+            return;
+        }
+        self.pre_votes.clear();
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.ballot.term += 1;
+        self.ballot.voted_for = Some(self.ballot.me);
+        self.votes.clear();
+        let ticket = self.persist(now, false, out);
+        self.after.push_back((ticket, AfterWrite::Campaign { term: self.ballot.term }));
+    }
+
+    /// The own vote is on the disk: asks the others for theirs.
+    pub(crate) fn campaign(&mut self, now: u64, term: u64, out: &mut Vec<Output>) {
+        if self.role != Role::Candidate || term != self.ballot.term {
+            return;
+        }
+        self.votes.insert(self.ballot.me);
+        for other in self.others() {
+            out.push(Output::Send(other, ReplicaMessage::Vote { term, last: self.state.stamp }));
+        }
+        self.lead_if_elected(now, out);
+    }
+
+    pub(crate) fn vote(&mut self, now: u64, from: ReplicaId, term: u64, last: Stamp, out: &mut Vec<Output>) {
+        let known = self.state.voters.contains(&from) && self.is_voter();
+        if !known || (term > self.ballot.term && self.follows_living_leader(now)) {
+            return;
+        }
+        if term > self.ballot.term {
+            self.observe_term(now, term, out);
+        }
+        let free = self.ballot.voted_for.is_none_or(|v| v == from);
+        if term < self.ballot.term || !free || last < self.state.stamp || self.role != Role::Follower {
+            let refusal = ReplicaMessage::VoteReply { term: self.ballot.term, granted: false };
+            out.push(Output::Send(from, refusal));
+            return;
+        }
+        self.ballot.voted_for = Some(from);
+        self.set_election_time(now);
+        let ticket = self.persist(now, false, out);
+        let reply = ReplicaMessage::VoteReply { term, granted: true };
+        self.after.push_back((ticket, AfterWrite::Send(from, reply)));
+    }
+
+    pub(crate) fn vote_reply(
+        &mut self, now: u64, from: ReplicaId, term: u64, granted: bool, out: &mut Vec<Output>,
+    ) {
+        if term > self.ballot.term {
+            return self.observe_term(now, term, out);
+        }
+        // A vote may come before the own one is on the disk; that one is counted as well only then.
+        if granted && term == self.ballot.term && self.role == Role::Candidate {
+            self.votes.insert(from);
+            self.lead_if_elected(now, out);
+        }
+    }
+
+    fn lead_if_elected(&mut self, now: u64, out: &mut Vec<Output>) {
+        let votes = self.votes.iter().filter(|v| self.state.voters.contains(v)).count();
+        if votes < self.majority() || !self.votes.contains(&self.ballot.me) {
+            return;
+        }
+        self.role = Role::Leader;
+        self.leader = Some(self.ballot.me);
+        self.peers = self.others().into_iter().map(|p| (p, Progress::default())).collect();
+        self.learners.clear();
+        self.rounds.clear();
+        let assumed = Some(now);
+        self.peers.values_mut().for_each(|p| p.contact = assumed);
+        self.write_state(now, out);
+        self.heartbeat(now, out);
+    }
+
+    /// A newer term: whoever was leader or candidate follows.
+    pub(crate) fn observe_term(&mut self, now: u64, term: u64, out: &mut Vec<Output>) {
+        if term <= self.ballot.term {
+            return;
+        }
+        self.step_down(now, None, out);
+        self.ballot.term = term;
+        self.ballot.voted_for = None;
+        self.persist(now, false, out);
+    }
+
+    /// Follows, and gives no clear answer to what waits.
+    pub(crate) fn step_down(&mut self, now: u64, leader: Option<ReplicaId>, out: &mut Vec<Output>) {
+        if self.role == Role::Leader {
+            self.set_election_time(now);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.pre_votes.clear();
+        for id in self.proposing.take().into_iter().chain(self.proposals.drain(..).map(|(id, _)| id)) {
+            out.push(Output::Proposed(id, ProposalResult::Unclear));
+        }
+        for waiting in self.confirming.drain(..) {
+            out.push(match waiting.answer {
+                crate::pending::Confirmed::Read(id, _) => Output::Read(id, Err(NotLeading)),
+                crate::pending::Confirmed::Proposal(id, _) => Output::Proposed(id, ProposalResult::Unclear),
+            });
+        }
+        for id in self.early.drain(..) {
+            out.push(Output::Read(id, Err(NotLeading)));
+        }
+    }
+
+    pub(crate) fn disk_hangs(&self, now: u64) -> bool {
+        self.writes.front().is_some_and(|(_, begun, _, _)| now > begun + self.settings.disk)
+    }
+
+    pub(crate) fn check_lease(&mut self, now: u64, out: &mut Vec<Output>) {
+        if self.role == Role::Leader && (!self.has_lease(now) || self.disk_hangs(now)) {
+            self.step_down(now, None, out);
+        }
+    }
+
+    /// When the last heartbeat was sent that a majority has answered.
+    pub(crate) fn majority_contact(&self) -> u64 {
+        let contact = |v: &ReplicaId| {
+            if *v == self.ballot.me {
+                u64::MAX / 2
+            } else {
+                self.peers.get(v).and_then(|p| p.contact).unwrap_or(0)
+            }
+        };
+        let mut contacts: Vec<u64> = self.state.voters.iter().map(contact).collect();
+        contacts.sort_unstable_by(|a, b| b.cmp(a));
+        contacts.get(self.majority() - 1).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -0,0 +1,336 @@
+//! One replica: its state, inputs and outputs.
+//!
+//! ```text
+//!             silence, pre-votes of a majority          votes of a majority, own on disk
+//!  Follower ------------------------------> Candidate ---------------------------------> Leader
+//!     ^  ^                                      |                                          |
+//!     |  +---------- newer term, a leader ------+                                          |
+//!     +---- newer term, no majority heard for `lease`, own disk slower than `disk` --------+
+//! ```
+
+use crate::pending::{AfterWrite, Confirming};
+use crate::{Proposal, ProposalResult, Settings, TicketId};
+use gaugesaddle_protocol::{Ballot, Configuration, ReplicaId, ReplicaMessage, Stamp, State};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What happens to a replica.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A message of another replica.
+    Message {
+        /// Who sent it.
+        from: ReplicaId,
+        /// What it says.
+        message: ReplicaMessage,
+    },
+    /// A write and all before it are on the disk.
+    Persisted(TicketId),
+    /// An operator's change; answered by [`Output::Proposed`] with the same number.
+    Propose(u64, Box<Proposal>),
+    /// A current read; answered by [`Output::Read`] with the same number.
+    Read(u64),
+}
+
+/// What a replica wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// To another replica.
+    Send(ReplicaId, ReplicaMessage),
+    /// To every replica that the host knows of.
+    Broadcast(ReplicaMessage),
+    /// Write and sync, then tell [`Input::Persisted`].
+    Persist {
+        /// Number of the write.
+        ticket: TicketId,
+        /// To be kept.
+        ballot: Ballot,
+        /// To be kept, where it changed.
+        state: Option<Box<State>>,
+    },
+    /// The configuration in [`Replica::committed`] has changed.
+    Committed,
+    /// What became of a proposal.
+    Proposed(u64, ProposalResult),
+    /// The current configuration; `Err` where this replica cannot tell.
+    Read(u64, Result<Option<Configuration>, NotLeading>),
+}
+
+/// This replica does not lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotLeading;
+
+/// What a replica does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What a leader knows of another replica.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Progress {
+    /// Newest state of this term on its disk.
+    pub matched: Stamp,
+    /// Newest heartbeat it has answered.
+    pub round: u64,
+    /// When that heartbeat was sent.
+    pub contact: Option<u64>,
+    /// The state sent last, and when.
+    pub sent: Option<(Stamp, u64)>,
+}
+
+/// A replica that is no voter and gets every state.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Learner {
+    /// When it asked last.
+    pub asked: u64,
+    /// Whether it has a disk and wants to vote.
+    pub durable: bool,
+}
+
+/// One replica of the configuration.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub(crate) settings: Settings,
+    pub(crate) ballot: Ballot,
+    /// The newest state, on this disk or on its way there.
+    pub(crate) state: State,
+    pub(crate) committed: Stamp,
+    pub(crate) published: Option<Configuration>,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<ReplicaId>,
+    /// When a leader of the present term was heard last.
+    pub(crate) heard: Option<u64>,
+    pub(crate) started: u64,
+    pub(crate) election_at: u64,
+    pub(crate) random: u64,
+    pub(crate) votes: BTreeSet<ReplicaId>,
+    pub(crate) pre_votes: BTreeSet<ReplicaId>,
+    pub(crate) peers: BTreeMap<ReplicaId, Progress>,
+    pub(crate) learners: BTreeMap<ReplicaId, Learner>,
+    pub(crate) round: u64,
+    pub(crate) rounds: VecDeque<(u64, u64)>,
+    pub(crate) heartbeat_at: u64,
+    pub(crate) join_at: u64,
+    pub(crate) next_ticket: u64,
+    /// Writes under way: number, when begun, term and stamp they bring.
+    pub(crate) writes: VecDeque<(TicketId, u64, u64, Stamp)>,
+    pub(crate) has_disk: bool,
+    pub(crate) durable_term: u64,
+    pub(crate) durable: Stamp,
+    pub(crate) after: VecDeque<(TicketId, AfterWrite)>,
+    pub(crate) proposals: VecDeque<(u64, Proposal)>,
+    /// The proposal whose state is on its way to a majority.
+    pub(crate) proposing: Option<u64>,
+    pub(crate) confirming: Vec<Confirming>,
+    /// Reads that came before this leader had committed anything.
+    pub(crate) early: Vec<u64>,
+}
+
+impl Replica {
+    /// A replica with what its disk holds, at a time in milliseconds. `random` seeds its election times. One that is
+    /// not `durable` has no disk and only listens.
+    pub fn new(
+        settings: Settings, ballot: Ballot, state: State, now: u64, random: u64, durable: bool,
+    ) -> Replica {
+        let (durable_term, durable_stamp) = (ballot.term, state.stamp);
+        let mut replica = Replica {
+            settings,
+            ballot,
+            state,
+            committed: Stamp::default(),
+            published: None,
+            role: Role::Follower,
+            leader: None,
+            heard: None,
+            started: now,
+            election_at: 0,
+            random: random | 1,
+            votes: BTreeSet::new(),
+            pre_votes: BTreeSet::new(),
+            peers: BTreeMap::new(),
+            learners: BTreeMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            heartbeat_at: 0,
+            join_at: now,
+            next_ticket: 1,
+            writes: VecDeque::new(),
+            durable_term,
+            durable: durable_stamp,
+            has_disk: durable,
+            after: VecDeque::new(),
+            proposals: VecDeque::new(),
+            proposing: None,
+            confirming: Vec::new(),
+            early: Vec::new(),
+        };
+        replica.set_election_time(now);
+        replica
+    }
+
+    /// Takes one input that happened at `now` milliseconds and adds what it calls for.
+    pub fn handle(&mut self, now: u64, input: Input, out: &mut Vec<Output>) {
+        self.check_lease(now, out);
+        match input {
+            Input::Tick => {}
+            Input::Message { from, message } => self.message(now, from, message, out),
+            Input::Persisted(ticket) => self.persisted(now, ticket, out),
+            Input::Propose(id, proposal) => self.propose(now, id, *proposal, out),
+            Input::Read(id) => self.read(now, id, out),
+        }
+        self.due(now, out);
+    }
+
+    /// When [`Input::Tick`] is wanted at the latest.
+    pub fn deadline(&self) -> u64 {
+        let own = if self.role == Role::Leader { self.heartbeat_at } else { self.election_at };
+        if self.is_voter() {
+            own
+        } else {
+            own.min(self.join_at)
+        }
+    }
+
+    /// Who this is.
+    pub fn id(&self) -> ReplicaId {
+        self.ballot.me
+    }
+
+    /// What it does.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// The term it is in.
+    pub fn term(&self) -> u64 {
+        self.ballot.term
+    }
+
+    /// Who leads, as far as it knows.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Who votes, by the newest state.
+    pub fn voters(&self) -> &[ReplicaId] {
+        &self.state.voters
+    }
+
+    /// The newest configuration known to be on a majority of disks.
+    pub fn committed(&self) -> Option<&Configuration> {
+        self.published.as_ref()
+    }
+
+    /// Whether it was in touch with a majority a moment ago, by itself or through its leader.
+    pub fn is_fresh(&self, now: u64) -> bool {
+        match self.role {
+            Role::Leader => self.has_lease(now) && self.committed.term == self.ballot.term,
+            _ => {
+                self.leader.is_some()
+                    && self.heard.is_some_and(|at| now < at + self.settings.lease)
+                    && self.committed.term == self.ballot.term
+            }
+        }
+    }
+
+    /// Whether it leads and a majority has answered lately.
+    pub fn has_lease(&self, now: u64) -> bool {
+        self.role == Role::Leader && now < self.majority_contact() + self.settings.lease
+    }
+
+    /// Ends a leadership before the process ends.
+    pub fn resign(&mut self, now: u64, out: &mut Vec<Output>) {
+        if self.role == Role::Leader {
+            self.step_down(now, None, out);
+        }
+    }
+
+    pub(crate) fn is_voter(&self) -> bool {
+        self.state.voters.contains(&self.ballot.me)
+    }
+
+    pub(crate) fn majority(&self) -> usize {
+        self.state.voters.len() / 2 + 1
+    }
+
+    pub(crate) fn others(&self) -> Vec<ReplicaId> {
+        self.state.voters.iter().copied().filter(|v| *v != self.ballot.me).collect()
+    }
+
+    fn message(&mut self, now: u64, from: ReplicaId, message: ReplicaMessage, out: &mut Vec<Output>) {
+        match message {
+            ReplicaMessage::PreVote { term, last } => self.pre_vote(now, from, term, last, out),
+            ReplicaMessage::PreVoteReply { term, granted } => {
+                self.pre_vote_reply(now, from, term, granted, out)
+            }
+            ReplicaMessage::Vote { term, last } => self.vote(now, from, term, last, out),
+            ReplicaMessage::VoteReply { term, granted } => self.vote_reply(now, from, term, granted, out),
+            ReplicaMessage::Append { term, round, at, committed, state } => {
+                self.append(now, from, (term, round), (at, committed), state, out)
+            }
+            ReplicaMessage::AppendReply { term, round, matched } => {
+                self.append_reply(now, from, term, round, matched, out)
+            }
+            ReplicaMessage::Join { durable } => self.join(now, from, durable),
+        }
+    }
+
+    /// Writes what it must not forget; the ticket of the write.
+    pub(crate) fn persist(&mut self, now: u64, with_state: bool, out: &mut Vec<Output>) -> TicketId {
+        let ticket = TicketId(self.next_ticket);
+        self.next_ticket += 1;
+        self.writes.push_back((ticket, now, self.ballot.term, self.state.stamp));
+        let state = with_state.then(|| Box::new(self.state.clone()));
+        out.push(Output::Persist { ticket, ballot: self.ballot, state });
+        ticket
+    }
+
+    fn persisted(&mut self, now: u64, ticket: TicketId, out: &mut Vec<Output>) {
+        while let Some((id, _, term, stamp)) = self.writes.front().copied() {
+            if id > ticket {
+                break;
+            }
+            self.writes.pop_front();
+            (self.durable_term, self.durable) = (term, stamp);
+        }
+        while self.after.front().is_some_and(|(id, _)| *id <= ticket) {
+            let Some((_, after)) = self.after.pop_front() else { break };
+            self.after_write(now, after, out);
+        }
+        self.advance(now, out);
+    }
+
+    fn after_write(&mut self, now: u64, after: AfterWrite, out: &mut Vec<Output>) {
+        match after {
+            AfterWrite::Send(to, message) => out.push(Output::Send(to, message)),
+            AfterWrite::AppendReply { to, term, round } => {
+                if term == self.ballot.term {
+                    let matched = self.matched_in(term);
+                    out.push(Output::Send(to, ReplicaMessage::AppendReply { term, round, matched }));
+                }
+            }
+            AfterWrite::Campaign { term } => self.campaign(now, term, out),
+        }
+    }
+
+    fn due(&mut self, now: u64, out: &mut Vec<Output>) {
+        if self.role == Role::Leader {
+            self.change_membership(now, out);
+            if now >= self.heartbeat_at {
+                self.heartbeat(now, out);
+            }
+        } else if now >= self.election_at {
+            self.begin_election(now, out);
+        }
+        if !self.is_voter() && now >= self.join_at {
+            self.ask_to_join(now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-consensus/src/settings.rs
@@ -0,0 +1,41 @@
+//! Times and bounds of a replica.
+
+/// Proposals and reads that wait at a leader; the operators have at most eight orders under way.
+pub const MOST_PENDING: usize = 64;
+/// Accepted configurations that are remembered for repeated orders: hundreds of changes a day, of which an operator
+/// sends only the newest few again.
+pub const MOST_ACCEPTED: usize = 512;
+/// Replicas that vote; more would only slow each change.
+pub const MOST_VOTERS: usize = 9;
+/// Replicas that listen without a vote: a control process on each of the machines set aside, and room.
+pub const MOST_LEARNERS: usize = 64;
+
+/// Times in milliseconds of the steady clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Between heartbeats of a leader.
+    pub heartbeat: u64,
+    /// Least silence of a leader before an election.
+    pub election: u64,
+    /// A random part of this is added to it.
+    pub election_spread: u64,
+    /// A leader without answers of a majority for so long steps down.
+    pub lease: u64,
+    /// A write to the own disk that takes longer ends a leadership.
+    pub disk: u64,
+    /// A voter silent for so long may be removed.
+    pub forget: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            heartbeat: 150,
+            election: 700,
+            election_spread: 500,
+            lease: 600,
+            disk: 1000,
+            forget: 30_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -0,0 +1,371 @@
+//! The host of the state machines: one value that every task of the process borrows for a moment.
+
+use crate::disk::{DiskEvent, Write};
+use crate::peers::Peers;
+use gaugesaddle_catalog::{Catalog, Leases};
+use gaugesaddle_config::{operator::OperatorConfig, BootSettings};
+use gaugesaddle_consensus::{Input, NotLeading, Output, Proposal, ProposalResult, Replica, Settings};
+use gaugesaddle_protocol::{
+    Ballot, Configuration, Delta, Entry, Origin, PeerMessage, Registration, ReplicaId, State,
+};
+use gaugesaddle_quota::{Dealer, Limit};
+use gaugesaddle_transport::Clock;
+use rand_core::{OsRng, TryRngCore};
+use spdlog::{info, warn};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::mpsc;
+use tokio::sync::{oneshot, watch, Notify};
+
+/// A number that no other process draws.
+pub fn draw() -> u64 {
+    OsRng.try_next_u64().unwrap_or_else(|_| u64::from(std::process::id()) | 1 << 40)
+}
+
+/// What a task waits for from the replica.
+enum Waiting {
+    Proposal(oneshot::Sender<ProposalResult>),
+    Read(oneshot::Sender<Result<Option<Configuration>, NotLeading>>),
+}
+
+/// The state of the process.
+pub struct Core {
+    pub boot: BootSettings,
+    pub clock: Clock,
+    /// What this process counts its changes of the catalog under.
+    pub origin: Origin,
+    /// Who this is in the group, as far as that is known yet.
+    pub me: ReplicaId,
+    pub replica: Option<Replica>,
+    pub catalog: Catalog,
+    pub leases: Leases,
+    pub dealer: Dealer,
+    /// The term for which the dealer deals.
+    dealer_term: u64,
+    pub peers: Peers,
+    pub configuration: Option<Configuration>,
+    disk: Option<mpsc::Sender<Write>>,
+    waiting: HashMap<u64, Waiting>,
+    next_waiting: u64,
+}
+
+/// The core, shared by the tasks of the one thread.
+#[derive(Clone)]
+pub struct CoreHandle {
+    core: Rc<RefCell<Core>>,
+    /// Counts up with each change that proxies or peers may wait for.
+    news: Rc<watch::Sender<u64>>,
+    timer: Rc<Notify>,
+}
+
+impl CoreHandle {
+    pub fn new(boot: BootSettings, disk: Option<mpsc::Sender<Write>>, peers: Peers) -> CoreHandle {
+        let has_disk = disk.is_some();
+        let ip = u32::from(boot.ip);
+        let core = Core {
+            clock: Clock::default(),
+            origin: Origin(draw()),
+            me: ReplicaId { ip, incarnation: draw() },
+            replica: None,
+            catalog: Catalog::default(),
+            leases: Leases::default(),
+            dealer: Dealer::default(),
+            dealer_term: 0,
+            peers,
+            configuration: None,
+            disk,
+            waiting: HashMap::new(),
+            next_waiting: 1,
+            boot,
+        };
+        let handle = CoreHandle {
+            core: Rc::new(RefCell::new(core)),
+            news: Rc::new(watch::Sender::new(0)),
+            timer: Rc::default(),
+        };
+        if !has_disk {
+            handle.listen_only();
+        }
+        handle
+    }
+
+    /// Borrows the core; never held across a wait.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Core) -> T) -> T {
+        f(&mut self.core.borrow_mut())
+    }
+
+    /// A receiver that sees each change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// Tells those who wait that something has changed.
+    pub fn announce(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// A process without a disk takes every state and never votes.
+    fn listen_only(&self) {
+        self.with(|core| {
+            let ballot = Ballot { me: core.me, term: 0, voted_for: None };
+            let now = core.clock.now();
+            core.replica =
+                Some(Replica::new(Settings::default(), ballot, State::default(), now, draw(), false));
+        });
+    }
+
+    pub fn disk_event(&self, event: DiskEvent) {
+        match event {
+            DiskEvent::Opened { ballot, state } => self.disk_opened(ballot, state),
+            DiskEvent::Persisted(ticket) => self.step(Input::Persisted(ticket)),
+            DiskEvent::Failed(reason) => {
+                warn!("disk refused, replica stops: {reason}");
+                let failed = self.with(|core| {
+                    core.replica = None;
+                    std::mem::take(&mut core.waiting)
+                });
+                failed.into_values().for_each(Waiting::fail);
+                self.announce();
+            }
+        }
+    }
+
+    fn disk_opened(&self, ballot: Option<Ballot>, state: Option<Box<State>>) {
+        self.with(|core| {
+            let founding = core.boot.bootstrap && ballot.is_none();
+            let me = match (&ballot, founding) {
+                (Some(ballot), _) => ballot.me,
+                (None, true) => ReplicaId { incarnation: 0, ..core.me },
+                (None, false) => core.me,
+            };
+            core.me = me;
+            let ballot = ballot.unwrap_or(Ballot { me, term: 0, voted_for: None });
+            let state = match state {
+                Some(state) => *state,
+                None if core.boot.bootstrap => core.founding_state(),
+                None => State::default(),
+            };
+            info!("replica {me} term {} at {:?} voters {:?}", ballot.term, state.stamp, state.voters.len());
+            let now = core.clock.now();
+            core.replica = Some(Replica::new(Settings::default(), ballot, state, now, draw(), true));
+        });
+        self.timer.notify_one();
+    }
+
+    /// Gives the replica an input and carries out what it returns.
+    pub fn step(&self, input: Input) {
+        let outputs = self.with(|core| {
+            let now = core.clock.now();
+            let mut outputs = Vec::new();
+            if let Some(replica) = &mut core.replica {
+                let before = (replica.role(), replica.term());
+                replica.handle(now, input, &mut outputs);
+                let after = (replica.role(), replica.term());
+                if before != after {
+                    info!("replica {} is {:?} in term {}", replica.id(), after.0, after.1);
+                }
+            }
+            outputs
+        });
+        self.carry_out(outputs);
+        self.timer.notify_one();
+    }
+
+    /// Ends a leadership before the process ends.
+    pub fn resign(&self) {
+        let outputs = self.with(|core| {
+            let now = core.clock.now();
+            let mut outputs = Vec::new();
+            if let Some(replica) = &mut core.replica {
+                replica.resign(now, &mut outputs);
+            }
+            outputs
+        });
+        self.carry_out(outputs);
+    }
+
+    fn carry_out(&self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => self.with(|core| {
+                    let from = core.me;
+                    core.peers.send(to.ip, PeerMessage::Replica { from, to: Some(to), message });
+                }),
+                Output::Broadcast(message) => self.with(|core| {
+                    let from = core.me;
+                    core.peers.broadcast(&PeerMessage::Replica { from, to: None, message });
+                }),
+                Output::Persist { ticket, ballot, state } => self.persist(Write { ticket, ballot, state }),
+                Output::Committed => self.committed(),
+                Output::Proposed(id, result) => {
+                    if let Some(Waiting::Proposal(to)) = self.with(|core| core.waiting.remove(&id)) {
+                        let _ = to.send(result);
+                    }
+                }
+                Output::Read(id, result) => {
+                    if let Some(Waiting::Read(to)) = self.with(|core| core.waiting.remove(&id)) {
+                        let _ = to.send(result);
+                    }
+                }
+            }
+        }
+    }
+
+    fn persist(&self, write: Write) {
+        let ticket = write.ticket;
+        let listens_only = self.with(|core| match &core.disk {
+            Some(disk) => {
+                // The thread lives as long as the process; without it nothing is ever called persisted.
+                let _ = disk.send(write);
+                false
+            }
+            None => true,
+        });
+        if listens_only {
+            self.step(Input::Persisted(ticket));
+        }
+    }
+
+    fn committed(&self) {
+        self.with(|core| {
+            let Some(newest) = core.replica.as_ref().and_then(Replica::committed) else { return };
+            if core.configuration.as_ref().is_some_and(|c| c.stamp >= newest.stamp) {
+                return;
+            }
+            core.configuration = Some(newest.clone());
+            core.configure_dealer();
+        });
+        self.announce();
+    }
+
+    /// Runs the replica's timer for as long as the process lives.
+    pub async fn run_timer(self) {
+        loop {
+            let deadline = self.with(|core| {
+                let replica = core.replica.as_ref()?;
+                Some(core.clock.instant(replica.deadline()))
+            });
+            match deadline {
+                Some(at) => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(at) => self.step(Input::Tick),
+                        () = self.timer.notified() => {}
+                    }
+                }
+                None => self.timer.notified().await,
+            }
+        }
+    }
+
+    /// Has the leader decide a change; `Unclear` where this process does not lead.
+    pub async fn propose(&self, proposal: Proposal) -> ProposalResult {
+        let (to, result) = oneshot::channel();
+        let id = self.wait(Waiting::Proposal(to));
+        self.step(Input::Propose(id, Box::new(proposal)));
+        result.await.unwrap_or(ProposalResult::Unclear)
+    }
+
+    /// The current configuration, if this process leads.
+    pub async fn read(&self) -> Result<Option<Configuration>, NotLeading> {
+        let (to, result) = oneshot::channel();
+        let id = self.wait(Waiting::Read(to));
+        self.step(Input::Read(id));
+        result.await.unwrap_or(Err(NotLeading))
+    }
+
+    fn wait(&self, waiting: Waiting) -> u64 {
+        self.with(|core| {
+            let id = core.next_waiting;
+            core.next_waiting += 1;
+            if core.replica.is_some() {
+                core.waiting.insert(id, waiting);
+            }
+            id
+        })
+    }
+
+    /// Takes entries of another process.
+    pub fn merge(&self, delta: Delta) {
+        let changed = self.with(|core| {
+            let now = core.clock.now();
+            core.catalog.merge(now, delta)
+        });
+        if changed {
+            self.announce();
+        }
+    }
+
+    /// Takes a change that happened here, and passes it on.
+    pub fn accept(&self, registration: Registration) -> Option<Entry> {
+        let entry = self.with(|core| {
+            let (now, origin) = (core.clock.now(), core.origin);
+            let entry = core.catalog.accept(now, origin, registration)?;
+            core.peers.broadcast(&PeerMessage::Push(core.delta_of(&entry)));
+            Some(entry)
+        });
+        if entry.is_some() {
+            self.announce();
+        }
+        entry
+    }
+}
+
+impl Waiting {
+    fn fail(self) {
+        match self {
+            Waiting::Proposal(to) => drop(to.send(ProposalResult::Unclear)),
+            Waiting::Read(to) => drop(to.send(Err(NotLeading))),
+        }
+    }
+}
+
+impl Core {
+    /// One change, for those that have all before it.
+    fn delta_of(&self, entry: &Entry) -> Delta {
+        let mut delta = Delta { entries: vec![entry.clone()], ..Delta::default() };
+        delta.vector.advance(entry.origin, entry.change);
+        delta
+    }
+
+    /// Before the first configuration the seeds vote: every process is told the same ones at the first start.
+    fn founding_state(&self) -> State {
+        let founder = |seed: &std::net::SocketAddrV4| ReplicaId { ip: u32::from(*seed.ip()), incarnation: 0 };
+        State { voters: self.boot.seeds.iter().map(founder).collect(), ..State::default() }
+    }
+
+    /// Whether this process was in touch with a majority a moment ago.
+    pub fn is_fresh(&self) -> bool {
+        let now = self.clock.now();
+        self.replica.as_ref().is_some_and(|r| r.is_fresh(now))
+    }
+
+    /// Address of the leader's machine.
+    pub fn leader(&self) -> Option<u32> {
+        self.replica.as_ref().and_then(|r| r.leader()).map(|l| l.ip)
+    }
+
+    /// Whether it leads and may lend tokens; a new leader begins with empty buckets.
+    pub fn deals(&mut self) -> bool {
+        let now = self.clock.now();
+        let Some(replica) = self.replica.as_ref().filter(|r| r.has_lease(now)) else { return false };
+        let term = replica.term();
+        if term != self.dealer_term {
+            self.dealer_term = term;
+            self.dealer = Dealer::default();
+            self.configure_dealer();
+        }
+        true
+    }
+
+    fn configure_dealer(&mut self) {
+        let Some(configuration) = &self.configuration else { return };
+        let now = self.clock.now();
+        // It was checked before it was proposed.
+        let Ok(config) = OperatorConfig::parse(&configuration.document) else { return };
+        let limited = config.tenants.into_iter().filter(|t| t.rate_per_s > 0.0);
+        let limits: Vec<(String, Limit)> =
+            limited.map(|t| (t.name, Limit { rate: t.rate_per_s, burst: t.burst.max(0.0) })).collect();
+        self.dealer.configure(now, &limits);
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-control/src/disk.rs
@@ -0,0 +1,128 @@
+//! The disk's own thread: it writes and syncs, and opens the ring anew after an error.
+
+use gaugesaddle_consensus::TicketId;
+use gaugesaddle_log::{FileStore, LogError, Ring};
+use gaugesaddle_protocol::{Ballot, State};
+use std::path::PathBuf;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Slot of the ring for who this is and how it voted.
+const BALLOT_SLOT: usize = 0;
+/// Slot of the ring for the configuration.
+const STATE_SLOT: usize = 1;
+/// Between attempts to open a disk that refused.
+const REOPEN: Duration = Duration::from_millis(300);
+/// Part of the disk that the ring's segments take together.
+const DISK_PART: f64 = 0.6;
+/// A segment is at most so long.
+const MOST_SEGMENT_BYTES: u64 = 8 << 20;
+/// Writes joined into one sync, at most.
+const MOST_JOINED: usize = 32;
+
+/// A write.
+#[derive(Debug)]
+pub struct Write {
+    pub ticket: TicketId,
+    pub ballot: Ballot,
+    pub state: Option<Box<State>>,
+}
+
+/// What the disk's thread tells.
+#[derive(Debug)]
+pub enum DiskEvent {
+    /// The ring is open and holds this.
+    Opened {
+        /// `None`: the disk is empty.
+        ballot: Option<Ballot>,
+        state: Option<Box<State>>,
+    },
+    /// A write and all before it are on the disk.
+    Persisted(TicketId),
+    /// The disk refused; writes before the next `Opened` are lost.
+    Failed(String),
+}
+
+/// Starts the thread. It ends when the sender of writes is dropped.
+pub fn start(
+    folder: PathBuf, disk_mb: u64, events: UnboundedSender<DiskEvent>,
+) -> std::io::Result<mpsc::Sender<Write>> {
+    let (writes, queue) = mpsc::channel();
+    let share = (disk_mb as f64 * DISK_PART / gaugesaddle_log::SEGMENTS as f64 * 1e6) as u64;
+    let segment_bytes = share.clamp(1 << 20, MOST_SEGMENT_BYTES);
+    thread::Builder::new().name("disk".to_owned()).spawn(move || {
+        run(folder, segment_bytes, queue, events);
+    })?;
+    Ok(writes)
+}
+
+fn run(
+    folder: PathBuf, segment_bytes: u64, queue: mpsc::Receiver<Write>, events: UnboundedSender<DiskEvent>,
+) {
+    loop {
+        let failed = match open(&folder, segment_bytes) {
+            Ok(ring) => {
+                // What was asked for before the ring was opened belongs to a replica that is no more.
+                while queue.try_recv().is_ok() {}
+                if events.send(opened(&ring)).is_err() {
+                    return;
+                }
+                match serve(ring, &queue, &events) {
+                    Ok(()) => return,
+                    Err(e) => e,
+                }
+            }
+            Err(e) => e,
+        };
+        if events.send(DiskEvent::Failed(failed.to_string())).is_err() {
+            return;
+        }
+        thread::sleep(REOPEN);
+    }
+}
+
+fn open(folder: &std::path::Path, segment_bytes: u64) -> Result<Ring<FileStore>, LogError> {
+    let store = FileStore::open(folder, segment_bytes).map_err(|source| LogError::Disk {
+        action: "opening",
+        segment: 0,
+        source,
+    })?;
+    Ring::open(store)
+}
+
+fn opened(ring: &Ring<FileStore>) -> DiskEvent {
+    let [ballot, state] = ring.slots();
+    let ballot = ballot.as_ref().and_then(|bytes| musli::storage::from_slice(bytes).ok());
+    let state = state.as_ref().and_then(|bytes| musli::storage::from_slice(bytes).ok()).map(Box::new);
+    DiskEvent::Opened { ballot, state }
+}
+
+/// Writes until an error, or until nobody asks any more.
+fn serve(
+    mut ring: Ring<FileStore>, queue: &mpsc::Receiver<Write>, events: &UnboundedSender<DiskEvent>,
+) -> Result<(), LogError> {
+    while let Ok(first) = queue.recv() {
+        let mut writes = vec![first];
+        while writes.len() < MOST_JOINED {
+            let Ok(next) = queue.try_recv() else { break };
+            writes.push(next);
+        }
+        let Some(last) = writes.last() else { continue };
+        let ticket = last.ticket;
+        let mut records = Vec::new();
+        if let Ok(bytes) = musli::storage::to_vec(&last.ballot) {
+            records.push((BALLOT_SLOT, bytes));
+        }
+        let newest = writes.iter().rev().find_map(|w| w.state.as_ref());
+        if let Some(bytes) = newest.and_then(|state| musli::storage::to_vec(state.as_ref()).ok()) {
+            records.push((STATE_SLOT, bytes));
+        }
+        ring.append(records)?;
+        if events.send(DiskEvent::Persisted(ticket)).is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gaugesaddle-control/src/requests.rs
@@ -0,0 +1,107 @@
+//! Requests of proxies and of other control processes, over frames.
+
+use crate::core::{Core, CoreHandle};
+use crate::{orders, peers};
+use gaugesaddle_protocol::{Opening, Pull, PullReply, Reply, Request};
+use gaugesaddle_quota::LEASE;
+use gaugesaddle_transport::{Link, LinkError};
+use spdlog::debug;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+/// An answer is held back for news at most so long.
+const MOST_WAIT: u64 = 2000;
+/// Time to send an answer; a large configuration over a slow link takes a while.
+const SEND: Duration = Duration::from_millis(4000);
+/// A connection without a request for so long is closed.
+const IDLE: Duration = Duration::from_secs(30);
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections for as long as the process lives.
+pub async fn serve(core: CoreHandle, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let core = core.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(e) = connection(core, Link::new(stream)).await {
+                        debug!("connection of {from} ends: {e}");
+                    }
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection(core: CoreHandle, mut link: Link) -> Result<(), LinkError> {
+    match link.receive_within(IDLE).await? {
+        Opening::Peer => peers::listen(core, link).await,
+        Opening::Requests => loop {
+            let request = link.receive_within(IDLE).await?;
+            let reply = answer(&core, request).await;
+            link.send(&reply, SEND).await?;
+        },
+    }
+}
+
+async fn answer(core: &CoreHandle, request: Request) -> Reply {
+    match request {
+        Request::Pull(pull) => Reply::Pull(Box::new(answer_pull(core, *pull).await)),
+        Request::Quota { proxy, wants } => core.with(|c| {
+            if !c.deals() {
+                return Reply::Unavailable;
+            }
+            let now = c.clock.now();
+            Reply::Quota { grants: c.dealer.lend(now, &proxy, &wants), lease_ms: LEASE as u32 }
+        }),
+        Request::Order(order) => Reply::Order(orders::decide(core, *order).await),
+        Request::Read => match core.read().await {
+            Ok(configuration) => Reply::Read(configuration),
+            Err(_) => Reply::Unavailable,
+        },
+    }
+}
+
+/// Renews the proxy's lease and answers when there is news for it, or when it wants an answer anyway.
+async fn answer_pull(core: &CoreHandle, pull: Pull) -> PullReply {
+    let registration = pull.proxy.clone();
+    let news = core.with(|c| {
+        let now = c.clock.now();
+        c.leases.renew(now, &registration.id, registration.sequence);
+        c.catalog
+            .get(&registration.id)
+            .is_none_or(|e| e.origin != c.origin || e.registration.lifecycle != registration.lifecycle)
+    });
+    if news {
+        core.accept(registration);
+    }
+    let until = Instant::now() + Duration::from_millis(u64::from(pull.wait_ms).min(MOST_WAIT));
+    let mut changes = core.subscribe();
+    loop {
+        changes.borrow_and_update();
+        if core.with(|c| has_news(c, &pull)) || Instant::now() >= until {
+            break;
+        }
+        let _ = tokio::time::timeout_at(until, changes.changed()).await;
+    }
+    core.with(|c| reply(c, &pull))
+}
+
+fn has_news(core: &Core, pull: &Pull) -> bool {
+    let newer = core.configuration.as_ref().is_some_and(|c| Some(c.stamp) > pull.stamp);
+    newer || core.catalog.has_news_for(&pull.vector) || core.catalog.differs_from(&pull.digests)
+}
+
+fn reply(core: &Core, pull: &Pull) -> PullReply {
+    let now = core.clock.now();
+    let configuration = core.configuration.as_ref().filter(|c| Some(c.stamp) > pull.stamp).cloned();
+    let has_changes = core.catalog.has_news_for(&pull.vector);
+    let repair = !has_changes && core.catalog.differs_from(&pull.digests);
+    let delta = if repair { core.catalog.repair(&pull.digests) } else { core.catalog.delta(&pull.vector) };
+    let mut members = core.peers.alive(now);
+    members.push(u32::from(core.boot.ip));
+    PullReply { fresh: core.is_fresh(), leader: core.leader(), members, configuration, delta, repair }
+}
--- /dev/null
+++ b/crates/gaugesaddle-inference/src/lib.rs
@@ -0,0 +1,22 @@
+//! Which backend gets a request: HALB over kinds, and a uniform draw inside the kind, without I/O.
+//!
+//! A kind is a group that is treated as equally fast. For one prompt, a backend that keeps the prompt's shared part
+//! is faster than one that has to read it again; so the *warm* and the *cold* backends of a service are two kinds of
+//! that prompt, each with the latency learned for it, and the formula decides how much spills from warm to cold as
+//! the prompt's own traffic grows. Who is warm needs no message: all proxies rank the backends by the same hash of
+//! prompt part and backend.
+//!
+//! - [`Chooser`]: shares and draw, latencies learned, arrival rates.
+//! - [`warmth`]: the ranking.
+//! - [`events`]: the events of a stream, for passing on whole and for continuing.
+//! - [`PromptParts`]: what a request says of its prompt.
+
+mod chooser;
+pub mod events;
+mod prompt;
+mod rate;
+pub mod warmth;
+
+pub use chooser::{Candidate, Chooser, ChooserSettings, LearnedKind};
+pub use prompt::{PromptParts, TokenUsage};
+pub use rate::Rate;
--- /dev/null
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -0,0 +1,163 @@
+//! Requests to a control process and its answers, and what control processes tell each other.
+
+use crate::{Delta, QuotaGrant, QuotaWant, Registration, ReplicaId, ReplicaMessage, Stamp, VersionVector};
+use musli::{Decode, Encode};
+
+/// A proxy renews its lease and asks for what it lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Pull {
+    /// The proxy's own registration.
+    pub proxy: Registration,
+    /// What it knows of the catalog.
+    pub vector: VersionVector,
+    /// The configuration it has in force.
+    pub stamp: Option<Stamp>,
+    /// Digests of the ranges of its catalog, when it has taken all changes.
+    pub digests: Vec<u64>,
+    /// How long the answer may be held back while there is no news, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// A configuration on its way to a proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Configuration {
+    /// Its place in the history.
+    pub stamp: Stamp,
+    /// The operator's revision.
+    pub revision: u64,
+    /// The operator's document.
+    #[musli(bytes)]
+    pub document: Vec<u8>,
+}
+
+/// The answer to a [`Pull`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PullReply {
+    /// Whether this process was in touch with a majority of replicas a moment ago.
+    pub fresh: bool,
+    /// Address of the leader's machine.
+    pub leader: Option<u32>,
+    /// Addresses of the machines that serve control.
+    pub members: Vec<u32>,
+    /// The newest configuration, where the proxy lacks it.
+    pub configuration: Option<Configuration>,
+    /// What the proxy lacks of the catalog.
+    pub delta: Delta,
+    /// Whether the delta has whole ranges that differed, and not only changes.
+    pub repair: bool,
+}
+
+/// An order of the operator, passed on to the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Order {
+    /// The revision that the order builds on.
+    pub base: u64,
+    /// The document.
+    #[musli(bytes)]
+    pub document: Vec<u8>,
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum OrderReply {
+    /// It is in force, or was.
+    Taken,
+    /// Another version is in place.
+    Conflict {
+        /// Its revision.
+        current: u64,
+    },
+    /// It is invalid.
+    Invalid {
+        /// Every finding, a line each.
+        findings: Vec<String>,
+    },
+    /// Nothing is known of what became or becomes of it.
+    Unclear,
+}
+
+/// A request to a control process; each has one answer.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Request {
+    /// From a proxy.
+    Pull(Box<Pull>),
+    /// From a proxy to the leader.
+    Quota {
+        /// The proxy.
+        proxy: String,
+        /// Its wants.
+        wants: Vec<QuotaWant>,
+    },
+    /// From a control process to the leader.
+    Order(Box<Order>),
+    /// From a control process to the leader: the current configuration.
+    Read,
+}
+
+/// The answer to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Reply {
+    /// To a `Pull`.
+    Pull(Box<PullReply>),
+    /// To `Quota`.
+    Quota {
+        /// What is lent.
+        grants: Vec<QuotaGrant>,
+        /// How long it may be used, in milliseconds.
+        lease_ms: u32,
+    },
+    /// To `Order`.
+    Order(OrderReply),
+    /// To `Read`: the configuration, `None` before the first.
+    Read(Option<Configuration>),
+    /// This process does not lead, or cannot tell what is asked.
+    Unavailable,
+}
+
+/// What one control process tells another; none has an answer of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum PeerMessage {
+    /// The first message: who speaks.
+    Hello {
+        /// Address of its machine.
+        ip: u32,
+        /// What it counts its changes under.
+        origin: crate::Origin,
+        /// Addresses of the machines that it knows to serve control.
+        members: Vec<u32>,
+    },
+    /// For the replica.
+    Replica {
+        /// The sender; it may be known only after the connection is open.
+        from: ReplicaId,
+        /// The receiver, `None`: whichever replica is there. A message for the disk that a machine had is for nobody.
+        to: Option<ReplicaId>,
+        /// What is said.
+        message: ReplicaMessage,
+    },
+    /// Changes of the catalog, as they happen.
+    Push(Delta),
+    /// The sender has taken the changes of an origin up to a number.
+    Acknowledge {
+        /// The origin.
+        origin: crate::Origin,
+        /// The number.
+        change: u64,
+    },
+    /// What the sender knows: the receiver pushes what it lacks.
+    Compare {
+        /// The sender's vector.
+        vector: VersionVector,
+        /// Digests of the ranges of its catalog.
+        digests: Vec<u64>,
+    },
+}
+
+/// What opens a connection to a control process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Opening {
+    /// Requests follow, each answered in turn.
+    Requests,
+    /// [`PeerMessage`]s follow.
+    Peer,
+}
--- /dev/null
+++ b/crates/gaugesaddle-quota/src/lib.rs
@@ -0,0 +1,21 @@
+//! What all proxies together may do: tenants' tokens and repeats, decided without I/O.
+//!
+//! - [`Dealer`]: at the leader, a bucket a tenant; lends tokens to proxies under leases.
+//! - [`Purse`]: at a proxy, what it was lent, and what it may use when no leader answers.
+//! - [`RetryBudget`]: at a proxy, its part of the repeats; the parts add up without a word between proxies.
+//!
+//! Promise under partition: a proxy out of touch goes on at the pace it had, for [`FALLBACK`] at most, and the leader
+//! keeps just that pace back for as long. Tables hold a row a tenant and a row a proxy.
+
+mod dealer;
+mod purse;
+mod retry;
+
+pub use dealer::{Dealer, Limit};
+pub use purse::{Purse, Taken};
+pub use retry::{RetryBudget, RetrySettings};
+
+/// How long lent tokens may be used, in milliseconds.
+pub const LEASE: u64 = 1500;
+/// How long a proxy without a leader goes on at its pace, in milliseconds.
+pub const FALLBACK: u64 = 6000;
--- /dev/null
+++ b/crates/gaugesaddle-transport/src/link.rs
@@ -0,0 +1,98 @@
+//! A connection that carries frames.
+
+use gaugesaddle_protocol::frame::{self, FrameError, HEADER_BYTES};
+use musli::alloc::Global;
+use musli::mode::Binary;
+use musli::{Decode, Encode};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::io;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Bytes that stay unacknowledged for so long end a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 512;
+
+/// Why a connection is of no use any more.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The socket failed.
+    #[error("{0}")]
+    Socket(#[from] io::Error),
+    /// What came is no message.
+    #[error("{0}")]
+    Frame(#[from] FrameError),
+    /// Nothing came, or nothing could be sent, in time.
+    #[error("timed out")]
+    TimedOut,
+}
+
+/// Opens a connection within a time.
+pub async fn connect(to: SocketAddrV4, within: Duration) -> Result<TcpStream, LinkError> {
+    let connecting = TcpStream::connect(to);
+    let stream = tokio::time::timeout(within, connecting).await.map_err(|_| LinkError::TimedOut)??;
+    prepare(&stream);
+    Ok(stream)
+}
+
+/// Listens on an address.
+pub fn listen(at: SocketAddrV4) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&std::net::SocketAddr::V4(at).into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+fn prepare(stream: &TcpStream) {
+    // Neither is needed for correctness: a message without them is only slower, and a hang noticed later.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+}
+
+/// A connection that carries frames.
+#[derive(Debug)]
+pub struct Link {
+    stream: TcpStream,
+}
+
+impl Link {
+    /// Over a connection that was opened or accepted.
+    pub fn new(stream: TcpStream) -> Link {
+        prepare(&stream);
+        Link { stream }
+    }
+
+    /// Sends one message within a time.
+    pub async fn send<T: Encode<Binary>>(&mut self, message: &T, within: Duration) -> Result<(), LinkError> {
+        let frame = frame::encode(message)?;
+        let writing = self.stream.write_all(&frame);
+        tokio::time::timeout(within, writing).await.map_err(|_| LinkError::TimedOut)??;
+        Ok(())
+    }
+
+    /// Waits for one message, without a limit.
+    pub async fn receive<T>(&mut self) -> Result<T, LinkError>
+    where
+        T: for<'de> Decode<'de, Binary, Global>,
+    {
+        let mut header = [0; HEADER_BYTES];
+        self.stream.read_exact(&mut header).await?;
+        let mut body = vec![0; frame::body_length(header)?];
+        self.stream.read_exact(&mut body).await?;
+        Ok(frame::decode(&body)?)
+    }
+
+    /// Waits for one message for so long.
+    pub async fn receive_within<T>(&mut self, within: Duration) -> Result<T, LinkError>
+    where
+        T: for<'de> Decode<'de, Binary, Global>,
+    {
+        tokio::time::timeout(within, self.receive()).await.map_err(|_| LinkError::TimedOut)?
+    }
+}
--- a/crates/gaugesaddle/src/cli.rs
+++ b/crates/gaugesaddle/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::error::Error;
 use crate::operator::{self, Operator};
-use crate::{app, region, state};
+use crate::{app, edge, region, state};
 use clap::{Parser, Subcommand, ValueEnum};
 use serde::Serialize;
 use std::path::PathBuf;
@@ -27,6 +27,8 @@
         /// The file.
         file: PathBuf,
     },
+    /// Serve as the data plane of a router fleet, as the boot file says that GAUGESADDLE_BOOT names.
+    Edge,
     /// Print the state of a running proxy: its requests, backends, connections and reasons.
     State {
         /// Only that part.
@@ -70,6 +72,7 @@
     let operator = || file.as_deref().map_or(Ok(Operator::default()), operator::load);
     match arguments.command {
         None => app::run(file.clone(), operator()?),
+        Some(Command::Edge) => edge::run().map_err(|e| Error::Edge(format!("{e:#}"))),
         Some(Command::Check { file }) => {
             let operator = operator::load(&file)?;
             region::check(&operator.region)?;
--- /dev/null
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -0,0 +1,211 @@
+//! Sends an admitted request to backends until one answers or no further attempt is allowed.
+
+use super::admission::Admitted;
+use super::backend::{Backend, InUse};
+use super::fleet::Fleet;
+use super::headers::{API_KEY, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT};
+use super::refusal::Refusal;
+use super::upstream::{attempt, Answer, Outcome};
+use crate::exchange::strip;
+use bytes::Bytes;
+use gaugesaddle_config::{Route, RoutingTable, ServiceIndex};
+use gaugesaddle_inference::{Candidate, LearnedKind};
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::Request;
+use rand_pcg::rand_core::RngCore;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Backends that could not even be reached before the request is given up.
+const MOST_UNREACHED: u32 = 4;
+
+/// A request with all that further attempts need.
+pub struct Job {
+    pub fleet: Rc<Fleet>,
+    pub table: Rc<RoutingTable>,
+    pub route: Route,
+    pub service: ServiceIndex,
+    pub service_name: String,
+    pub subject: Option<u64>,
+    pub deadline: Instant,
+    head: Parts,
+    body: Bytes,
+    /// Identities of the backends that it was sent to.
+    tried: Vec<u64>,
+    sends: u32,
+    _active: Active,
+}
+
+/// Counts a request while it is under way.
+struct Active(Rc<Fleet>);
+
+impl Active {
+    fn new(fleet: Rc<Fleet>) -> Active {
+        fleet.active.set(fleet.active.get() + 1);
+        Active(fleet)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+/// A backend's answer that has begun, and where it comes from.
+pub struct Begun {
+    pub answer: Answer,
+    pub backend: Rc<Backend>,
+    pub kind: LearnedKind,
+    pub sent: Instant,
+    pub in_use: InUse,
+}
+
+impl Job {
+    pub fn new(
+        fleet: Rc<Fleet>, table: Rc<RoutingTable>, admitted: Admitted, mut head: Parts, body: Bytes,
+    ) -> Result<Job, Refusal> {
+        let service = pick_service(&fleet, admitted.route).ok_or(Refusal::Unavailable)?;
+        let service_name = table.services.get(service.0).ok_or(Refusal::Unavailable)?.name.clone();
+        strip(&mut head.headers);
+        head.headers.remove(API_KEY);
+        head.headers.remove(TENANT);
+        head.headers.remove(EXPECTED_INSTANCE);
+        if let Some(value) = admitted.tenant.and_then(|t| HeaderValue::from_str(&t.name).ok()) {
+            head.headers.insert(TENANT, value);
+        }
+        head.headers.insert(PRIORITY, HeaderValue::from(admitted.priority));
+        fleet.note_request(&service_name);
+        let now = fleet.now();
+        fleet.with_chooser(admitted.route, &service_name, |c| c.note_arrival(now, admitted.subject));
+        Ok(Job {
+            route: admitted.route.clone(),
+            subject: admitted.subject,
+            deadline: admitted.deadline,
+            _active: Active::new(fleet.clone()),
+            fleet,
+            table,
+            service,
+            service_name,
+            head,
+            body,
+            tried: Vec::new(),
+            sends: 0,
+        })
+    }
+
+    /// The first answer of a backend.
+    pub async fn begin(&mut self) -> Result<Begun, Refusal> {
+        self.send(false, None).await
+    }
+
+    /// Another backend's answer behind the last event that the client has.
+    pub async fn go_on(&mut self, last_event: Option<&str>) -> Result<Begun, Refusal> {
+        self.send(true, last_event).await
+    }
+
+    async fn send(&mut self, mut may_have_run: bool, resume: Option<&str>) -> Result<Begun, Refusal> {
+        let mut unreached = 0;
+        loop {
+            if Instant::now() >= self.deadline {
+                return Err(if may_have_run { Refusal::TimedOut } else { Refusal::Late });
+            }
+            let gave_up = if may_have_run { Refusal::Broken } else { Refusal::Unavailable };
+            if self.sends > 0 && !self.may_send_again(may_have_run) {
+                return Err(gave_up);
+            }
+            let Some((backend, kind)) = self.choose() else { return Err(gave_up) };
+            let in_use = backend.use_for();
+            let sent = Instant::now();
+            let request = self.request(&backend, resume);
+            let outcome = attempt(&self.fleet, &backend, request, self.deadline).await;
+            self.tried.push(backend.identity);
+            match outcome {
+                Outcome::NeverSent => {
+                    unreached += 1;
+                    if unreached >= MOST_UNREACHED {
+                        return Err(gave_up);
+                    }
+                    continue;
+                }
+                Outcome::Answered(answer) => {
+                    self.sends += 1;
+                    return Ok(Begun { answer: *answer, backend, kind, sent, in_use });
+                }
+                Outcome::NotExecuted | Outcome::Misdirected => self.sends += 1,
+                Outcome::MayHaveRun => {
+                    self.sends += 1;
+                    may_have_run = true;
+                }
+                Outcome::TimedOut => return Err(Refusal::TimedOut),
+            }
+        }
+    }
+
+    /// Whether the route and the kind of request allow another backend, though one has begun to run it.
+    pub fn may_be_sent_again(&self) -> bool {
+        self.route.kind.is_idempotent() && self.sends < self.route.attempts
+    }
+
+    /// Whether the route, the kind of request and the shared budget allow another backend.
+    fn may_send_again(&self, may_have_run: bool) -> bool {
+        let may_run_again = !may_have_run || self.route.kind.is_idempotent();
+        may_run_again && self.sends < self.route.attempts && self.fleet.may_repeat(&self.service_name)
+    }
+
+    /// Draws a backend that was not tried: of those that fare well, else of all.
+    fn choose(&self) -> Option<(Rc<Backend>, LearnedKind)> {
+        let now = self.fleet.now();
+        let most = self.fleet.connections(&self.table, self.service);
+        let mut backends = self.fleet.backends(&self.service_name);
+        backends.retain(|b| !self.tried.contains(&b.identity));
+        backends.retain(|b| b.sockets() < most || (b.outstanding.get() as usize) < b.sockets());
+        let well = |b: &Rc<Backend>| !b.expired.get() && !b.is_avoided(now);
+        if backends.iter().any(well) {
+            backends.retain(well);
+        }
+        let candidate =
+            |b: &Rc<Backend>| Candidate { identity: b.identity, slots: b.slots, crowded: b.is_crowded(now) };
+        let candidates: Vec<Candidate> = backends.iter().map(candidate).collect();
+        let proxies = self.fleet.proxies();
+        let mut random = self.fleet.random.borrow_mut();
+        let drawn = self.fleet.with_chooser(&self.route, &self.service_name, |chooser| {
+            chooser.choose(now, &candidates, self.subject, proxies, &mut *random)
+        });
+        let (index, kind) = drawn?;
+        backends.get(index).map(|b| (b.clone(), kind))
+    }
+
+    fn request(&self, backend: &Backend, resume: Option<&str>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        let headers = request.headers_mut();
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+        headers.insert(DEADLINE, HeaderValue::from(left));
+        if let Ok(id) = HeaderValue::from_str(&backend.id) {
+            headers.insert(EXPECTED_INSTANCE, id);
+        }
+        if let Some(id) = resume.and_then(|id| HeaderValue::from_str(id).ok()) {
+            headers.insert(LAST_EVENT_ID, id);
+        }
+        request
+    }
+}
+
+/// Draws one of the route's services by weight.
+fn pick_service(fleet: &Fleet, route: &Route) -> Option<ServiceIndex> {
+    let total: f64 = route.split.iter().map(|(_, weight)| weight).sum();
+    let part = fleet.random.borrow_mut().next_u32() as f64 / (u32::MAX as f64 + 1.0);
+    let mut left = part * total;
+    for (service, weight) in &route.split {
+        if left < *weight {
+            return Some(*service);
+        }
+        left -= weight;
+    }
+    route.split.iter().rev().find(|(_, weight)| *weight > 0.0).map(|(service, _)| *service)
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/edge/fleet.rs
@@ -0,0 +1,260 @@
+//! What the proxy holds of the fleet: configuration, backends, the number of proxies, and what it has learned.
+
+use super::backend::Backend;
+use gaugesaddle_catalog::Catalog;
+use gaugesaddle_config::boot::Bounds;
+use gaugesaddle_config::{BootSettings, OperatorConfig, Route, RoutingTable, ServiceIndex};
+use gaugesaddle_inference::{Chooser, ChooserSettings};
+use gaugesaddle_protocol::{Configuration, Delta, Lifecycle, Registration, Stamp, Subject, VersionVector};
+use gaugesaddle_quota::{Purse, RetryBudget, RetrySettings};
+use gaugesaddle_transport::Clock;
+use rand_pcg::rand_core::{OsRng, SeedableRng, TryRngCore};
+use rand_pcg::Pcg64Mcg;
+use spdlog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Part of the quotas' slack that proxies may use without a leader.
+const FLOOR_PART: f64 = 0.4;
+/// Part of a service's connections that is dealt out to the proxies known.
+const CONNECTION_PART: f64 = 0.9;
+
+/// All that the tasks of the process share.
+pub struct Fleet {
+    pub boot: BootSettings,
+    pub clock: Clock,
+    /// Name of this incarnation of the proxy.
+    pub proxy: String,
+    pub terminating: Cell<bool>,
+    /// Address of the leader's machine.
+    pub leader: Cell<Option<u32>>,
+    /// When a control process in touch with a majority answered last.
+    pub fresh_at: Cell<Option<u64>>,
+    /// Requests under way.
+    pub active: Cell<usize>,
+    /// Bytes of bodies that are held.
+    pub held_bytes: Cell<usize>,
+    pub purse: RefCell<Purse>,
+    /// Wakes requests that wait for tokens.
+    pub granted: Notify,
+    /// Wakes the task that asks for tokens.
+    pub short: Notify,
+    pub random: RefCell<Pcg64Mcg>,
+    table: RefCell<Option<Rc<RoutingTable>>>,
+    stamp: Cell<Option<Stamp>>,
+    catalog: RefCell<Catalog>,
+    backends: RefCell<BTreeMap<String, Rc<Backend>>>,
+    services: RefCell<HashMap<String, Vec<Rc<Backend>>>>,
+    proxies: Cell<usize>,
+    choosers: RefCell<HashMap<(String, String), Chooser>>,
+    budgets: RefCell<HashMap<String, RetryBudget>>,
+}
+
+impl Fleet {
+    pub fn new(boot: BootSettings) -> Fleet {
+        let seed = OsRng.try_next_u64().unwrap_or_else(|_| u64::from(std::process::id()));
+        Fleet {
+            proxy: format!("{}#{seed:x}", boot.node_name),
+            boot,
+            clock: Clock::default(),
+            terminating: Cell::new(false),
+            leader: Cell::new(None),
+            fresh_at: Cell::new(None),
+            active: Cell::new(0),
+            held_bytes: Cell::new(0),
+            purse: RefCell::default(),
+            granted: Notify::new(),
+            short: Notify::new(),
+            random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            table: RefCell::default(),
+            stamp: Cell::new(None),
+            catalog: RefCell::default(),
+            backends: RefCell::default(),
+            services: RefCell::default(),
+            proxies: Cell::new(1),
+            choosers: RefCell::default(),
+            budgets: RefCell::default(),
+        }
+    }
+
+    pub fn now(&self) -> u64 {
+        self.clock.now()
+    }
+
+    pub fn bounds(&self) -> &Bounds {
+        &self.boot.bounds
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Rc<RoutingTable>> {
+        self.table.borrow().clone()
+    }
+
+    pub fn stamp(&self) -> Option<Stamp> {
+        self.stamp.get()
+    }
+
+    /// Proxies that live, this one included.
+    pub fn proxies(&self) -> usize {
+        self.proxies.get()
+    }
+
+    /// Takes a configuration, if it is newer than the one in force: no version is ever gone back behind.
+    pub fn configure(&self, configuration: &Configuration) {
+        if Some(configuration.stamp) <= self.stamp.get() {
+            return;
+        }
+        let config = match OperatorConfig::parse(&configuration.document) {
+            Ok(config) => config,
+            Err(findings) => return warn!("revision {} is unreadable: {findings}", configuration.revision),
+        };
+        let table = RoutingTable::new(config);
+        let changed = self.table.borrow().as_ref().is_none_or(|t| t.revision != table.revision);
+        self.stamp.set(Some(configuration.stamp));
+        if !changed {
+            return;
+        }
+        info!("revision {} is in force", table.revision);
+        *self.table.borrow_mut() = Some(Rc::new(table));
+        self.configure_purse();
+    }
+
+    fn configure_purse(&self) {
+        let Some(table) = self.table() else { return };
+        let limited: Vec<String> =
+            table.tenants.iter().filter(|t| t.limit.is_some()).map(|t| t.name.clone()).collect();
+        let bounds = self.bounds();
+        let slack = bounds.quota_slack * FLOOR_PART / bounds.quota_window_s.max(1.0);
+        self.purse.borrow_mut().configure(&limited, slack / self.proxies() as f64);
+    }
+
+    /// What this proxy knows of the catalog, with digests of its ranges.
+    pub fn catalog_state(&self) -> (VersionVector, Vec<u64>) {
+        let catalog = self.catalog.borrow();
+        (catalog.vector().clone(), catalog.digests())
+    }
+
+    /// Takes what a control process knows.
+    pub fn merge(&self, delta: Delta) {
+        let now = self.now();
+        let changed = {
+            let mut catalog = self.catalog.borrow_mut();
+            catalog.purge(now);
+            catalog.merge(now, delta)
+        };
+        if changed {
+            self.rebuild();
+        }
+    }
+
+    fn rebuild(&self) {
+        let catalog = self.catalog.borrow();
+        let mut backends = self.backends.borrow_mut();
+        let mut services: HashMap<String, Vec<Rc<Backend>>> = HashMap::new();
+        let mut proxies = 0;
+        for registration in catalog.iter() {
+            if registration.subject == Subject::Proxy {
+                proxies += usize::from(registration.lifecycle == Lifecycle::Ready);
+                continue;
+            }
+            if let Some(backend) = update_backend(&mut backends, registration) {
+                services.entry(backend.service.clone()).or_default().push(backend);
+            }
+        }
+        backends.retain(|id, _| catalog.get(id).is_some_and(|e| !e.registration.lifecycle.is_leaving()));
+        *self.services.borrow_mut() = services;
+        let proxies = proxies.max(1);
+        if self.proxies.replace(proxies) != proxies {
+            drop((catalog, backends));
+            self.configure_purse();
+        }
+    }
+
+    /// Backends of a service that may get requests, however they fare.
+    pub fn backends(&self, service: &str) -> Vec<Rc<Backend>> {
+        let services = self.services.borrow();
+        let all = services.get(service).into_iter().flatten();
+        all.filter(|b| b.open.get()).cloned().collect()
+    }
+
+    /// Whether every service that a route names has a backend.
+    pub fn has_backends(&self) -> bool {
+        let Some(table) = self.table() else { return false };
+        let services = self.services.borrow();
+        let has = |name: &str| services.get(name).is_some_and(|b| !b.is_empty());
+        table.services.iter().any(|s| has(&s.name))
+    }
+
+    /// Closes connections that have stood idle too long.
+    pub fn sweep(&self) {
+        let now = self.now();
+        self.backends.borrow().values().for_each(|b| b.sweep(now));
+    }
+
+    /// Connections to one backend that this proxy may have.
+    pub fn connections(&self, table: &RoutingTable, service: ServiceIndex) -> usize {
+        let most = table.services.get(service.0).map_or(0.0, |s| s.max_connections);
+        if most <= 0.0 {
+            return usize::MAX;
+        }
+        ((most * CONNECTION_PART / self.proxies() as f64) as usize).max(1)
+    }
+
+    /// What is learned for a route and a service.
+    pub fn with_chooser<T>(&self, route: &Route, service: &str, f: impl FnOnce(&mut Chooser) -> T) -> T {
+        let mut choosers = self.choosers.borrow_mut();
+        let key = (route.name.clone(), service.to_owned());
+        f(choosers.entry(key).or_insert_with(|| Chooser::new(ChooserSettings::default())))
+    }
+
+    /// Counts a client's request for a service.
+    pub fn note_request(&self, service: &str) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.note_request(now));
+    }
+
+    /// Takes one repeat of the budget that all proxies share.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let (now, proxies) = (self.now(), self.proxies());
+        self.with_budget(service, |budget| budget.take(now, proxies))
+    }
+
+    fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = self.bounds();
+        let settings = RetrySettings {
+            ratio: bounds.retry_budget_ratio,
+            window: (bounds.budget_window_s * 1000.0) as u64,
+            slack: bounds.budget_slack,
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        f(budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::new(settings)))
+    }
+}
+
+/// The backend of a registration, brought up to date; `None` where nothing is sent to it.
+fn update_backend(
+    backends: &mut BTreeMap<String, Rc<Backend>>, registration: &Registration,
+) -> Option<Rc<Backend>> {
+    let Subject::Backend { service, address, slots } = &registration.subject else { return None };
+    if registration.lifecycle.is_leaving() {
+        if let Some(backend) = backends.get(&registration.id) {
+            backend.close();
+        }
+        return None;
+    }
+    let address = address.parse().ok()?;
+    let known = backends.get(&registration.id).filter(|b| b.address == address && b.service == *service);
+    let backend = match known {
+        Some(backend) => backend.clone(),
+        None => {
+            let made = Backend::new(&registration.id, service, address, *slots);
+            let made = Rc::new(made);
+            backends.insert(registration.id.clone(), made.clone());
+            made
+        }
+    };
+    backend.expired.set(registration.lifecycle == Lifecycle::Expired);
+    Some(backend)
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/edge/lending.rs
@@ -0,0 +1,53 @@
+//! Borrows tenants' tokens from the leader.
+
+use super::fleet::Fleet;
+use gaugesaddle_protocol::{Reply, Request};
+use gaugesaddle_transport::Caller;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time to open a connection to the leader.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Time for an answer.
+const ANSWER: Duration = Duration::from_millis(500);
+/// Between two calls while nobody waits.
+const PERIOD: Duration = Duration::from_millis(300);
+/// Between two calls while requests wait.
+const SHORT_PERIOD: Duration = Duration::from_millis(20);
+
+/// Runs for as long as the process lives.
+pub async fn run(fleet: Rc<Fleet>) {
+    let mut caller: Option<Caller> = None;
+    loop {
+        let wants = fleet.purse.borrow_mut().wants(fleet.now());
+        if !wants.is_empty() {
+            let asked = fleet.now();
+            let request = Request::Quota { proxy: fleet.proxy.clone(), wants };
+            caller = call(&fleet, caller.take(), &request, asked).await;
+            fleet.granted.notify_waiters();
+        }
+        if fleet.purse.borrow().is_short() {
+            tokio::time::sleep(SHORT_PERIOD).await;
+        } else {
+            let _ = tokio::time::timeout(PERIOD, fleet.short.notified()).await;
+        }
+    }
+}
+
+/// One call; the connection, if it can be used again.
+async fn call(fleet: &Fleet, caller: Option<Caller>, request: &Request, asked: u64) -> Option<Caller> {
+    let leader = fleet.leader.get()?;
+    let address = SocketAddrV4::new(Ipv4Addr::from(leader), fleet.boot.ephemeral_ports.0);
+    let mut caller = match caller.filter(|c| c.to() == address) {
+        Some(caller) => caller,
+        None => Caller::open(address, CONNECT).await.ok()?,
+    };
+    match caller.call(request, ANSWER).await.ok()? {
+        Reply::Quota { grants, .. } => {
+            fleet.purse.borrow_mut().granted(asked, &grants);
+            Some(caller)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle/src/edge/upstream.rs
@@ -0,0 +1,139 @@
+//! One attempt at one backend.
+
+use super::backend::{Backend, BackendLink, Load};
+use super::fleet::Fleet;
+use super::headers::{self, BACKEND_LOAD, KEEP_ALIVE, NOT_EXECUTED, REQUEST_ID};
+use crate::upstream::out_of_descriptors;
+use crate::wire::MayBegin;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use hyper::{Request, StatusCode};
+use socket2::SockRef;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Time for a connection to come up.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Bytes that stay unacknowledged for so long end a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+/// A head is read up to this size.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// An answer that has begun.
+pub struct Answer {
+    pub head: Parts,
+    pub body: Incoming,
+    pub link: BackendLink,
+}
+
+/// How an attempt went.
+pub enum Outcome {
+    /// The backend answers.
+    Answered(Box<Answer>),
+    /// The backend says that it has not run the request.
+    NotExecuted,
+    /// The backend at that address is another one; the request has not run.
+    Misdirected,
+    /// No byte of the request was sent.
+    NeverSent,
+    /// The request may have run.
+    MayHaveRun,
+    /// The time is over; the request may have run.
+    TimedOut,
+}
+
+/// Asked right before the first byte.
+struct Gate {
+    backend: Rc<Backend>,
+    deadline: Instant,
+}
+
+impl MayBegin for Gate {
+    fn may_begin(&self) -> bool {
+        self.backend.open.get() && Instant::now() < self.deadline
+    }
+}
+
+/// Sends a request to a backend and waits for the head of its answer.
+pub async fn attempt(
+    fleet: &Fleet, backend: &Rc<Backend>, request: Request<Full<Bytes>>, deadline: Instant,
+) -> Outcome {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut link = match obtain(fleet, backend).await {
+        Some(link) => link,
+        None => return Outcome::NeverSent,
+    };
+    link.progress.restart(true);
+    link.progress.most.set(usize::MAX);
+    link.progress.guard(Rc::new(Gate { backend: backend.clone(), deadline }));
+    let sending = link.with_sender(async |sender| sender.send_request(request).await);
+    let sent = tokio::time::timeout_at(deadline, sending).await;
+    let now = fleet.now();
+    match sent {
+        Err(_) => Outcome::TimedOut,
+        Ok(Err(_)) if !link.progress.begun.get() => Outcome::NeverSent,
+        Ok(Err(_)) => {
+            backend.failed(now);
+            Outcome::MayHaveRun
+        }
+        Ok(Ok(answer)) => {
+            let (head, body) = answer.into_parts();
+            backend.heard.set(now);
+            note(backend, now, &head);
+            if id.is_some() && head.headers.get(REQUEST_ID) != id.as_ref() && head.status.is_success() {
+                // An answer to another request: nothing on this connection can be trusted.
+                return Outcome::MayHaveRun;
+            }
+            classify(backend, now, Answer { head, body, link })
+        }
+    }
+}
+
+fn classify(backend: &Backend, now: u64, answer: Answer) -> Outcome {
+    if answer.head.status == StatusCode::MISDIRECTED_REQUEST {
+        backend.failed(now);
+        return Outcome::Misdirected;
+    }
+    if answer.head.headers.contains_key(NOT_EXECUTED) {
+        return Outcome::NotExecuted;
+    }
+    backend.succeeded();
+    Outcome::Answered(Box::new(answer))
+}
+
+/// What the head of an answer tells of its backend.
+fn note(backend: &Backend, now: u64, head: &Parts) {
+    if let Some(load) = headers::text(&head.headers, &BACKEND_LOAD).and_then(Load::parse) {
+        backend.told_load(now, load);
+    }
+    let keep_alive = headers::text(&head.headers, &KEEP_ALIVE);
+    let seconds = keep_alive.and_then(|text| text.split(',').find_map(|p| p.trim().strip_prefix("timeout=")));
+    if let Some(seconds) = seconds.and_then(|s| s.trim().parse().ok()) {
+        backend.keeps_idle_for(seconds);
+    }
+}
+
+/// A connection from the pool, or a new one.
+async fn obtain(fleet: &Fleet, backend: &Rc<Backend>) -> Option<BackendLink> {
+    if let Some(link) = backend.pooled(fleet.now()).await {
+        return Some(link);
+    }
+    let place = backend.open_socket();
+    let connecting = TcpStream::connect(SocketAddr::V4(backend.address));
+    let stream = match tokio::time::timeout(CONNECT, connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) if out_of_descriptors(&e) => return None,
+        Ok(Err(_)) | Err(_) => {
+            backend.failed(fleet.now());
+            return None;
+        }
+    };
+    // Without it a hang is only noticed later.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    BackendLink::open(stream, HEAD_BYTES, place).await.ok()
+}
--- a/crates/gaugesaddle/src/error.rs
+++ b/crates/gaugesaddle/src/error.rs
@@ -52,6 +52,9 @@
     /// A setting of the storm's watch; the operator's file is checked against the same ranges.
     #[error("storm.{0}")]
     Storm(beechworks::ConfigError),
+    /// The data plane of a router fleet cannot start.
+    #[error("edge: {0}")]
+    Edge(String),
     /// The operator's file.
     #[error(transparent)]
     Operator(#[from] crate::operator::OperatorError),
--- a/crates/gaugesaddle/src/exchange.rs
+++ b/crates/gaugesaddle/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use crate::body::{CallBody, Payload};
 use crate::clock::Clock;
+use crate::wire::MayBegin;
 use beechworks::{AttemptNo, Backend, ClassId, ListUpdate, Micros, Outcome, RequestId, TenantId, Time};
 use gaugesaddle_service::{Order, Verdict};
 use hyper::header::{HeaderMap, HeaderName};
@@ -63,8 +64,8 @@
     pub clock: Clock,
 }
 
-impl Gate {
-    pub fn may_begin(&self) -> bool {
+impl MayBegin for Gate {
+    fn may_begin(&self) -> bool {
         self.open.get() && self.call.wanted.get() && self.clock.now() < self.span.begin
     }
 }
--- a/crates/gaugesaddle/src/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -6,23 +6,19 @@
     strip, Call, Ended, Gate, Local, Span, Target, Upstream, Upstreams, BODY_BYTES, TIME_LEFT,
 };
 use crate::registry::Registry;
-use crate::wire::{Progress, Wire};
+use crate::wire::MayBegin;
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
-use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::Poll;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -90,50 +86,8 @@
     }
 }
 
-/// A connection, driven only by the attempt that uses it: dropping it closes the socket at once.
-struct Link {
-    sender: SendRequest<Upload>,
-    driving: Pin<Box<Connection<TokioIo<Wire>, Upload>>>,
-    progress: Rc<Progress>,
-    /// The connection has run to its end.
-    ended: bool,
-    _slot: Slot,
-}
-
-impl Link {
-    /// Sends the request and reads the answer, whole or as far as it is held, while running the connection, whose
-    /// own end shows in what the exchange gets.
-    async fn exchange(&mut self, request: Request<Upload>) -> Result<Exchanged, ()> {
-        let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
-        poll_fn(|cx| {
-            if !self.ended {
-                self.ended = self.driving.as_mut().poll(cx).is_ready();
-            }
-            exchange.as_mut().poll(cx)
-        })
-        .await
-    }
-
-    /// The next piece of an answer that is passed on; `None`: its end.
-    async fn piece(&mut self, body: &mut Incoming) -> Option<Result<Frame<Bytes>, hyper::Error>> {
-        poll_fn(|cx| {
-            if !self.ended {
-                self.ended = self.driving.as_mut().poll(cx).is_ready();
-            }
-            Pin::new(&mut *body).poll_frame(cx)
-        })
-        .await
-    }
-
-    /// Whether it can take a request: the other side has not closed it and the last answer is done. An ended
-    /// connection is never run again; waiting on it would hold a good answer back until the deadline.
-    async fn alive(&mut self) -> bool {
-        if !self.ended {
-            self.ended = poll_fn(|cx| Poll::Ready(self.driving.as_mut().poll(cx).is_ready())).await;
-        }
-        !self.ended && self.sender.is_ready()
-    }
-}
+/// A connection that counts among the sockets.
+type Link = crate::link::Link<Upload, Slot>;
 
 /// One of the sockets that backends may take.
 struct Slot(Rc<Cell<usize>>);
@@ -235,11 +189,7 @@
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         let _ = stream.set_nodelay(true);
-        let wire = Wire::new(stream);
-        let progress = wire.progress.clone();
-        let shake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(wire)).await;
-        let (sender, connection) = shake.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Link { sender, driving: Box::pin(connection), progress, ended: false, _slot: slot })
+        Link::open(stream, HEAD_BYTES, slot).await.map_err(|_| Outcome::ConnectFailed)
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
@@ -265,7 +215,8 @@
             let left = (span.deadline - self.clock.now()).0 / 1000;
             // An earlier attempt has had what can be sent once only, and it never ran.
             let Some(upload) = call.body.upload(&link.progress) else { return Outcome::NeverSent.into() };
-            return match link.exchange(request(&call, upload, left)).await {
+            let request = request(&call, upload, left);
+            return match link.with_sender(async |sender| exchange(sender, request).await).await {
                 Ok(Exchanged::Whole(ended)) => {
                     self.keep(upstream, link).await;
                     ended
@@ -313,7 +264,7 @@
         // From here on the body is counted, and no longer what frames it.
         link.progress.most.set(usize::MAX);
         loop {
-            let piece = match tokio::time::timeout(STALL, link.piece(&mut body)).await {
+            let piece = match tokio::time::timeout(STALL, link.frame(&mut body)).await {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(bytes) => {
                         passed += bytes.len() as u64;
--- a/crates/gaugesaddle/src/upstream/tests.rs
+++ b/crates/gaugesaddle/src/upstream/tests.rs
@@ -3,8 +3,10 @@
 use super::*;
 use crate::body::CallBody;
 use beechworks::Backend;
+use std::future::{poll_fn, Future};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::task::Poll;
 use std::time::Duration;
 
 fn take_request(stream: &mut TcpStream) {
--- a/crates/gaugesaddle/src/wire.rs
+++ b/crates/gaugesaddle/src/wire.rs
@@ -1,6 +1,6 @@
 //! A socket to a backend that knows how far the present request and its answer have come.
 
-use crate::exchange::{Gate, BODY_BYTES};
+use crate::exchange::BODY_BYTES;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind, IoSlice};
@@ -15,6 +15,12 @@
 /// and 1xx answers ahead of it included.
 const ANSWER_BYTES: usize = 8 * BODY_BYTES;
 
+/// Whoever says, right before the first byte of a request, whether it may still begin.
+pub trait MayBegin {
+    /// Whether the request may begin now.
+    fn may_begin(&self) -> bool;
+}
+
 /// What has been done with a connection since the present request was given to it.
 #[derive(Default)]
 pub struct Progress {
@@ -29,7 +35,7 @@
     /// The client broke its body off: nothing against the backend.
     pub client_broke: Cell<bool>,
     /// Whether the present request may begin; `None`: there is none.
-    gate: RefCell<Option<Rc<Gate>>>,
+    gate: RefCell<Option<Rc<dyn MayBegin>>>,
     /// It was shut before a byte was written.
     pub shut: Cell<bool>,
     /// Bytes of the answer so far, and how many are read.
@@ -39,7 +45,7 @@
 
 impl Progress {
     /// The next request is for this connection.
-    pub fn guard(&self, gate: Rc<Gate>) {
+    pub fn guard(&self, gate: Rc<dyn MayBegin>) {
         *self.gate.borrow_mut() = Some(gate);
     }
 
