Leave a stale control process at once, and tell all others each second that this one lives

Followers heard one another too seldom, so that living origins were taken for dead and leases ended; digests sent with every call were answered at once where they differed for good, a loop that cost bytes between zones.

--- a/crates/gaugesaddle-control/src/peers.rs
+++ b/crates/gaugesaddle-control/src/peers.rs
@@ -24,7 +24,7 @@
 /// Between attempts to reach a peer.
 const RETRY: Duration = Duration::from_millis(200);
 /// A peer that says nothing for so long is taken for dead, in milliseconds.
-pub const SILENCE: u64 = 2500;
+pub const SILENCE: u64 = 3500;
 
 /// What is known of another control process.
 struct Peer {
@@ -65,7 +65,7 @@
         }
     }
 
-    pub fn broadcast(&mut self, message: &PeerMessage) {
+    pub fn broadcast(&self, message: &PeerMessage) {
         for peer in self.peers.values() {
             let _ = peer.queue.try_send(message.clone());
         }
@@ -139,7 +139,7 @@
 ) -> Result<(), LinkError> {
     let mut link = Link::new(connect(address, CONNECT).await?);
     link.send(&Opening::Peer, SEND).await?;
-    let (hello, compare) = core.with(|c| (c.hello(), c.compare()));
+    let (hello, compare) = core.with(|c| (c.hello(), c.compare(true)));
     link.send(&hello, SEND).await?;
     link.send(&compare, SEND).await?;
     while let Some(message) = messages.recv().await {
@@ -216,7 +216,8 @@
     }
 
     /// What a peer needs to know to push what is lacking here.
-    pub fn compare(&self) -> PeerMessage {
-        PeerMessage::Compare { vector: self.catalog.vector().clone(), digests: self.catalog.digests() }
+    pub fn compare(&self, with_ranges: bool) -> PeerMessage {
+        let digests = if with_ranges { self.catalog.digests() } else { Vec::new() };
+        PeerMessage::Compare { vector: self.catalog.vector().clone(), digests }
     }
 }
--- a/crates/gaugesaddle-control/src/registrations.rs
+++ b/crates/gaugesaddle-control/src/registrations.rs
@@ -14,7 +14,7 @@
 /// Between two looks at the acknowledgements.
 const LOOK: Duration = Duration::from_millis(3);
 /// A process that has said nothing for so long is not waited for, in milliseconds.
-const LIVELY: u64 = 450;
+const LIVELY: u64 = 1300;
 
 /// What a heartbeat says, as far as it is used.
 #[derive(Debug, Deserialize)]
--- a/crates/gaugesaddle-control/src/upkeep.rs
+++ b/crates/gaugesaddle-control/src/upkeep.rs
@@ -24,19 +24,44 @@
             info!("lease of {} has run out", registration.id);
             core.accept(registration);
         }
+        if core.with(|c| c.leader().is_none()) {
+            know_seeds(&core);
+        }
         core.with(|c| {
             let now = c.clock.now();
             c.catalog.purge(now);
-            let compare = c.compare();
-            let alive = c.peers.alive(now);
-            if let Some(ip) = alive.get(crate::core::draw() as usize % alive.len().max(1)) {
-                c.peers.send(*ip, compare);
-            }
+            c.tell_peers(now);
         });
         peers::open_wanted(&core);
     }
 }
 
+/// Takes the seeds of the boot file, which may have changed, while there is no leader.
+fn know_seeds(core: &CoreHandle) {
+    // A file that cannot be read now is read again.
+    let Ok(boot) = crate::serve::read_boot() else { return };
+    core.with(|c| {
+        let own = c.boot.ip;
+        for seed in boot.seeds.iter().filter(|s| *s.ip() != own) {
+            c.peers.know(u32::from(*seed.ip()));
+        }
+    });
+}
+
+impl Core {
+    /// Tells every other control process that this one lives and what it knows; one of them, drawn, also compares the
+    /// ranges.
+    fn tell_peers(&mut self, now: u64) {
+        let alive = self.peers.alive(now);
+        let drawn = alive.get(crate::core::draw() as usize % alive.len().max(1)).copied();
+        self.peers.broadcast(&self.compare(false));
+        if let Some(ip) = drawn {
+            let compare = self.compare(true);
+            self.peers.send(ip, compare);
+        }
+    }
+}
+
 /// Registrations whose lease has run out.
 fn due(core: &mut Core, orphaned: &mut std::collections::HashMap<String, u64>) -> Vec<Registration> {
     let now = core.clock.now();
--- a/crates/gaugesaddle-inference/src/chooser.rs
+++ b/crates/gaugesaddle-inference/src/chooser.rs
@@ -20,7 +20,7 @@
 
 impl Default for ChooserSettings {
     fn default() -> ChooserSettings {
-        ChooserSettings { rate_smoothing: 5000.0, latency_part: 0.1, copies: 1, rate_for_copy: 3.0 }
+        ChooserSettings { rate_smoothing: 12_000.0, latency_part: 0.1, copies: 1, rate_for_copy: 6.0 }
     }
 }
 
--- a/crates/gaugesaddle-transport/src/link.rs
+++ b/crates/gaugesaddle-transport/src/link.rs
@@ -14,6 +14,8 @@
 
 /// Bytes that stay unacknowledged for so long end a connection.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
+/// A message that has begun is whole within this time, or its sender hangs.
+const BODY: Duration = Duration::from_millis(3000);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 512;
 
@@ -81,18 +83,32 @@
     where
         T: for<'de> Decode<'de, Binary, Global>,
     {
+        let header = self.header().await?;
+        self.body(header).await
+    }
+
+    /// Waits for one message to begin within a time. What has begun has longer: a large message over a slow link comes
+    /// as fast as it can.
+    pub async fn receive_within<T>(&mut self, within: Duration) -> Result<T, LinkError>
+    where
+        T: for<'de> Decode<'de, Binary, Global>,
+    {
+        let header = tokio::time::timeout(within, self.header()).await.map_err(|_| LinkError::TimedOut)??;
+        tokio::time::timeout(BODY, self.body(header)).await.map_err(|_| LinkError::TimedOut)?
+    }
+
+    async fn header(&mut self) -> Result<[u8; HEADER_BYTES], LinkError> {
         let mut header = [0; HEADER_BYTES];
         self.stream.read_exact(&mut header).await?;
-        let mut body = vec![0; frame::body_length(header)?];
-        self.stream.read_exact(&mut body).await?;
-        Ok(frame::decode(&body)?)
+        Ok(header)
     }
 
-    /// Waits for one message for so long.
-    pub async fn receive_within<T>(&mut self, within: Duration) -> Result<T, LinkError>
+    async fn body<T>(&mut self, header: [u8; HEADER_BYTES]) -> Result<T, LinkError>
     where
         T: for<'de> Decode<'de, Binary, Global>,
     {
-        tokio::time::timeout(within, self.receive()).await.map_err(|_| LinkError::TimedOut)?
+        let mut body = vec![0; frame::body_length(header)?];
+        self.stream.read_exact(&mut body).await?;
+        Ok(frame::decode(&body)?)
     }
 }
--- a/crates/gaugesaddle/src/edge/follow.rs
+++ b/crates/gaugesaddle/src/edge/follow.rs
@@ -13,106 +13,129 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// An answer without news is held back for so long, in ms.
 const WAIT: u32 = 350;
-/// Time for an answer beyond that.
-const ANSWER: Duration = Duration::from_millis(900);
-/// Time for the answer to the first call, which may bring a large configuration over a slow link.
-const FIRST_ANSWER: Duration = Duration::from_millis(2500);
+/// Time for an answer to begin beyond that.
+const ANSWER: Duration = Duration::from_millis(450);
 /// Pause before another process is asked.
-const PAUSE: Duration = Duration::from_millis(60);
-/// Between two calls of a process that is not in touch with a majority.
-const STALE_PAUSE: Duration = Duration::from_millis(100);
-/// A process that is not in touch with a majority is left after so many answers.
-const STALE_ANSWERS: u32 = 4;
+const PAUSE: Duration = Duration::from_millis(40);
+/// A process that failed, or is not in touch with a majority, is asked again only after the others, and so much later,
+/// in ms.
+const AVOID: u64 = 3000;
+/// Digests of the catalog's ranges go with a call so often, in ms.
+const COMPARE: u64 = 3000;
+/// Without a process in touch with a majority for so long, the boot file is read for other seeds, in ms.
+const LOST: u64 = 2000;
 /// A control process that nobody named for so long is forgotten, in ms.
 const FORGET: u64 = 60_000;
 /// Time for the last call.
 const FAREWELL: Duration = Duration::from_millis(300);
 
-/// Control processes that are known, with the time they were named last.
+/// Control processes that are known.
 struct Members {
     own: u32,
+    /// When each was named last.
     named: BTreeMap<u32, u64>,
-    next: usize,
+    /// When each failed last.
+    failed: BTreeMap<u32, u64>,
+    /// When the boot file was read last.
+    read: u64,
 }
 
 impl Members {
     fn new(fleet: &Fleet) -> Members {
         let now = fleet.now();
         let named = fleet.boot.seeds.iter().map(|s| (u32::from(*s.ip()), now)).collect();
-        Members { own: u32::from(fleet.boot.ip), named, next: 0 }
+        Members { own: u32::from(fleet.boot.ip), named, failed: BTreeMap::new(), read: now }
     }
 
-    fn named(&mut self, now: u64, members: &[u32]) {
+    fn name(&mut self, now: u64, members: impl Iterator<Item = u32>) {
         for ip in members {
-            self.named.insert(*ip, now);
+            self.named.insert(ip, now);
         }
         self.named.retain(|_, at| now < *at + FORGET);
+        let named = &self.named;
+        self.failed.retain(|ip, _| named.contains_key(ip));
     }
 
-    /// The next to ask: first the one on this machine, then each in turn, from a place of this machine's own.
-    fn next(&mut self) -> Option<u32> {
-        let mut order: Vec<u32> = self.named.keys().copied().collect();
-        order.sort_by_key(|ip| (*ip != self.own, beechworks::mix(u64::from(*ip) ^ u64::from(self.own))));
-        let ip = order.get(self.next % order.len().max(1)).copied();
-        self.next += 1;
-        ip
+    /// The one to ask: not one that failed lately, if there is another; the one on this machine first, the others in an
+    /// order of this machine's own.
+    fn choose(&self, now: u64) -> Option<u32> {
+        let failed = |ip: &u32| self.failed.get(ip).copied().filter(|at| now < *at + AVOID).unwrap_or(0);
+        let order = |ip: &u32| beechworks::mix(u64::from(*ip) ^ (u64::from(self.own) << 32));
+        self.named.keys().copied().min_by_key(|ip| (failed(ip), *ip != self.own, order(ip)))
     }
 
-    fn stay(&mut self) {
-        self.next = self.next.saturating_sub(1);
+    /// Takes the seeds of the boot file, which may have changed, while no process in touch answers.
+    fn read_seeds(&mut self, fleet: &Fleet) {
+        let now = fleet.now();
+        let lost = fleet.fresh_at.get().is_none_or(|at| now >= at + LOST);
+        if !lost || now < self.read + LOST {
+            return;
+        }
+        self.read = now;
+        // A file that cannot be read now is read again.
+        if let Ok(boot) = super::serve::read_boot() {
+            self.name(now, boot.seeds.iter().map(|s| u32::from(*s.ip())));
+        }
     }
 }
 
+/// What goes on between this proxy and the control processes.
+struct Following {
+    members: Members,
+    sequence: u64,
+    /// When digests were sent last.
+    compared: u64,
+}
+
 /// Runs for as long as the process lives.
 pub async fn run(fleet: Rc<Fleet>) {
-    let mut members = Members::new(&fleet);
-    let mut sequence = 0;
+    let mut following = Following { members: Members::new(&fleet), sequence: 0, compared: fleet.now() };
     loop {
-        let Some(ip) = members.next() else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        match follow(&fleet, &mut members, ip, &mut sequence).await {
-            Ok(()) => {}
-            Err(e) => debug!("control {}: {e}", Ipv4Addr::from(ip)),
+        following.members.read_seeds(&fleet);
+        if let Some(ip) = following.members.choose(fleet.now()) {
+            if let Err(e) = following.follow(&fleet, ip).await {
+                debug!("control {}: {e}", Ipv4Addr::from(ip));
+            }
+            following.members.failed.insert(ip, fleet.now());
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-/// Pulls from one process until it fails or is not in touch with a majority.
-async fn follow(
-    fleet: &Rc<Fleet>, members: &mut Members, ip: u32, sequence: &mut u64,
-) -> Result<(), LinkError> {
-    let address = SocketAddrV4::new(Ipv4Addr::from(ip), fleet.boot.ephemeral_ports.0);
-    let mut caller = Caller::open(address, CONNECT).await?;
-    let (mut stale, mut first) = (0, true);
-    loop {
-        *sequence += 1;
-        let wait = if first { 0 } else { WAIT };
-        let request = pull(fleet, *sequence, Lifecycle::Ready, wait);
-        let time = if first { FIRST_ANSWER } else { ANSWER + Duration::from_millis(u64::from(WAIT)) };
-        let Reply::Pull(reply) = caller.call(&request, time).await? else { return Ok(()) };
-        if first {
-            info!("follows control {}, fresh {}", address.ip(), reply.fresh);
-        }
-        first = false;
-        let fresh = reply.fresh;
-        take(fleet, members, *reply);
-        if fresh {
-            stale = 0;
-            continue;
+impl Following {
+    /// Pulls from one process until it fails or is not in touch with a majority.
+    async fn follow(&mut self, fleet: &Rc<Fleet>, ip: u32) -> Result<(), LinkError> {
+        let address = SocketAddrV4::new(Ipv4Addr::from(ip), fleet.boot.ephemeral_ports.0);
+        let mut caller = Caller::open(address, CONNECT).await?;
+        let mut wait = 0;
+        loop {
+            let now = fleet.now();
+            self.sequence += 1;
+            let compares = now >= self.compared + COMPARE;
+            if compares {
+                self.compared = now;
+            }
+            let request = pull(fleet, self.sequence, Lifecycle::Ready, wait, compares);
+            let time = ANSWER + Duration::from_millis(u64::from(wait));
+            let Reply::Pull(reply) = caller.call(&request, time).await? else { return Ok(()) };
+            if wait == 0 && reply.fresh {
+                info!("follows control {}", address.ip());
+            }
+            wait = WAIT;
+            let fresh = reply.fresh;
+            take(fleet, &mut self.members, *reply);
+            if !fresh {
+                return Ok(());
+            }
         }
-        stale += 1;
-        if stale >= STALE_ANSWERS {
-            return Ok(());
-        }
-        tokio::time::sleep(STALE_PAUSE).await;
     }
 }
 
-fn pull(fleet: &Fleet, sequence: u64, lifecycle: Lifecycle, wait_ms: u32) -> Request {
-    let (vector, digests) = fleet.catalog_state();
+fn pull(fleet: &Fleet, sequence: u64, lifecycle: Lifecycle, wait_ms: u32, compares: bool) -> Request {
+    let (vector, mut digests) = fleet.catalog_state();
+    if !compares {
+        digests.clear();
+    }
     let proxy = Registration {
         id: fleet.proxy.clone(),
         zone: fleet.boot.zone.clone(),
@@ -125,7 +148,7 @@
 
 fn take(fleet: &Fleet, members: &mut Members, reply: PullReply) {
     let now = fleet.now();
-    members.named(now, &reply.members);
+    members.name(now, reply.members.iter().copied());
     fleet.merge(reply.delta);
     fleet.leader.set(reply.leader);
     // A process that has lost its group may hold a version behind the one in force elsewhere.
@@ -136,8 +159,6 @@
         fleet.configure(configuration);
     }
     fleet.fresh_at.set(Some(now));
-    members.stay();
-    members.next = members.next.max(1);
 }
 
 /// Says that this proxy leaves.
@@ -146,5 +167,5 @@
     let address = SocketAddrV4::new(Ipv4Addr::from(leader), fleet.boot.ephemeral_ports.0);
     let Ok(mut caller) = Caller::open(address, FAREWELL).await else { return };
     // Without this call the lease runs out by itself.
-    let _ = caller.call(&pull(&fleet, u64::MAX, Lifecycle::Gone, 0), FAREWELL).await;
+    let _ = caller.call(&pull(&fleet, u64::MAX, Lifecycle::Gone, 0, false), FAREWELL).await;
 }
--- a/crates/gaugesaddle/src/edge/serve.rs
+++ b/crates/gaugesaddle/src/edge/serve.rs
@@ -23,7 +23,7 @@
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Reads the boot file that the environment names.
-fn read_boot() -> Result<BootSettings> {
+pub fn read_boot() -> Result<BootSettings> {
     let path = std::env::var(boot::PATH_VARIABLE)
         .map_err(|_| eyre!("{}: expected the path of the boot file", boot::PATH_VARIABLE))?;
     let text = std::fs::read_to_string(&path).wrap_err_with(|| format!("reading {path}"))?;
