--- a/crates/gaugesaddle-inference/src/lib.rs
+++ b/crates/gaugesaddle-inference/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A kind is a group that is treated as equally fast. For one prompt, a backend that keeps the prompt's shared part
 //! is faster than one that has to read it again; so the *warm* and the *cold* backends of a service are two kinds of
-//! that prompt, each with the latency learned for it, and the formula decides how much spills from warm to cold as
+//! that prompt, each with the latency expected of it (learned for a token read, times the tokens that it
+//! would have to read), and the formula decides how much spills from warm to cold as
 //! the prompt's own traffic grows. Who is warm needs no message: all proxies rank the backends by the same hash of
 //! prompt part and backend.
 //!
@@ -18,5 +19,5 @@
 pub mod warmth;
 
 pub use chooser::{Candidate, Chooser, ChooserSettings, LearnedKind};
-pub use prompt::{PromptParts, TokenUsage};
+pub use prompt::{Prompt, PromptParts, TokenUsage};
 pub use rate::Rate;
--- a/crates/gaugesaddle-inference/src/prompt.rs
+++ b/crates/gaugesaddle-inference/src/prompt.rs
@@ -25,6 +25,36 @@
     }
 }
 
+/// What a choice needs to know of a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Its last part that others share, if it has parts.
+    pub subject: Option<u64>,
+    /// Tokens of the parts that others share.
+    pub shared: u64,
+    /// Tokens of all parts.
+    pub total: u64,
+}
+
+impl Prompt {
+    /// Tokens that a backend has to read which keeps the shared parts, or does not.
+    pub fn unread(&self, warm: bool) -> u64 {
+        if warm {
+            self.total - self.shared
+        } else {
+            self.total
+        }
+    }
+}
+
+impl From<&PromptParts> for Prompt {
+    fn from(parts: &PromptParts) -> Prompt {
+        let total = parts.0.iter().fold(0, |sum: u64, (_, tokens)| sum.saturating_add(*tokens));
+        let own = parts.0.last().map_or(0, |(_, tokens)| *tokens);
+        Prompt { subject: parts.subject(), shared: total - own, total }
+    }
+}
+
 /// Tokens of a prompt, and the most that may come out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenUsage {
