--- a/crates/gaugesaddle-inference/src/chooser.rs
+++ b/crates/gaugesaddle-inference/src/chooser.rs
@@ -1,6 +1,6 @@
 //! Shares by the clamped formula, and the draw inside a kind.
 
-use crate::{warmth, Rate};
+use crate::{warmth, Prompt, Rate};
 use beechworks::halb_shares;
 use rand_core::RngCore;
 use std::collections::BTreeMap;
@@ -38,9 +38,9 @@
     pub crowded: bool,
 }
 
-/// A kind, and whether it is warm for the request that it is learned from.
+/// A kind of backends, for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LearnedKind {
+pub struct Kind {
     /// Size of its backends.
     pub slots: u32,
     /// They keep the prompt's shared part.
@@ -49,12 +49,30 @@
     pub crowded: bool,
 }
 
+/// What latencies are learned for: warm and cold backends read a token equally fast.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Reader {
+    slots: u32,
+    crowded: bool,
+}
+
+impl From<&Kind> for Reader {
+    fn from(kind: &Kind) -> Reader {
+        Reader { slots: kind.slots, crowded: kind.crowded }
+    }
+}
+
+/// What a request takes that reads nothing, in tokens that could be read in that time.
+const OVERHEAD_TOKENS: f64 = 300.0;
+/// A crowded backend without data is taken to be so much slower.
+const CROWDED: f64 = 8.0;
+
 /// Chooses backends of one service for one route.
 #[derive(Clone, Debug)]
 pub struct Chooser {
     settings: ChooserSettings,
-    latencies: BTreeMap<LearnedKind, f64>,
-    /// The share that each kind had last, for the speed under load.
+    /// Milliseconds for a token read.
+    latencies: BTreeMap<Reader, f64>,
     arrivals: Rate,
     parts: BTreeMap<u64, Rate>,
 }
@@ -79,25 +97,25 @@
     }
 
     /// A served request took so many milliseconds, to its first event where it is a stream.
-    pub fn note_latency(&mut self, kind: LearnedKind, latency: f64) {
+    pub fn note_latency(&mut self, kind: Kind, prompt: Prompt, latency: f64) {
         let part = self.settings.latency_part;
-        let learned = self.latencies.entry(kind).or_insert(latency);
-        *learned += part * (latency - *learned);
+        let sample = latency / work(prompt, kind.warm);
+        let learned = self.latencies.entry(Reader::from(&kind)).or_insert(sample);
+        *learned += part * (sample - *learned);
     }
 
     /// The index of the backend drawn, and the kind it was drawn from. `proxies` is the number of proxies that
     /// arrivals are spread over.
     pub fn choose(
-        &self, now: u64, candidates: &[Candidate], part: Option<u64>, proxies: usize,
-        random: &mut impl RngCore,
-    ) -> Option<(usize, LearnedKind)> {
+        &self, now: u64, candidates: &[Candidate], prompt: Prompt, proxies: usize, random: &mut impl RngCore,
+    ) -> Option<(usize, Kind)> {
         let smoothing = self.settings.rate_smoothing;
-        let rate = match part {
+        let rate = match prompt.subject {
             Some(part) => self.parts.get(&part).map_or(0.0, |r| r.at(now, smoothing)),
             None => self.arrivals.at(now, smoothing),
         } * proxies.max(1) as f64;
-        let kinds = self.kinds(candidates, part, rate);
-        let shares = self.shares(&kinds, rate);
+        let kinds = self.kinds(candidates, prompt.subject, rate);
+        let shares = self.shares(&kinds, prompt, rate);
         let at = draw(&shares, random)?;
         let (kind, members) = kinds.get(at)?;
         let member = members.get(below(random, members.len()))?;
@@ -105,9 +123,7 @@
     }
 
     /// The members of each kind.
-    fn kinds(
-        &self, candidates: &[Candidate], part: Option<u64>, rate: f64,
-    ) -> Vec<(LearnedKind, Vec<usize>)> {
+    fn kinds(&self, candidates: &[Candidate], part: Option<u64>, rate: f64) -> Vec<(Kind, Vec<usize>)> {
         let marks = match part {
             Some(part) => {
                 let more = (rate / self.settings.rate_for_copy) as usize;
@@ -116,32 +132,41 @@
             }
             None => vec![false; candidates.len()],
         };
-        let mut kinds: BTreeMap<LearnedKind, Vec<usize>> = BTreeMap::new();
+        let mut kinds: BTreeMap<Kind, Vec<usize>> = BTreeMap::new();
         for (index, (candidate, warm)) in candidates.iter().zip(marks).enumerate() {
-            let kind = LearnedKind { slots: candidate.slots, warm, crowded: candidate.crowded };
+            let kind = Kind { slots: candidate.slots, warm, crowded: candidate.crowded };
             kinds.entry(kind).or_default().push(index);
         }
         kinds.into_iter().collect()
     }
 
     /// The clamped formula. Speeds are what the latencies tell under the present load; a kind without data counts as
-    /// equally fast, but a crowded one as slow and a cold one as slower than a warm one until it is known.
-    fn shares(&self, kinds: &[(LearnedKind, Vec<usize>)], rate: f64) -> Vec<f64> {
-        let known: Vec<f64> = kinds.iter().filter_map(|(k, _)| self.latencies.get(k)).copied().collect();
-        let typical = if known.is_empty() { 100.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
-        let latency = |kind: &LearnedKind| {
-            let learned = self.latencies.get(kind).copied();
-            let guess = typical * if kind.warm { 0.8 } else { 1.0 } * if kind.crowded { 8.0 } else { 1.0 };
-            learned.unwrap_or(guess).max(0.1) / 1000.0
+    /// equally fast, but a crowded one as slow until it is known. A backend serves as many requests at once as it has
+    /// slots: each slot is one of the formula's servers.
+    fn shares(&self, kinds: &[(Kind, Vec<usize>)], prompt: Prompt, rate: f64) -> Vec<f64> {
+        let calm = self.latencies.iter().filter(|(reader, _)| !reader.crowded).map(|(_, ms)| *ms);
+        let typical = calm.reduce(f64::max).unwrap_or(1.0);
+        let latency = |kind: &Kind| {
+            let guess = if kind.crowded { typical * CROWDED } else { typical };
+            let learned = self.latencies.get(&Reader::from(kind)).copied();
+            learned.unwrap_or(guess).max(1e-6) * work(prompt, kind.warm) / 1000.0
         };
-        let total: f64 = kinds.iter().map(|(_, m)| m.len() as f64).sum();
+        let servers = |kind: &Kind, members: &[usize]| members.len() as f64 * f64::from(kind.slots.max(1));
+        let total: f64 = kinds.iter().map(|(kind, members)| servers(kind, members)).sum();
         let even = rate / total.max(1.0);
-        let table: Vec<(f64, f64)> =
-            kinds.iter().map(|(kind, members)| (members.len() as f64, 1.0 / latency(kind) + even)).collect();
+        let table: Vec<(f64, f64)> = kinds
+            .iter()
+            .map(|(kind, members)| (servers(kind, members), 1.0 / latency(kind) + even))
+            .collect();
         halb_shares(&table, Some(rate))
     }
 }
 
+/// What a request takes, in tokens read.
+fn work(prompt: Prompt, warm: bool) -> f64 {
+    OVERHEAD_TOKENS + prompt.unread(warm) as f64
+}
+
 fn draw(shares: &[f64], random: &mut impl RngCore) -> Option<usize> {
     let mut left = unit(random) * shares.iter().sum::<f64>();
     for (index, share) in shares.iter().enumerate() {
--- a/crates/gaugesaddle-inference/src/lib.rs
+++ b/crates/gaugesaddle-inference/src/lib.rs
@@ -18,6 +18,6 @@
 mod rate;
 pub mod warmth;
 
-pub use chooser::{Candidate, Chooser, ChooserSettings, LearnedKind};
+pub use chooser::{Candidate, Chooser, ChooserSettings, Kind};
 pub use prompt::{Prompt, PromptParts, TokenUsage};
 pub use rate::Rate;
--- a/crates/gaugesaddle/src/edge/admission.rs
+++ b/crates/gaugesaddle/src/edge/admission.rs
@@ -4,7 +4,7 @@
 use super::headers::{self, API_KEY, DEADLINE, PREFIX_HASH, TOKEN_USAGE};
 use super::refusal::Refusal;
 use gaugesaddle_config::{Route, RoutingTable, Tenant};
-use gaugesaddle_inference::{PromptParts, TokenUsage};
+use gaugesaddle_inference::{Prompt, PromptParts, TokenUsage};
 use gaugesaddle_quota::Taken;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -22,8 +22,7 @@
 pub struct Admitted<'a> {
     pub route: &'a Route,
     pub tenant: Option<&'a Tenant>,
-    /// The last part of its prompt that others share.
-    pub subject: Option<u64>,
+    pub prompt: Prompt,
     /// When its client or its route gives it up.
     pub deadline: Instant,
     /// What it is told to backends as, 0 most urgent.
@@ -42,12 +41,12 @@
     let wanted = headers::text(&head.headers, &DEADLINE).and_then(|text| text.parse::<f64>().ok());
     let route_time = route.timeout_ms as f64;
     let time = wanted.unwrap_or(route_time).clamp(0.0, route_time);
-    let prompt = headers::text(&head.headers, &PREFIX_HASH).and_then(PromptParts::parse);
+    let parts = headers::text(&head.headers, &PREFIX_HASH).and_then(PromptParts::parse);
     let rank = tenant.map_or(0, |t| t.priority) * TENANT_STEP + route.priority.min(TENANT_STEP - 1);
     Ok(Admitted {
         route,
         tenant,
-        subject: prompt.and_then(|p| p.subject()),
+        prompt: parts.as_ref().map(Prompt::from).unwrap_or_default(),
         deadline: arrived + Duration::from_secs_f64(time / 1000.0),
         priority: rank.min(LEAST_URGENT),
     })
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::exchange::strip;
 use bytes::Bytes;
 use gaugesaddle_config::{Route, RoutingTable, ServiceIndex};
-use gaugesaddle_inference::{Candidate, LearnedKind};
+use gaugesaddle_inference::{Candidate, Kind, Prompt};
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -28,7 +28,7 @@
     pub route: Route,
     pub service: ServiceIndex,
     pub service_name: String,
-    pub subject: Option<u64>,
+    pub prompt: Prompt,
     pub deadline: Instant,
     head: Parts,
     body: Bytes,
@@ -58,7 +58,7 @@
 pub struct Begun {
     pub answer: Answer,
     pub backend: Rc<Backend>,
-    pub kind: LearnedKind,
+    pub kind: Kind,
     pub sent: Instant,
     pub in_use: InUse,
 }
@@ -79,10 +79,10 @@
         head.headers.insert(PRIORITY, HeaderValue::from(admitted.priority));
         fleet.note_request(&service_name);
         let now = fleet.now();
-        fleet.with_chooser(admitted.route, &service_name, |c| c.note_arrival(now, admitted.subject));
+        fleet.with_chooser(admitted.route, &service_name, |c| c.note_arrival(now, admitted.prompt.subject));
         Ok(Job {
             route: admitted.route.clone(),
-            subject: admitted.subject,
+            prompt: admitted.prompt,
             deadline: admitted.deadline,
             _active: Active::new(fleet.clone()),
             fleet,
@@ -156,7 +156,7 @@
     }
 
     /// Draws a backend that was not tried: of those that fare well, else of all.
-    fn choose(&self) -> Option<(Rc<Backend>, LearnedKind)> {
+    fn choose(&self) -> Option<(Rc<Backend>, Kind)> {
         let now = self.fleet.now();
         let most = self.fleet.connections(&self.table, self.service);
         let mut backends = self.fleet.backends(&self.service_name);
@@ -172,7 +172,7 @@
         let proxies = self.fleet.proxies();
         let mut random = self.fleet.random.borrow_mut();
         let drawn = self.fleet.with_chooser(&self.route, &self.service_name, |chooser| {
-            chooser.choose(now, &candidates, self.subject, proxies, &mut *random)
+            chooser.choose(now, &candidates, self.prompt, proxies, &mut *random)
         });
         let (index, kind) = drawn?;
         backends.get(index).map(|b| (b.clone(), kind))
--- a/crates/gaugesaddle/src/edge/front.rs
+++ b/crates/gaugesaddle/src/edge/front.rs
@@ -183,7 +183,7 @@
     drop(in_use);
     let latency = sent.elapsed().as_secs_f64() * 1000.0;
     if answer.head.status.is_success() {
-        job.fleet.with_chooser(&job.route, &job.service_name, |c| c.note_latency(kind, latency));
+        job.fleet.with_chooser(&job.route, &job.service_name, |c| c.note_latency(kind, job.prompt, latency));
     }
     if link.alive().await {
         backend.put_back(job.fleet.now(), link);
--- a/crates/gaugesaddle/src/edge/relay.rs
+++ b/crates/gaugesaddle/src/edge/relay.rs
@@ -188,7 +188,8 @@
             let Passing { begun, job } = passing.as_ref();
             let latency = begun.sent.elapsed().as_secs_f64() * 1000.0;
             let kind = begun.kind;
-            job.fleet.with_chooser(&job.route, &job.service_name, |c| c.note_latency(kind, latency));
+            job.fleet
+                .with_chooser(&job.route, &job.service_name, |c| c.note_latency(kind, job.prompt, latency));
         }
     }
 
