--- a/crates/gaugesaddle-consensus/src/replica.rs
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -172,6 +172,8 @@
             early: Vec::new(),
         };
         replica.set_election_time(now);
+        // After a loss of all processes nobody leads; where somebody does, the pre-votes are refused.
+        replica.election_at -= settings.election - settings.first_election;
         replica
     }
 
--- a/crates/gaugesaddle-consensus/src/settings.rs
+++ b/crates/gaugesaddle-consensus/src/settings.rs
@@ -19,6 +19,8 @@
     pub election: u64,
     /// A random part of this is added to it.
     pub election_spread: u64,
+    /// Least time before an election of a replica that has just started and has heard nobody.
+    pub first_election: u64,
     /// A leader without answers of a majority for so long steps down.
     pub lease: u64,
     /// A write to the own disk that takes longer ends a leadership.
@@ -30,10 +32,11 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            heartbeat: 150,
-            election: 700,
-            election_spread: 500,
-            lease: 600,
+            heartbeat: 120,
+            election: 500,
+            election_spread: 400,
+            first_election: 100,
+            lease: 450,
             disk: 1000,
             forget: 30_000,
         }
