--- a/crates/gaugesaddle-config/src/boot.rs
+++ b/crates/gaugesaddle-config/src/boot.rs
@@ -37,6 +37,8 @@
     pub budget_slack: f64,
     /// Window of the quotas, in s.
     pub quota_window_s: f64,
+    /// Part that may be used above the quota.
+    pub quota_over: f64,
     /// Tokens in a window above the quota.
     pub quota_slack: f64,
     /// Time within which an operator's order wants its answer, in ms.
@@ -261,6 +263,7 @@
         budget_window_s: r.or("bounds.budgetWindowS", NUMBER, 10.0),
         budget_slack: r.or("bounds.budgetSlack", NUMBER, 0.0),
         quota_window_s: r.or("bounds.quotaWindowS", NUMBER, 8.0),
+        quota_over: r.or("bounds.quotaOver", NUMBER, 0.0),
         quota_slack: r.or("bounds.quotaSlack", NUMBER, 0.0),
         ack_ms: r.or("bounds.ackMs", WHOLE, 4000),
         catch_up_s: r.or("bounds.catchUpS", NUMBER, 4.0),
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -18,6 +18,11 @@
 use std::sync::mpsc;
 use tokio::sync::{oneshot, watch, Notify};
 
+/// Part of the quotas' slack that is lent beside the rate, and again beside the burst.
+const SLACK_PART: f64 = 0.3;
+/// Part of what may be used over a quota that is lent: what is lent and not used in time is lost.
+const OVER_PART: f64 = 0.5;
+
 /// A number that no other process draws.
 pub fn draw() -> u64 {
     OsRng.try_next_u64().unwrap_or_else(|_| u64::from(std::process::id()) | 1 << 40)
@@ -364,8 +369,13 @@
         // It was checked before it was proposed.
         let Ok(config) = OperatorConfig::parse(&configuration.document) else { return };
         let limited = config.tenants.into_iter().filter(|t| t.rate_per_s > 0.0);
-        let limits: Vec<(String, Limit)> =
-            limited.map(|t| (t.name, Limit { rate: t.rate_per_s, burst: t.burst.max(0.0) })).collect();
+        let bounds = &self.boot.bounds;
+        let slack = bounds.quota_slack * SLACK_PART;
+        let limit = |rate: f64, burst: f64| Limit {
+            rate: rate * (1.0 + OVER_PART * bounds.quota_over) + slack / bounds.quota_window_s.max(1.0),
+            burst: burst.max(0.0) + slack,
+        };
+        let limits: Vec<(String, Limit)> = limited.map(|t| (t.name, limit(t.rate_per_s, t.burst))).collect();
         self.dealer.configure(now, &limits);
     }
 }
--- a/crates/gaugesaddle/src/edge/admission.rs
+++ b/crates/gaugesaddle/src/edge/admission.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A request waits for tokens at most so long.
-const TOKEN_WAIT: Duration = Duration::from_millis(120);
+/// Part of its objective that a request waits for tokens.
+const TOKEN_WAIT_PART: f64 = 0.24;
 /// Priorities that one step of a tenant's rank is worth.
 const TENANT_STEP: u32 = 3;
 /// The least urgent priority that backends know.
@@ -61,7 +61,8 @@
     }
     fleet.purse.borrow_mut().lack(&tenant.name, cost, true);
     let waiting = Lacking { fleet, tenant: &tenant.name, cost };
-    let until = Instant::now() + TOKEN_WAIT;
+    let wait = admitted.route.target_ms * TOKEN_WAIT_PART / 1000.0;
+    let until = Instant::now() + Duration::from_secs_f64(wait);
     loop {
         let granted = fleet.granted.notified();
         fleet.short.notify_one();
