--- a/crates/gaugesaddle-inference/src/lib.rs
+++ b/crates/gaugesaddle-inference/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - [`Chooser`]: shares and draw, latencies learned, arrival rates.
 //! - [`warmth`]: the ranking.
+//! - [`PromptSizes`]: backends kept for long prompts.
 //! - [`events`]: the events of a stream, for passing on whole and for continuing.
 //! - [`PromptParts`]: what a request says of its prompt.
 
@@ -16,8 +17,10 @@
 pub mod events;
 mod prompt;
 mod rate;
+mod sizes;
 pub mod warmth;
 
 pub use chooser::{Candidate, Chooser, ChooserSettings, Kind};
 pub use prompt::{Prompt, PromptParts, TokenUsage};
 pub use rate::Rate;
+pub use sizes::PromptSizes;
--- /dev/null
+++ b/crates/gaugesaddle-inference/src/sizes.rs
@@ -0,0 +1,67 @@
+//! Long prompts apart from the others: assignment of sizes to groups of backends.
+//!
+//! While an engine reads a long prompt, everybody else on that backend waits: first tokens and the pauses between
+//! events both suffer. So a part of the backends, as large as the long prompts' part of the work asks for, is kept for
+//! them. All proxies keep the same ones: those that rank highest for a fixed number.
+
+use crate::{warmth, Prompt};
+
+/// A prompt of so many times the mean is long.
+const LONG: f64 = 6.0;
+/// Part that one prompt has in the smoothed figures.
+const PART: f64 = 0.005;
+/// Prompts to see before any is called long.
+const LEAST_SEEN: u32 = 50;
+/// Backends kept, for each that the long prompts' part of the work would fill: they vary more.
+const ROOM: f64 = 1.4;
+/// Fewer backends are not divided.
+const LEAST_BACKENDS: usize = 4;
+/// What backends are ranked for.
+const RESERVED: u64 = 0x6c6f_6e67;
+
+/// What the prompts of one service are like.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PromptSizes {
+    seen: u32,
+    mean: f64,
+    /// Tokens of long prompts, a prompt, those that are not long counting as none.
+    long: f64,
+}
+
+impl PromptSizes {
+    /// Takes a prompt into account; tokens that a backend that keeps its shared part would read.
+    pub fn note(&mut self, prompt: Prompt) {
+        if prompt.total == 0 {
+            return;
+        }
+        let tokens = prompt.unread(true) as f64;
+        self.seen = self.seen.saturating_add(1);
+        let part = PART.max(1.0 / f64::from(self.seen));
+        self.mean += part * (tokens - self.mean);
+        let long = if self.is_long(prompt) { tokens } else { 0.0 };
+        self.long += part * (long - self.long);
+    }
+
+    /// Whether a prompt is long.
+    pub fn is_long(&self, prompt: Prompt) -> bool {
+        self.seen >= LEAST_SEEN && prompt.unread(true) as f64 > LONG * self.mean
+    }
+
+    /// Backends kept for long prompts, of so many.
+    pub fn reserved(&self, backends: usize) -> usize {
+        if self.seen < LEAST_SEEN || backends < LEAST_BACKENDS || self.mean <= 0.0 {
+            return 0;
+        }
+        let wanted = backends as f64 * self.long / self.mean * ROOM;
+        (wanted.round() as usize).clamp(1, backends / 2)
+    }
+
+    /// Marks the backends that are kept for long prompts.
+    pub fn mark(&self, backends: &[u64]) -> Vec<bool> {
+        let reserved = self.reserved(backends.len());
+        if reserved == 0 {
+            return vec![false; backends.len()];
+        }
+        warmth::warm(RESERVED, backends, reserved)
+    }
+}
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -78,6 +78,7 @@
         }
         head.headers.insert(PRIORITY, HeaderValue::from(admitted.priority));
         fleet.note_request(&service_name);
+        fleet.note_prompt(&service_name, admitted.prompt);
         let now = fleet.now();
         fleet.with_chooser(admitted.route, &service_name, |c| c.note_arrival(now, admitted.prompt.subject));
         Ok(Job {
@@ -166,6 +167,7 @@
         if backends.iter().any(well) {
             backends.retain(well);
         }
+        self.keep_apart(&mut backends);
         let candidate =
             |b: &Rc<Backend>| Candidate { identity: b.identity, slots: b.slots, crowded: b.is_crowded(now) };
         let candidates: Vec<Candidate> = backends.iter().map(candidate).collect();
@@ -178,6 +180,18 @@
         backends.get(index).map(|b| (b.clone(), kind))
     }
 
+    /// Leaves the backends that are kept for long prompts, or the others.
+    fn keep_apart(&self, backends: &mut Vec<Rc<Backend>>) {
+        let sizes = self.fleet.sizes(&self.service_name);
+        let identities: Vec<u64> = backends.iter().map(|b| b.identity).collect();
+        let marks = sizes.mark(&identities);
+        let long = sizes.is_long(self.prompt);
+        if marks.iter().any(|reserved| *reserved == long) {
+            let mut marks = marks.into_iter();
+            backends.retain(|_| marks.next() == Some(long));
+        }
+    }
+
     fn request(&self, backend: &Backend, resume: Option<&str>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/crates/gaugesaddle/src/edge/fleet.rs
+++ b/crates/gaugesaddle/src/edge/fleet.rs
@@ -4,7 +4,7 @@
 use gaugesaddle_catalog::Catalog;
 use gaugesaddle_config::boot::Bounds;
 use gaugesaddle_config::{BootSettings, OperatorConfig, Route, RoutingTable, ServiceIndex};
-use gaugesaddle_inference::{Chooser, ChooserSettings};
+use gaugesaddle_inference::{Chooser, ChooserSettings, Prompt, PromptSizes};
 use gaugesaddle_protocol::{Configuration, Delta, Lifecycle, Registration, Stamp, Subject, VersionVector};
 use gaugesaddle_quota::{Purse, RetryBudget, RetrySettings};
 use gaugesaddle_transport::Clock;
@@ -50,6 +50,7 @@
     proxies: Cell<usize>,
     choosers: RefCell<HashMap<(String, String), Chooser>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
+    sizes: RefCell<HashMap<String, PromptSizes>>,
 }
 
 impl Fleet {
@@ -76,6 +77,7 @@
             proxies: Cell::new(1),
             choosers: RefCell::default(),
             budgets: RefCell::default(),
+            sizes: RefCell::default(),
         }
     }
 
@@ -209,6 +211,16 @@
         f(choosers.entry(key).or_insert_with(|| Chooser::new(ChooserSettings::default())))
     }
 
+    /// Takes a prompt into account for the sizes of a service's prompts.
+    pub fn note_prompt(&self, service: &str, prompt: Prompt) {
+        self.sizes.borrow_mut().entry(service.to_owned()).or_default().note(prompt);
+    }
+
+    /// What a service's prompts are like.
+    pub fn sizes(&self, service: &str) -> PromptSizes {
+        self.sizes.borrow().get(service).copied().unwrap_or_default()
+    }
+
     /// Counts a client's request for a service.
     pub fn note_request(&self, service: &str) {
         let now = self.now();
--- a/crates/gaugesaddle/src/edge/refusal.rs
+++ b/crates/gaugesaddle/src/edge/refusal.rs
@@ -30,6 +30,9 @@
     Late,
 }
 
+/// When to come back to a process that has just started, in seconds: an election, a configuration, and the backends'
+/// next heartbeats are awaited.
+const AT_START: &str = "1.2";
 /// When to come back, in seconds.
 const SOON: &str = "0.2";
 /// When to come back after a quota was used up, in seconds.
@@ -53,7 +56,8 @@
     /// When its client should come back, in seconds.
     fn retry_after(self) -> Option<&'static str> {
         match self {
-            Refusal::NotConfigured | Refusal::Unavailable | Refusal::Late => Some(SOON),
+            Refusal::NotConfigured => Some(AT_START),
+            Refusal::Unavailable | Refusal::Late => Some(SOON),
             Refusal::OverQuota => Some(LATER),
             _ => None,
         }
--- a/crates/gaugesaddle/src/edge/upstream.rs
+++ b/crates/gaugesaddle/src/edge/upstream.rs
@@ -20,7 +20,7 @@
 /// Time for a connection to come up.
 const CONNECT: Duration = Duration::from_millis(400);
 /// Bytes that stay unacknowledged for so long end a connection.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1000);
 /// A head is read up to this size.
 const HEAD_BYTES: usize = 16 << 10;
 
