--- a/crates/gaugesaddle-inference/src/sizes.rs
+++ b/crates/gaugesaddle-inference/src/sizes.rs
@@ -7,11 +7,16 @@
 use crate::{warmth, Prompt};
 
 /// A prompt of so many times the mean is long.
-const LONG: f64 = 6.0;
-/// Part that one prompt has in the smoothed figures.
-const PART: f64 = 0.005;
+const LONG: f64 = 10.0;
+/// Part that one prompt has in the smoothed figures, at least.
+const PART: f64 = 0.0005;
+/// Part of the work that long prompts are taken to be before any is seen, and how many prompts that counts as.
+const LONG_PART: f64 = 0.15;
+const PRIOR: u32 = 400;
 /// Prompts to see before any is called long.
-const LEAST_SEEN: u32 = 50;
+const LEAST_SEEN: u32 = 20;
+/// The number of backends kept is changed only when it is off by more than this.
+const SLACK: f64 = 0.8;
 /// Backends kept, for each that the long prompts' part of the work would fill: they vary more.
 const ROOM: f64 = 1.4;
 /// Fewer backends are not divided.
@@ -20,12 +25,20 @@
 const RESERVED: u64 = 0x6c6f_6e67;
 
 /// What the prompts of one service are like.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct PromptSizes {
     seen: u32,
     mean: f64,
-    /// Tokens of long prompts, a prompt, those that are not long counting as none.
+    /// Long prompts' part of the work.
     long: f64,
+    /// The part by which backends are kept; follows `long` when that is well off.
+    kept: f64,
+}
+
+impl Default for PromptSizes {
+    fn default() -> PromptSizes {
+        PromptSizes { seen: 0, mean: 0.0, long: LONG_PART, kept: LONG_PART }
+    }
 }
 
 impl PromptSizes {
@@ -38,8 +51,13 @@
         self.seen = self.seen.saturating_add(1);
         let part = PART.max(1.0 / f64::from(self.seen));
         self.mean += part * (tokens - self.mean);
-        let long = if self.is_long(prompt) { tokens } else { 0.0 };
-        self.long += part * (long - self.long);
+        let weight = tokens / self.mean.max(1.0);
+        let long = if self.is_long(prompt) { 1.0 } else { 0.0 };
+        let part = PART.max(1.0 / f64::from(self.seen.saturating_add(PRIOR)));
+        self.long += (part * weight).min(1.0) * (long - self.long);
+        if (self.long - self.kept).abs() > SLACK * self.kept {
+            self.kept = self.long;
+        }
     }
 
     /// Whether a prompt is long.
@@ -49,10 +67,10 @@
 
     /// Backends kept for long prompts, of so many.
     pub fn reserved(&self, backends: usize) -> usize {
-        if self.seen < LEAST_SEEN || backends < LEAST_BACKENDS || self.mean <= 0.0 {
+        if self.seen == 0 || backends < LEAST_BACKENDS {
             return 0;
         }
-        let wanted = backends as f64 * self.long / self.mean * ROOM;
+        let wanted = backends as f64 * self.kept * ROOM;
         (wanted.round() as usize).clamp(1, backends / 2)
     }
 
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -186,7 +186,7 @@
         let identities: Vec<u64> = backends.iter().map(|b| b.identity).collect();
         let marks = sizes.mark(&identities);
         let long = sizes.is_long(self.prompt);
-        if marks.iter().any(|reserved| *reserved == long) {
+        if marks.contains(&long) {
             let mut marks = marks.into_iter();
             backends.retain(|_| marks.next() == Some(long));
         }
