--- a/crates/gaugesaddle-catalog/tests/catalog.rs
+++ b/crates/gaugesaddle-catalog/tests/catalog.rs
@@ -36,7 +36,7 @@
     /// Whoever has heard all agrees, whatever the order, and however often each was told.
     #[test]
     fn processes_that_heard_the_same_agree(changes in changes(), order in any::<u64>()) {
-        let mut processes = vec![Catalog::default(), Catalog::default(), Catalog::default()];
+        let mut processes = [Catalog::default(), Catalog::default(), Catalog::default()];
         let mut deltas = Vec::new();
         for (at, id, sequence, lifecycle) in changes {
             let accepted = processes[at as usize].accept(NOW, Origin(at), registration(id, sequence, lifecycle));
--- a/crates/gaugesaddle-consensus/tests/faults.rs
+++ b/crates/gaugesaddle-consensus/tests/faults.rs
@@ -60,15 +60,13 @@
                 machine.disk_delay = delay;
             }
         }
-        8 => {
-            // All processes at once; their disks are kept.
-            if group.below(6) == 0 {
-                for ip in &ips {
-                    group.crash(*ip);
-                    group.start(*ip, false);
-                }
-                down.clear();
+        // All processes at once; their disks are kept.
+        8 if group.below(6) == 0 => {
+            for ip in &ips {
+                group.crash(*ip);
+                group.start(*ip, false);
             }
+            down.clear();
         }
         _ => {}
     }
