--- /dev/null
+++ b/crates/gaugesaddle-control/tests/traffic.rs
@@ -0,0 +1,255 @@
+//! The failure: a request reaches a backend that it must not reach, runs twice, is refused though it ran, or a stream
+//! loses an event, with real proxies and control processes.
+
+use gaugesaddle_testbed::fleet::{call, document, Chunked, Fleet};
+use gaugesaddle_testbed::scripted::{ok, until, Backend, Message, Reply};
+use std::net::SocketAddr;
+
+/// One control process and so many proxies.
+const CONTROL: usize = 0;
+const EDGE: usize = 1;
+
+fn request(route: &str, headers: &str) -> String {
+    format!(
+        "POST /{route}/a?b=c HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q1\r\nDeadline-Ms: 6000\r\n{headers}\
+         Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+const FREE: &str = "Api-Key: k-free\r\n";
+
+fn answer(text: &str) -> Reply {
+    Reply::Say(format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Signature: sig\r\nContent-Length: {}\r\n\r\n{text}",
+        text.len()
+    ))
+}
+
+fn events(from: u32, to: u32) -> String {
+    (from..to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Type: text/event-stream\r\n\
+                           Transfer-Encoding: chunked\r\nResponse-Signature: ";
+
+/// A fleet with a configuration and these backends, its proxy ready.
+fn fleet_with(edges: u8, backends: &[(&str, SocketAddr)]) -> Fleet {
+    let fleet = Fleet::start(1, edges).expect("it starts");
+    until("the configuration is taken", || fleet.put(CONTROL, 0, &document(1).to_string()).0 == 200);
+    for (id, address) in backends {
+        until("the backend is registered", || fleet.heartbeat(CONTROL, id, "s", *address, "ready") == 200);
+    }
+    for at in 0..edges as usize {
+        until("the proxy is ready", || fleet.is_ready(EDGE + at));
+    }
+    fleet
+}
+
+#[test]
+fn before_any_configuration_requests_are_refused_and_told_when_to_come_back() {
+    let fleet = Fleet::start(1, 1).expect("it starts");
+    let mut refused = Message::default();
+    until("the proxy answers", || {
+        call(fleet.front(EDGE), &request("plain", FREE)).map(|m| refused = m).is_ok()
+    });
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("retry-after").is_some());
+    assert!(!fleet.is_ready(EDGE));
+}
+
+#[test]
+fn a_request_goes_on_with_what_the_system_adds_and_without_its_key() {
+    let backend = Backend::start(|_| answer("the answer"));
+    let fleet = fleet_with(1, &[("i-1", backend.address)]);
+    let got = call(fleet.front(EDGE), &request("plain", "Api-Key: k-free\r\nTenant: forged\r\n"))
+        .expect("answered");
+    assert_eq!((got.status(), got.body.as_slice()), (200, b"the answer".as_slice()));
+    assert_eq!(got.header("response-signature"), Some("sig"));
+    let [seen] = &backend.requests()[..] else { panic!("one attempt") };
+    assert_eq!(seen.start, "POST /plain/a?b=c HTTP/1.1");
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("expected-instance"), Some("i-1"));
+    assert_eq!(seen.header("tenant"), Some("free"));
+    assert_eq!(seen.header("api-key"), None);
+    let left: u64 = seen.header("deadline-ms").and_then(|v| v.parse().ok()).expect("a time");
+    assert!((4000..=6000).contains(&left), "{left} ms left of 6,000");
+    let status = |text: &str| call(fleet.front(EDGE), text).map(|m| m.status()).unwrap_or(0);
+    assert_eq!(status(&request("nowhere", FREE)), 404);
+    assert_eq!(status(&request("plain", "")), 401);
+    assert_eq!(status(&request("plain", "Api-Key: wrong\r\n")), 401);
+    assert_eq!(backend.requests().len(), 1);
+}
+
+#[test]
+fn a_key_that_is_taken_away_is_refused_on_an_open_connection_too() {
+    let backend = Backend::start(|_| answer("x"));
+    let fleet = fleet_with(1, &[("i-1", backend.address)]);
+    let status = || call(fleet.front(EDGE), &request("plain", FREE)).map(|m| m.status()).unwrap_or(0);
+    assert_eq!(status(), 200);
+    let without = document(2).to_string().replace("k-free", "k-other");
+    assert_eq!(fleet.put(CONTROL, 1, &without).0, 200);
+    until("the key is refused", || status() == 401);
+}
+
+#[test]
+fn no_request_reaches_a_backend_that_drains() {
+    let (old, new) = (Backend::start(|_| answer("old")), Backend::start(|_| answer("new")));
+    let fleet = fleet_with(2, &[("i-old", old.address), ("i-new", new.address)]);
+    assert_eq!(fleet.heartbeat(CONTROL, "i-old", "s", old.address, "draining"), 200);
+    // Acknowledged is told: every proxy stops within the bound, here at the latest when each has sent one elsewhere.
+    for at in 0..2 {
+        until("the proxy has heard", || {
+            let before = old.requests().len();
+            (0..20).all(|_| {
+                call(fleet.front(EDGE + at), &request("plain", FREE)).is_ok_and(|m| m.status() == 200)
+            }) && old.requests().len() == before
+        });
+    }
+    let last = old.requests().len();
+    for _ in 0..50 {
+        assert_eq!(call(fleet.front(EDGE), &request("once", FREE)).map(|m| m.status()).ok(), Some(200));
+    }
+    // A late word that it is ready changes nothing.
+    fleet.heartbeat(CONTROL, "i-old", "s", old.address, "ready");
+    for _ in 0..50 {
+        assert_eq!(call(fleet.front(EDGE), &request("once", FREE)).map(|m| m.status()).ok(), Some(200));
+    }
+    assert_eq!(old.requests().len(), last);
+}
+
+#[test]
+fn a_refusal_that_has_not_run_goes_to_another_backend_or_back_with_a_promise() {
+    let shed = || Reply::Say("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned());
+    let (full, free) = (Backend::start(move |_| shed()), Backend::start(|_| answer("served")));
+    let fleet = fleet_with(1, &[("i-full", full.address), ("i-free", free.address)]);
+    until("the full backend was tried", || {
+        let got = call(fleet.front(EDGE), &request("once", FREE)).expect("answered");
+        assert_eq!(got.status(), 200);
+        !full.requests().is_empty()
+    });
+    let alone = fleet_with(1, &[("i-full", full.address)]);
+    let got = call(alone.front(EDGE), &request("single", FREE)).expect("answered");
+    assert_eq!(got.status(), 503);
+    assert!(got.header("retry-after").is_some());
+}
+
+#[test]
+fn a_request_that_may_have_run_is_neither_sent_again_nor_refused_with_a_promise() {
+    let broken = Backend::start(|_| Reply::SayAndClose("HTTP/1.1 2".to_owned()));
+    let other = Backend::start(|_| Reply::SayAndClose(String::new()));
+    let fleet = fleet_with(1, &[("i-1", broken.address), ("i-2", other.address)]);
+    let got = call(fleet.front(EDGE), &request("once", FREE)).expect("answered");
+    assert_eq!(got.status(), 502);
+    assert!(got.header("retry-after").is_none());
+    assert_eq!(broken.requests().len() + other.requests().len(), 1);
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let confused = Backend::start(|_| {
+        Reply::Say("HTTP/1.1 200 OK\r\nRequest-Id: q0\r\nContent-Length: 5\r\n\r\nwrong".to_owned())
+    });
+    let fleet = fleet_with(1, &[("i-1", confused.address)]);
+    let got = call(fleet.front(EDGE), &request("once", FREE)).expect("answered");
+    assert_eq!(got.status(), 502);
+}
+
+#[test]
+fn a_stream_that_breaks_inside_an_event_goes_on_elsewhere_behind_the_last_whole_one() {
+    // Whichever is asked first breaks off; the other goes on from where it is told to.
+    let play = |message: &Message, signature: &str| match message.header("last-event-id") {
+        Some(id) => {
+            let from: u32 = id.parse().expect("an id");
+            let rest = chunk(&events(from + 1, 6));
+            Reply::Say(format!("{STREAM_HEAD}{signature}\r\n\r\n{rest}0\r\n\r\n"))
+        }
+        None => {
+            let begun = chunk(&format!("{}id: 3\nda", events(0, 3)));
+            Reply::SayAndClose(format!("{STREAM_HEAD}{signature}\r\n\r\n{begun}"))
+        }
+    };
+    let one = Backend::start(move |m| play(m, "one"));
+    let two = Backend::start(move |m| play(m, "two"));
+    let fleet = fleet_with(1, &[("i-1", one.address), ("i-2", two.address)]);
+    let mut stream = Chunked::open(fleet.front(EDGE), &request("stream", FREE)).expect("it begins");
+    let first = if one.requests().is_empty() { "two" } else { "one" };
+    assert_eq!(stream.head.header("response-signature"), Some(first));
+    assert_eq!(stream.rest().expect("it ends properly"), events(0, 6));
+    assert_eq!(one.requests().len() + two.requests().len(), 2);
+}
+
+#[test]
+fn a_stream_that_may_not_go_on_elsewhere_never_looks_complete() {
+    let backend =
+        Backend::start(|_| Reply::SayAndClose(format!("{STREAM_HEAD}s\r\n\r\n{}", chunk(&events(0, 2)))));
+    let fleet = fleet_with(1, &[("i-1", backend.address)]);
+    // The break may come before the head has gone out; in no case is there a proper end.
+    let ended = Chunked::open(fleet.front(EDGE), &request("single", FREE)).and_then(|mut s| s.rest());
+    assert!(ended.is_err(), "a broken stream ended as if it were whole: {ended:?}");
+    assert_eq!(backend.requests().len(), 1);
+}
+
+#[test]
+fn a_stranger_at_a_backends_address_says_so_and_another_backend_serves() {
+    let moved = "HTTP/1.1 421 Misdirected\r\nInstance-Id: i-x\r\nContent-Length: 0\r\n\r\n";
+    let (stranger, good) =
+        (Backend::start(|_| Reply::Say(moved.to_owned())), Backend::start(|_| answer("x")));
+    let fleet = fleet_with(1, &[("i-gone", stranger.address), ("i-good", good.address)]);
+    until("the stranger was asked", || {
+        let got = call(fleet.front(EDGE), &request("once", FREE)).expect("answered");
+        assert_eq!(got.status(), 200, "it has not run, and may be sent to another backend");
+        !stranger.requests().is_empty()
+    });
+}
+
+#[test]
+fn a_tenant_over_its_quota_is_refused_and_the_others_are_not() {
+    let backend = Backend::start(|_| answer("x"));
+    let fleet = fleet_with(2, &[("i-1", backend.address)]);
+    let ask = |at: usize, key: &str| {
+        let headers = format!("Api-Key: {key}\r\nToken-Usage: 40,10\r\n");
+        call(fleet.front(EDGE + at % 2), &request("plain", &headers)).map(|m| m.status()).unwrap_or(0)
+    };
+    until("the quota is lent", || ask(0, "k-tight") == 200);
+    let statuses: Vec<u16> = (0..60).map(|at| ask(at, "k-tight")).collect();
+    let served = statuses.iter().filter(|s| **s == 200).count();
+    assert!(statuses.iter().all(|s| [200, 429].contains(s)), "{statuses:?}");
+    assert!(served < 60, "nothing was refused of 3,000 tokens at 100 a second and 300 at once");
+    assert!((0..20).all(|at| ask(at, "k-free") == 200), "another tenant is refused");
+}
+
+#[test]
+fn proxies_serve_on_without_a_control_plane_by_their_last_configuration() {
+    let backend = Backend::start(|_| answer("x"));
+    let mut fleet = fleet_with(1, &[("i-1", backend.address)]);
+    fleet.kill(CONTROL);
+    for _ in 0..20 {
+        assert_eq!(call(fleet.front(EDGE), &request("plain", FREE)).map(|m| m.status()).ok(), Some(200));
+    }
+    assert!(fleet.is_ready(EDGE));
+}
+
+#[test]
+fn sigterm_lets_a_stream_end_and_calls_the_proxy_unready() {
+    let (release, released) = std::sync::mpsc::channel::<()>();
+    let released = std::sync::Mutex::new(released);
+    let backend = Backend::start(move |_| {
+        // The answer is whole only after the proxy was told to end.
+        let _ = released.lock().map(|r| r.recv());
+        Reply::Say(format!("{STREAM_HEAD}s\r\n\r\n{}0\r\n\r\n", chunk(&events(0, 4))))
+    });
+    let mut fleet = fleet_with(1, &[("i-1", backend.address)]);
+    let to = fleet.front(EDGE);
+    let client =
+        std::thread::spawn(move || Chunked::open(to, &request("single", FREE)).and_then(|mut s| s.rest()));
+    until("the backend is asked", || !backend.requests().is_empty());
+    fleet.terminate(EDGE).expect("a signal");
+    until("it is not ready any more", || !fleet.is_ready(EDGE));
+    release.send(()).expect("the backend waits");
+    assert_eq!(client.join().expect("it ends").expect("the stream is whole"), events(0, 4));
+    until("the process ends", || !fleet.runs(EDGE));
+}
--- /dev/null
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -0,0 +1,280 @@
+//! A small router fleet on loopback: control processes and proxies as real processes, each machine an address of its
+//! own, and the calls that backends, the operator and clients make. For tests of several processes and the demo.
+
+use crate::program;
+use crate::scripted::{read_message, Message};
+use serde_json::{json, Value};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// No call takes so long unless something is wrong.
+const CALL: Duration = Duration::from_secs(10);
+/// Name of the program of the data plane, with its argument.
+const EDGE: (&str, &str) = ("gaugesaddle", "edge");
+/// Name of the program of the control plane, with its argument.
+const CONTROL: (&str, &str) = ("gaugesaddle-control", "serve");
+
+/// What a process is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Control plane.
+    Control,
+    /// Data plane.
+    Edge,
+}
+
+/// One process and its machine.
+struct Node {
+    role: Role,
+    ip: Ipv4Addr,
+    bootstrap: bool,
+    child: Option<Child>,
+}
+
+/// A fleet. Its processes are killed and its folder removed when it is dropped.
+pub struct Fleet {
+    folder: PathBuf,
+    port: u16,
+    nodes: Vec<Node>,
+    /// Whether the processes' logs go to this process's standard error.
+    loud: bool,
+}
+
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// The ports of a machine, from the fleet's first one on.
+const CONTROL_PORT: u16 = 0;
+const FRONT_PORT: u16 = 1;
+const READY_PORT: u16 = 2;
+const FREE_PORTS: u16 = 3;
+
+impl Fleet {
+    /// Starts so many control processes and proxies, each on a machine of its own.
+    pub fn start(controls: u8, edges: u8) -> io::Result<Fleet> {
+        Fleet::start_with(controls, edges, false)
+    }
+
+    /// The same; a loud one shows what its processes log.
+    pub fn start_with(controls: u8, edges: u8, loud: bool) -> io::Result<Fleet> {
+        let (pid, number) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
+        let folder = std::env::temp_dir().join(format!("gaugesaddle-fleet-{pid}-{number}"));
+        std::fs::create_dir_all(&folder)?;
+        let port = 20_000 + (pid % 5000) as u16 * 8;
+        let third = ((pid / 5000 + number * 5) % 250) as u8;
+        let mut fleet = Fleet { folder, port, nodes: Vec::new(), loud };
+        for machine in 0..controls + edges {
+            let role = if machine < controls { Role::Control } else { Role::Edge };
+            let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, third, 1 + machine);
+            fleet.nodes.push(Node { role, ip, bootstrap: true, child: None });
+        }
+        for at in 0..fleet.nodes.len() {
+            fleet.run(at)?;
+        }
+        Ok(fleet)
+    }
+
+    fn seeds(&self) -> String {
+        let controls = self.nodes.iter().filter(|n| n.role == Role::Control).take(3);
+        let address = |n: &Node| format!("{}:{}", n.ip, self.port + CONTROL_PORT);
+        controls.map(address).collect::<Vec<_>>().join(",")
+    }
+
+    fn boot(&self, at: usize) -> String {
+        let Node { role, ip, bootstrap, .. } = &self.nodes[at];
+        let port = self.port;
+        let (serves, disk, folder) = match role {
+            Role::Control => ("control", 64, self.data_folder(at).display().to_string()),
+            Role::Edge => ("edge", 0, String::new()),
+        };
+        let lines = [
+            format!("nodeName=node-{at}\nrole={serves}\nserves={serves}\nip={ip}\nzone=z{at}\nregion=r"),
+            format!("bind.control={ip}:{}\nbind.front={ip}:{}", port + CONTROL_PORT, port + FRONT_PORT),
+            format!("bind.ready={ip}:{}", port + READY_PORT),
+            format!("ephemeralPorts={},{}", port + FREE_PORTS, port + FREE_PORTS + 3),
+            format!("seeds={}\nbootstrap={bootstrap}\nheartbeatMs=1200", self.seeds()),
+            format!("limits.memoryMb=260\nlimits.maxFds=900\nlimits.diskMb={disk}\ndataDir={folder}"),
+            "bounds.gracePeriodS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10".to_owned(),
+            "bounds.budgetSlack=50\nbounds.quotaWindowS=8\nbounds.quotaSlack=0\n".to_owned(),
+        ];
+        lines.join("\n")
+    }
+
+    fn data_folder(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("disk-{at}"))
+    }
+
+    /// Starts a process that does not run.
+    pub fn run(&mut self, at: usize) -> io::Result<()> {
+        let file = self.folder.join(format!("boot-{at}.conf"));
+        std::fs::write(&file, self.boot(at))?;
+        let (name, argument) = if self.nodes[at].role == Role::Control { CONTROL } else { EDGE };
+        let log = if self.loud { Stdio::inherit() } else { Stdio::null() };
+        let child = Command::new(program::path(name))
+            .arg(argument)
+            .env("GAUGESADDLE_BOOT", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.nodes[at].child = Some(child);
+        Ok(())
+    }
+
+    /// Kills a process; its disk is kept.
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].bootstrap = false;
+        if let Some(mut child) = self.nodes[at].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Removes a machine's disk; its process must not run.
+    pub fn wipe(&mut self, at: usize) -> io::Result<()> {
+        std::fs::remove_dir_all(self.data_folder(at))
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&mut self, at: usize) -> io::Result<()> {
+        let Some(child) = &self.nodes[at].child else { return Ok(()) };
+        Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        Ok(())
+    }
+
+    /// Whether a process runs.
+    pub fn runs(&mut self, at: usize) -> bool {
+        self.nodes[at].child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    fn address(&self, at: usize, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.nodes[at].ip, self.port + port)
+    }
+
+    /// Where clients reach a proxy.
+    pub fn front(&self, at: usize) -> SocketAddrV4 {
+        self.address(at, FRONT_PORT)
+    }
+
+    /// Whether a proxy calls itself ready.
+    pub fn is_ready(&self, at: usize) -> bool {
+        call(self.address(at, READY_PORT), "GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
+            .is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Brings a configuration to a control process: the answer's status and text; 0 where there is none.
+    pub fn put(&self, at: usize, base: u64, document: &str) -> (u16, String) {
+        let text = format!(
+            "POST /Config.Put HTTP/1.1\r\nHost: c\r\nConfig-Revision: {base}\r\nContent-Length: {}\r\n\r\n{document}",
+            document.len()
+        );
+        self.control_call(at, &text)
+    }
+
+    /// Reads the configuration at a control process.
+    pub fn get(&self, at: usize) -> (u16, String) {
+        self.control_call(at, "GET /Config.Get HTTP/1.1\r\nHost: c\r\n\r\n")
+    }
+
+    /// A backend's heartbeat; the status of its answer.
+    pub fn heartbeat(&self, at: usize, id: &str, service: &str, address: SocketAddr, state: &str) -> u16 {
+        static SEQUENCE: AtomicU32 = AtomicU32::new(1);
+        let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
+        let body = json!({"service": service, "address": address.to_string(), "zone": "z0", "revision": "v1",
+            "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": sequence})
+        .to_string();
+        let text = format!(
+            "POST /Instances.Heartbeat/{id} HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.control_call(at, &text).0
+    }
+
+    fn control_call(&self, at: usize, text: &str) -> (u16, String) {
+        match call(self.address(at, CONTROL_PORT), text) {
+            Ok(answer) => (answer.status(), String::from_utf8_lossy(&answer.body).into_owned()),
+            Err(_) => (0, String::new()),
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for at in 0..self.nodes.len() {
+            self.kill(at);
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// One call on a connection of its own; the answer has a length or no body.
+pub fn call(to: SocketAddrV4, text: &str) -> io::Result<Message> {
+    let stream = TcpStream::connect_timeout(&to.into(), CALL)?;
+    stream.set_read_timeout(Some(CALL))?;
+    (&stream).write_all(text.as_bytes())?;
+    read_message(&mut BufReader::new(stream)).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+/// An answer in chunks, read as it comes.
+pub struct Chunked {
+    reader: BufReader<TcpStream>,
+    /// Its first line and headers.
+    pub head: Message,
+}
+
+impl Chunked {
+    /// Sends a request and reads the head of the answer.
+    pub fn open(to: SocketAddrV4, text: &str) -> io::Result<Chunked> {
+        let stream = TcpStream::connect_timeout(&to.into(), CALL)?;
+        stream.set_read_timeout(Some(CALL))?;
+        (&stream).write_all(text.as_bytes())?;
+        let mut reader = BufReader::new(stream);
+        let head = read_message(&mut reader).ok_or(io::ErrorKind::UnexpectedEof)?;
+        Ok(Chunked { reader, head })
+    }
+
+    /// The next chunk; `None` at the proper end, an error where the connection breaks off before it.
+    pub fn next_chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let mut line = String::new();
+        self.reader.read_line(&mut line)?;
+        let length = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::UnexpectedEof)?;
+        let mut chunk = vec![0; length + 2];
+        self.reader.read_exact(&mut chunk)?;
+        chunk.truncate(length);
+        Ok((length > 0).then_some(chunk))
+    }
+
+    /// All that is left up to the proper end; what came before a break is lost.
+    pub fn rest(&mut self) -> io::Result<String> {
+        let mut all = Vec::new();
+        while let Some(chunk) = self.next_chunk()? {
+            all.extend(chunk);
+        }
+        Ok(String::from_utf8_lossy(&all).into_owned())
+    }
+}
+
+/// A configuration with the routes of the tests: `/plain/` (idempotent, two attempts), `/once/` (not idempotent),
+/// `/stream/` (may be resumed) and `/single/` (a stream that runs once), all for the service `s`.
+pub fn document(revision: u64) -> Value {
+    let route = |name: &str, kind: &str, attempts: u32, resume: bool| {
+        json!({"name": name, "hostname": "h.example", "pathPrefix": format!("/{name}/"), "routeType": kind,
+            "timeoutMs": 8000, "targetLatencyMs": 800, "priority": 1, "service": "s", "maxAttempts": attempts,
+            "public": false, "sessionAffinity": false, "streamResume": resume, "gap_aim_ms": 500})
+    };
+    json!({
+        "revision": revision,
+        "routes": [route("plain", "idempotent", 2, false), route("once", "non_idempotent", 2, false),
+                   route("stream", "streaming", 2, true), route("single", "streaming", 1, false)],
+        "services": [{"name": "s", "healthCheckPath": "/healthz", "maxConnections": 100}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000},
+        "tenants": [
+            {"name": "free", "apiKeys": ["k-free"], "priority": 0},
+            {"name": "tight", "apiKeys": ["k-tight"], "priority": 1, "unit": "tokens", "plainTokens": 100,
+             "ratePerS": 100, "burst": 300}]
+    })
+}
--- a/crates/gaugesaddle-testbed/src/lib.rs
+++ b/crates/gaugesaddle-testbed/src/lib.rs
@@ -6,6 +6,7 @@
 //!   shows that it finds what it is there to find.
 //! - [`scripted`] has peers whose every byte the test words, [`relay`] a link that fails.
 //! - [`authority`] makes certificates for regions under test.
+//! - [`fleet`] is a small router fleet of real processes.
 //! - [`program`] finds the built programs.
 //!
 //! Limits: 64 proxies, 512 nodes, 20,000 requests a second in a file, 4 million records. All stand-ins share one
@@ -19,6 +20,7 @@
 pub mod datagrams;
 pub mod dice;
 mod faulty;
+pub mod fleet;
 mod http;
 pub mod hunt;
 pub mod lease;
