--- a/crates/gaugesaddle-control/tests/core.rs
+++ b/crates/gaugesaddle-control/tests/core.rs
@@ -34,13 +34,11 @@
     let first = document(1).to_string();
     put_until_taken(&fleet, 0, 0, &first);
     // Whoever leads is among the three: each is killed in turn.
-    let mut revision = 1;
-    for at in 0..3 {
+    for (revision, at) in (1..).zip(0..3) {
         fleet.kill(at);
         let other = (at + 1) % 3;
         let next = document(revision + 1).to_string();
         put_until_taken(&fleet, other, revision, &next);
-        revision += 1;
         fleet.run(at).expect("it starts again");
         until("the restarted process answers", || fleet.get(at) == (200, next.clone()));
     }
--- a/crates/gaugesaddle-control/tests/traffic.rs
+++ b/crates/gaugesaddle-control/tests/traffic.rs
@@ -2,7 +2,7 @@
 //! loses an event, with real proxies and control processes.
 
 use gaugesaddle_testbed::fleet::{call, document, Chunked, Fleet};
-use gaugesaddle_testbed::scripted::{ok, until, Backend, Message, Reply};
+use gaugesaddle_testbed::scripted::{until, Backend, Message, Reply};
 use std::net::SocketAddr;
 
 /// One control process and so many proxies.
