Let what is kept back for silent proxies fade, and a restarted one take its place

Ruled out: the leader, which stayed; the limit, which the tenant was far below. Cause: the dealer kept back the whole pace of every proxy that had fallen silent for 7.5 s, and a restarted proxy had another name, so that its old part was kept back beside its new one.

--- a/crates/gaugesaddle-control/src/requests.rs
+++ b/crates/gaugesaddle-control/src/requests.rs
@@ -50,12 +50,12 @@
 async fn answer(core: &CoreHandle, request: Request) -> Reply {
     match request {
         Request::Pull(pull) => Reply::Pull(Box::new(answer_pull(core, *pull).await)),
-        Request::Quota { proxy, wants } => core.with(|c| {
+        Request::Quota { machine, wants } => core.with(|c| {
             if !c.deals() {
                 return Reply::Unavailable;
             }
             let now = c.clock.now();
-            Reply::Quota { grants: c.dealer.lend(now, &proxy, &wants), lease_ms: LEASE as u32 }
+            Reply::Quota { grants: c.dealer.lend(now, &machine, &wants), lease_ms: LEASE as u32 }
         }),
         Request::Order(order) => Reply::Order(orders::decide(core, *order).await),
         Request::Read => match core.read().await {
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -83,8 +83,8 @@
     Pull(Box<Pull>),
     /// From a proxy to the leader.
     Quota {
-        /// The proxy.
-        proxy: String,
+        /// Name of the proxy's machine.
+        machine: String,
         /// Its wants.
         wants: Vec<QuotaWant>,
     },
--- a/crates/gaugesaddle-quota/src/dealer.rs
+++ b/crates/gaugesaddle-quota/src/dealer.rs
@@ -1,6 +1,6 @@
 //! The leader's side: a token bucket a tenant.
 
-use crate::{FALLBACK, LEASE};
+use crate::{faded, FALLBACK, LEASE};
 use gaugesaddle_protocol::{QuotaGrant, QuotaWant};
 use std::collections::BTreeMap;
 
@@ -18,7 +18,8 @@
     limit: Limit,
     tokens: f64,
     filled: u64,
-    /// When each proxy asked last, and its pace.
+    /// When the proxy on each machine asked last, and its pace. A restarted one takes the place of the one before it,
+    /// which uses nothing any more.
     paces: BTreeMap<String, (u64, f64)>,
 }
 
@@ -47,13 +48,13 @@
         }
     }
 
-    /// Lends a proxy what it wants, as far as there is.
-    pub fn lend(&mut self, now: u64, proxy: &str, wants: &[QuotaWant]) -> Vec<QuotaGrant> {
+    /// Lends the proxy on a machine what it wants, as far as there is.
+    pub fn lend(&mut self, now: u64, machine: &str, wants: &[QuotaWant]) -> Vec<QuotaGrant> {
         let mut grants = Vec::with_capacity(wants.len());
         for want in wants {
             let Some(bucket) = self.buckets.get_mut(&want.tenant) else { continue };
             bucket.fill(now);
-            bucket.paces.insert(proxy.to_owned(), (now, want.pace as f64));
+            bucket.paces.insert(machine.to_owned(), (now, want.pace as f64));
             let tokens = (want.tokens as f64).min(bucket.tokens.max(0.0)).floor();
             bucket.tokens -= tokens;
             grants.push(QuotaGrant { tenant: want.tenant.clone(), tokens: tokens as u64 });
@@ -67,9 +68,9 @@
         let passed = now.saturating_sub(self.filled) as f64 / 1000.0;
         self.filled = now;
         self.paces.retain(|_, (asked, _)| now < *asked + FALLBACK + LEASE);
-        // Proxies that have fallen silent may go on at their pace.
+        // Proxies that have fallen silent may go on at their pace, which fades.
         let silent = self.paces.values().filter(|(asked, _)| now >= *asked + LEASE);
-        let kept_back: f64 = silent.map(|(_, pace)| *pace).sum();
+        let kept_back: f64 = silent.map(|(asked, pace)| faded(*pace, now - *asked)).sum();
         let rate = (self.limit.rate - kept_back).max(0.0);
         self.tokens = (self.tokens + rate * passed).min(self.limit.burst.max(self.limit.rate * 0.1));
     }
--- a/crates/gaugesaddle-quota/src/lib.rs
+++ b/crates/gaugesaddle-quota/src/lib.rs
@@ -4,8 +4,8 @@
 //! - [`Purse`]: at a proxy, what it was lent, and what it may use when no leader answers.
 //! - [`RetryBudget`]: at a proxy, its part of the repeats; the parts add up without a word between proxies.
 //!
-//! Promise under partition: a proxy out of touch goes on at the pace it had, for [`FALLBACK`] at most, and the leader
-//! keeps just that pace back for as long. Tables hold a row a tenant and a row a proxy.
+//! Promise under partition: a proxy out of touch goes on at the pace it had, fading, for [`FALLBACK`] at most, and the
+//! leader keeps just that back. Tables hold a row a tenant and a row a proxy.
 
 mod dealer;
 mod purse;
@@ -17,5 +17,12 @@
 
 /// How long lent tokens may be used, in milliseconds.
 pub const LEASE: u64 = 1500;
-/// How long a proxy without a leader goes on at its pace, in milliseconds.
+/// How long a proxy without a leader goes on at its pace, which fades meanwhile, in milliseconds.
 pub const FALLBACK: u64 = 6000;
+/// Paces are smoothed over, and fade in, so many milliseconds.
+const SMOOTHING: f64 = 2000.0;
+
+/// What is left of a pace after so many milliseconds without use.
+fn faded(pace: f64, passed: u64) -> f64 {
+    pace * (-(passed as f64) / SMOOTHING).exp()
+}
--- a/crates/gaugesaddle-quota/src/purse.rs
+++ b/crates/gaugesaddle-quota/src/purse.rs
@@ -1,13 +1,11 @@
 //! A proxy's side: tokens lent, and what to ask for.
 
-use crate::{FALLBACK, LEASE};
+use crate::{faded, FALLBACK, LEASE, SMOOTHING};
 use gaugesaddle_protocol::{QuotaGrant, QuotaWant};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Tokens are asked for ahead for so long, in seconds of the present pace.
 const AHEAD: f64 = 0.5;
-/// The pace is smoothed over so long, in milliseconds.
-const SMOOTHING: f64 = 2000.0;
 /// A leader that has not answered for so long is taken for lost, in milliseconds.
 const LEADER_SILENCE: u64 = 700;
 
@@ -66,6 +64,7 @@
             return Taken::Granted;
         }
         if !led {
+            pocket.decay(now);
             let pace = if now < alone_until { pocket.pace.max(floor) } else { floor };
             if pocket.take_reserve(now, pace, cost) {
                 return Taken::Granted;
@@ -155,8 +154,7 @@
     }
 
     fn decay(&mut self, now: u64) {
-        let passed = now.saturating_sub(self.reckoned) as f64;
+        self.pace = faded(self.pace, now.saturating_sub(self.reckoned));
         self.reckoned = now;
-        self.pace *= (-passed / SMOOTHING).exp();
     }
 }
--- a/crates/gaugesaddle-quota/tests/quota.rs
+++ b/crates/gaugesaddle-quota/tests/quota.rs
@@ -185,6 +185,55 @@
     );
 }
 
+/// The incident inc-f518: most proxies were killed at once while one tenant was busy; the leader kept back the paces of
+/// the dead ones, as much as the whole quota, and the tenant was refused for seconds.
+#[test]
+fn proxies_that_are_killed_and_come_back_leave_the_quota_to_use() {
+    let mut dealer = Dealer::default();
+    dealer.configure(0, &limits());
+    let serve = |proxies: &mut Vec<Proxy>, dealer: &mut Dealer, from: u64, to: u64| -> u64 {
+        let mut used = 0;
+        for now in (from..to).step_by(10) {
+            for proxy in proxies.iter_mut() {
+                if !proxy.use_tokens(now, 10) {
+                    proxy.purse.lack("t", 10, true);
+                    proxy.ask(now, dealer);
+                    proxy.purse.lack("t", 10, false);
+                }
+                used += u64::from(proxy.use_tokens(now, 10)) * 10;
+            }
+        }
+        used
+    };
+    let mut proxies: Vec<Proxy> = (0..8).map(|n| Proxy::new(n, 0.0)).collect();
+    serve(&mut proxies, &mut dealer, 1000, 9000);
+    // Six of eight are killed and start again a second later, knowing nothing.
+    let mut left: Vec<Proxy> = proxies.drain(..2).collect();
+    serve(&mut left, &mut dealer, 9000, 10_000);
+    left.extend((2..8).map(|n| Proxy::new(n, 0.0)));
+    let after = serve(&mut left, &mut dealer, 10_000, 12_000);
+    assert!(after >= 1700, "{after} tokens in two seconds of 1,000 each");
+}
+
+/// A killed proxy that stays away is not kept a part for long either.
+#[test]
+fn what_is_kept_back_for_silent_proxies_fades() {
+    let mut dealer = Dealer::default();
+    dealer.configure(0, &limits());
+    let want = |tokens, pace| [QuotaWant { tenant: "t".to_owned(), tokens, pace }];
+    dealer.lend(5000, "gone", &want(500, 1000));
+    dealer.lend(5000 + LEASE, "here", &want(2000, 0));
+    let lent = |dealer: &mut Dealer, at| -> u64 {
+        dealer.lend(at, "here", &want(2000, 0)).iter().map(|g| g.tokens).sum()
+    };
+    let soon = lent(&mut dealer, 5000 + LEASE + 1000);
+    let later = lent(&mut dealer, 5000 + LEASE + 4000);
+    assert!(
+        soon < 900 && later >= 500,
+        "{soon} of 1,000 in the first second, {later} after four (burst 500)"
+    );
+}
+
 #[test]
 fn what_is_lent_runs_out() {
     let mut dealer = Dealer::default();
--- a/crates/gaugesaddle/src/edge/lending.rs
+++ b/crates/gaugesaddle/src/edge/lending.rs
@@ -23,7 +23,7 @@
         let wants = fleet.purse.borrow_mut().wants(fleet.now());
         if !wants.is_empty() {
             let asked = fleet.now();
-            let request = Request::Quota { proxy: fleet.proxy.clone(), wants };
+            let request = Request::Quota { machine: fleet.boot.node_name.clone(), wants };
             caller = call(&fleet, caller.take(), &request, asked).await;
             fleet.granted.notify_waiters();
         }
