--- a/crates/gaugesaddle-consensus/src/replica.rs
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Whether it has neither voted nor heard of any state or group.
+    pub fn is_untouched(&self) -> bool {
+        self.ballot.term == 0 && self.state == State::default()
+    }
+
     /// Who this is.
     pub fn id(&self) -> ReplicaId {
         self.ballot.me
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -1,6 +1,7 @@
 //! The host of the state machines: one value that every task of the process borrows for a moment.
 
 use crate::disk::{DiskEvent, Write};
+use crate::founding::Founding;
 use crate::peers::Peers;
 use gaugesaddle_catalog::{Catalog, Leases};
 use gaugesaddle_config::{operator::OperatorConfig, BootSettings};
@@ -23,6 +24,9 @@
 /// Part of what may be used over a quota that is lent: what is lent and not used in time is lost.
 const OVER_PART: f64 = 0.5;
 
+/// At the first start changes wait so long, in milliseconds, for as many voters as the tolerated losses ask for.
+const FOUNDING: u64 = 8000;
+
 /// A number that no other process draws.
 pub fn draw() -> u64 {
     OsRng.try_next_u64().unwrap_or_else(|_| u64::from(std::process::id()) | 1 << 40)
@@ -43,6 +47,10 @@
     /// Who this is in the group, as far as that is known yet.
     pub me: ReplicaId,
     pub replica: Option<Replica>,
+    pub has_disk: bool,
+    pub founding: Founding,
+    /// When the process began.
+    started: u64,
     pub catalog: Catalog,
     pub leases: Leases,
     pub dealer: Dealer,
@@ -68,8 +76,13 @@
     pub fn new(boot: BootSettings, disk: Option<mpsc::Sender<Write>>, peers: Peers) -> CoreHandle {
         let has_disk = disk.is_some();
         let ip = u32::from(boot.ip);
+        let seeds = boot.seeds.iter().map(|seed| u32::from(*seed.ip())).collect();
+        let clock = Clock::default();
         let core = Core {
-            clock: Clock::default(),
+            has_disk,
+            founding: Founding::new(ip, has_disk, seeds, boot.bootstrap),
+            started: clock.now(),
+            clock,
             origin: Origin(draw()),
             me: ReplicaId { ip, incarnation: draw() },
             replica: None,
@@ -138,22 +151,31 @@
 
     fn disk_opened(&self, ballot: Option<Ballot>, state: Option<Box<State>>) {
         self.with(|core| {
-            let founding = core.boot.bootstrap && ballot.is_none();
-            let me = match (&ballot, founding) {
+            let first = core.boot.bootstrap && ballot.is_none();
+            let me = match (&ballot, first) {
                 (Some(ballot), _) => ballot.me,
                 (None, true) => ReplicaId { incarnation: 0, ..core.me },
                 (None, false) => core.me,
             };
             core.me = me;
             let ballot = ballot.unwrap_or(Ballot { me, term: 0, voted_for: None });
-            let state = match state {
-                Some(state) => *state,
-                None if core.boot.bootstrap => core.founding_state(),
-                None => State::default(),
-            };
+            let state = state.map(|state| *state).unwrap_or_default();
             info!("replica {me} term {} at {:?} voters {:?}", ballot.term, state.stamp, state.voters.len());
             let now = core.clock.now();
             core.replica = Some(Replica::new(Settings::default(), ballot, state, now, draw(), true));
+            core.found_if_due();
+        });
+        self.timer.notify_one();
+    }
+
+    /// Another process says whether it has a disk, and who was named to found the group.
+    pub fn heard_of_disk(&self, ip: u32, has_disk: bool, founder: Option<u32>) {
+        self.with(|core| {
+            if core.founding.heard(ip, has_disk, founder) {
+                let hello = core.hello();
+                core.peers.broadcast(&hello);
+            }
+            core.found_if_due();
         });
         self.timer.notify_one();
     }
@@ -333,10 +355,27 @@
         delta
     }
 
-    /// Before the first configuration the seeds vote: every process is told the same ones at the first start.
-    fn founding_state(&self) -> State {
-        let founder = |seed: &std::net::SocketAddrV4| ReplicaId { ip: u32::from(*seed.ip()), incarnation: 0 };
-        State { voters: self.boot.seeds.iter().map(founder).collect(), ..State::default() }
+    /// Begins as a founder, once it is certain that this is one. A replica that has heard of a group never founds one.
+    fn found_if_due(&mut self) {
+        let Some(founders) = self.founding.founders() else { return };
+        let fresh = self.replica.as_ref().is_some_and(Replica::is_untouched);
+        if !fresh || !self.has_disk || !founders.contains(&self.me.ip) {
+            return;
+        }
+        let voters: Vec<ReplicaId> =
+            founders.into_iter().map(|ip| ReplicaId { ip, incarnation: 0 }).collect();
+        info!("founds the group with {} voters", voters.len());
+        let ballot = Ballot { me: self.me, term: 0, voted_for: None };
+        let state = State { voters, ..State::default() };
+        let now = self.clock.now();
+        self.replica = Some(Replica::new(Settings::default(), ballot, state, now, draw(), true));
+    }
+
+    /// Whether the group is still being founded: a change taken now could be on fewer disks than may be lost.
+    pub fn is_being_founded(&self) -> bool {
+        let voters = self.replica.as_ref().map_or(0, |r| r.voters().len()) as u64;
+        let wanted = 2 * self.boot.tolerance.machines + 1;
+        self.boot.bootstrap && voters < wanted && self.clock.now() < self.started + FOUNDING
     }
 
     /// Whether this process was in touch with a majority a moment ago.
--- a/crates/gaugesaddle-control/src/lib.rs
+++ b/crates/gaugesaddle-control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cli;
 mod core;
 mod disk;
+pub mod founding;
 mod orders;
 mod peers;
 mod registrations;
--- a/crates/gaugesaddle-control/src/orders.rs
+++ b/crates/gaugesaddle-control/src/orders.rs
@@ -45,6 +45,9 @@
     let Some(revision) = revision_of(&order.document) else {
         return OrderReply::Invalid { findings: vec!["revision: expected a whole number".to_owned()] };
     };
+    if core.with(|c| c.is_being_founded()) {
+        return OrderReply::Unclear;
+    }
     let digest = digest(order.base, &order.document);
     let proposal = Proposal { base: order.base, revision, document: order.document, digest };
     match core.propose(proposal).await {
--- a/crates/gaugesaddle-control/src/peers.rs
+++ b/crates/gaugesaddle-control/src/peers.rs
@@ -150,7 +150,7 @@
 
 /// Takes what a peer says on the connection that it opened.
 pub async fn listen(core: CoreHandle, mut link: Link) -> Result<(), LinkError> {
-    let PeerMessage::Hello { ip, origin, members } = link.receive().await? else {
+    let PeerMessage::Hello { ip, has_disk, founder, origin, members } = link.receive().await? else {
         return Err(LinkError::Frame(gaugesaddle_protocol::frame::FrameError::Malformed));
     };
     core.with(|c| {
@@ -160,6 +160,7 @@
         }
         c.peers.introduced(ip, origin);
     });
+    core.heard_of_disk(ip, has_disk, founder);
     open_wanted(&core);
     loop {
         let message = link.receive().await?;
@@ -173,7 +174,7 @@
 
 fn take(core: &CoreHandle, ip: u32, message: PeerMessage) {
     match message {
-        PeerMessage::Hello { .. } => {}
+        PeerMessage::Hello { has_disk, founder, .. } => core.heard_of_disk(ip, has_disk, founder),
         PeerMessage::Replica { from, to, message } => {
             if to.is_none() || to == core.with(|c| c.replica.as_ref().map(|r| r.id())) {
                 core.step(Input::Message { from, message });
@@ -208,11 +209,17 @@
 }
 
 impl crate::core::Core {
-    fn hello(&self) -> PeerMessage {
+    pub fn hello(&self) -> PeerMessage {
         let now = self.clock.now();
         let mut members = self.peers.alive(now);
         members.push(u32::from(self.boot.ip));
-        PeerMessage::Hello { ip: u32::from(self.boot.ip), origin: self.origin, members }
+        PeerMessage::Hello {
+            ip: u32::from(self.boot.ip),
+            has_disk: self.has_disk,
+            founder: self.founding.named(),
+            origin: self.origin,
+            members,
+        }
     }
 
     /// What a peer needs to know to push what is lacking here.
--- a/crates/gaugesaddle-control/tests/traffic.rs
+++ b/crates/gaugesaddle-control/tests/traffic.rs
@@ -176,7 +176,8 @@
     let two = Backend::start(move |m| play(m, "two"));
     let fleet = fleet_with(1, &[("i-1", one.address), ("i-2", two.address)]);
     let mut stream = Chunked::open(fleet.front(EDGE), &request("stream", FREE)).expect("it begins");
-    let first = if one.requests().is_empty() { "two" } else { "one" };
+    let asked_first = |b: &Backend| b.requests().iter().any(|m| m.header("last-event-id").is_none());
+    let first = if asked_first(&one) { "one" } else { "two" };
     assert_eq!(stream.head.header("response-signature"), Some(first));
     assert_eq!(stream.rest().expect("it ends properly"), events(0, 6));
     assert_eq!(one.requests().len() + two.requests().len(), 2);
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -121,6 +121,10 @@
     Hello {
         /// Address of its machine.
         ip: u32,
+        /// Whether it keeps the configuration on a disk.
+        has_disk: bool,
+        /// The machine that was named to found the group, where the seeds could not.
+        founder: Option<u32>,
         /// What it counts its changes under.
         origin: crate::Origin,
         /// Addresses of the machines that it knows to serve control.
--- a/crates/gaugesaddle-testbed/src/fleet.rs
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -97,12 +97,17 @@
             format!("ephemeralPorts={},{}", port + FREE_PORTS, port + FREE_PORTS + 3),
             format!("seeds={}\nbootstrap={bootstrap}\nheartbeatMs=1200", self.seeds()),
             format!("limits.memoryMb=260\nlimits.maxFds=900\nlimits.diskMb={disk}\ndataDir={folder}"),
+            format!("faultTolerance.machines={}", self.controls().saturating_sub(1) / 2),
             "bounds.gracePeriodS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10".to_owned(),
             "bounds.budgetSlack=50\nbounds.quotaWindowS=8\nbounds.quotaSlack=0\n".to_owned(),
         ];
         lines.join("\n")
     }
 
+    fn controls(&self) -> usize {
+        self.nodes.iter().filter(|n| n.role == Role::Control).count()
+    }
+
     fn data_folder(&self, at: usize) -> PathBuf {
         self.folder.join(format!("disk-{at}"))
     }
