--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -7,7 +7,8 @@
 use gaugesaddle_config::{operator::OperatorConfig, BootSettings};
 use gaugesaddle_consensus::{Input, NotLeading, Output, Proposal, ProposalResult, Replica, Settings};
 use gaugesaddle_protocol::{
-    Ballot, Configuration, Delta, Entry, Origin, PeerMessage, Registration, ReplicaId, State,
+    Ballot, Configuration, Delta, Entry, Lifecycle, Origin, PeerMessage, Registration, ReplicaId, State,
+    StatusReport, Subject,
 };
 use gaugesaddle_quota::{Dealer, Limit};
 use gaugesaddle_transport::Clock;
@@ -389,6 +390,40 @@
         self.replica.as_ref().and_then(|r| r.leader()).map(|l| l.ip)
     }
 
+    /// How this process stands.
+    pub fn report(&self) -> StatusReport {
+        let now = self.clock.now();
+        let mut report = StatusReport {
+            replica: self.me.to_string(),
+            role: "starting".to_owned(),
+            fresh: self.is_fresh(),
+            disk: self.has_disk,
+            peers_alive: self.peers.alive(now).len() as u64,
+            ..StatusReport::default()
+        };
+        if let Some(replica) = &self.replica {
+            report.role = format!("{:?}", replica.role()).to_lowercase();
+            report.term = replica.term();
+            report.leader = replica.leader().map(|l| l.to_string());
+            report.voters = replica.voters().iter().map(ToString::to_string).collect();
+        }
+        if let Some(configuration) = &self.configuration {
+            report.index = configuration.stamp.index;
+            report.revision = configuration.revision;
+        }
+        for registration in self.catalog.iter() {
+            let ready = registration.lifecycle == Lifecycle::Ready;
+            match registration.subject {
+                Subject::Proxy => report.proxies += u64::from(ready),
+                Subject::Backend { .. } if registration.lifecycle.is_leaving() => {
+                    report.backends_leaving += 1
+                }
+                Subject::Backend { .. } => report.backends += u64::from(ready),
+            }
+        }
+        report
+    }
+
     /// Whether it leads and may lend tokens; a new leader begins with empty buckets.
     pub fn deals(&mut self) -> bool {
         let now = self.clock.now();
--- a/crates/gaugesaddle-control/src/lib.rs
+++ b/crates/gaugesaddle-control/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 mod disk;
 pub mod founding;
+pub mod operator;
 mod orders;
 mod peers;
 mod registrations;
--- a/crates/gaugesaddle-control/src/requests.rs
+++ b/crates/gaugesaddle-control/src/requests.rs
@@ -62,6 +62,7 @@
             Ok(configuration) => Reply::Read(configuration),
             Err(_) => Reply::Unavailable,
         },
+        Request::Status => Reply::Status(Box::new(core.with(|c| c.report()))),
     }
 }
 
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -92,6 +92,8 @@
     Order(Box<Order>),
     /// From a control process to the leader: the current configuration.
     Read,
+    /// From an operator: how does this process stand?
+    Status,
 }
 
 /// The answer to a [`Request`].
@@ -110,6 +112,8 @@
     Order(OrderReply),
     /// To `Read`: the configuration, `None` before the first.
     Read(Option<Configuration>),
+    /// To `Status`.
+    Status(Box<StatusReport>),
     /// This process does not lead, or cannot tell what is asked.
     Unavailable,
 }
@@ -157,6 +161,37 @@
     },
 }
 
+/// How a control process stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct StatusReport {
+    /// The replica, machine and disk.
+    pub replica: String,
+    /// What it does at present.
+    pub role: String,
+    /// Its term.
+    pub term: u64,
+    /// Who leads, as far as it knows.
+    pub leader: Option<String>,
+    /// Who votes.
+    pub voters: Vec<String>,
+    /// Count of the newest state on a majority of disks.
+    pub index: u64,
+    /// Revision of the configuration in force.
+    pub revision: u64,
+    /// Whether it was in touch with a majority a moment ago.
+    pub fresh: bool,
+    /// Whether it keeps the configuration on a disk.
+    pub disk: bool,
+    /// Other control processes that spoke lately.
+    pub peers_alive: u64,
+    /// Backends that may get requests.
+    pub backends: u64,
+    /// Backends that have announced their end or have ended.
+    pub backends_leaving: u64,
+    /// Proxies that live.
+    pub proxies: u64,
+}
+
 /// What opens a connection to a control process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Opening {
--- a/crates/gaugesaddle-testbed/src/fleet.rs
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -164,6 +164,21 @@
         self.address(at, FRONT_PORT)
     }
 
+    /// Where backends and the operator reach a control process.
+    pub fn control(&self, at: usize) -> SocketAddrV4 {
+        self.address(at, CONTROL_PORT)
+    }
+
+    /// Where processes reach a control process.
+    pub fn internal(&self, at: usize) -> SocketAddrV4 {
+        self.address(at, FREE_PORTS)
+    }
+
+    /// The folder of its files, gone with it.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder
+    }
+
     /// Whether a proxy calls itself ready.
     pub fn is_ready(&self, at: usize) -> bool {
         call(self.address(at, READY_PORT), "GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
--- a/crates/gaugesaddle-testbed/src/main.rs
+++ b/crates/gaugesaddle-testbed/src/main.rs
@@ -1,6 +1,7 @@
 //! The test bed's command line: the local demo, scenarios from files, and the auditor on records of an earlier run.
 
 mod demo;
+mod fleet_demo;
 
 use clap::{Parser, Subcommand};
 use gaugesaddle_testbed::{audit, hunt, program, run, Cast, Fault, Outcome, Program, Record, Scenario};
@@ -31,6 +32,13 @@
         #[arg(long)]
         plain: bool,
     },
+    /// A whole small router fleet: three control processes, two proxies, four backends that stream, an operator and
+    /// clients; the leader is killed, a backend drains, the configuration changes. Exit 0 where every stream came whole.
+    Fleet {
+        /// For so many seconds.
+        #[arg(long, default_value_t = 12.0, value_parser = seconds)]
+        seconds: f64,
+    },
     /// Play a scenario from a TOML file. Exit 0 where the rules were kept, 1 where not.
     Run {
         /// The scenario; `example` prints one with every key.
@@ -120,6 +128,7 @@
             };
             cast.and_then(|cast| play(&file, seed, records.as_deref(), logs, &cast))
         }
+        Command::Fleet { seconds } => fleet_demo::play(seconds),
         Command::Hunt { seed, seconds, lanes, into } => hunt(seed, seconds, lanes, &into),
         Command::Audit { scenario, records } => judge(&scenario, &records),
         Command::Example => example(),
