Judge prompt sizes and parts by less than a proxy of a large fleet sees

On the grown sites pauses beyond the objective were most of what was late, most in the first seconds: with 96 proxies each sees some two prompts a second and called none long for ten seconds.

--- a/crates/gaugesaddle-inference/src/chooser.rs
+++ b/crates/gaugesaddle-inference/src/chooser.rs
@@ -62,6 +62,9 @@
     }
 }
 
+/// Arrivals of one prompt part at one proxy that may be chance: what few proxies see of a part says little of what all
+/// of them see together, and would be multiplied by their number.
+const CHANCE: f64 = 2.0;
 /// What a request takes that reads nothing, in tokens that could be read in that time.
 const OVERHEAD_TOKENS: f64 = 300.0;
 /// A crowded backend without data is taken to be so much slower.
@@ -110,10 +113,14 @@
         &self, now: u64, candidates: &[Candidate], prompt: Prompt, proxies: usize, random: &mut impl RngCore,
     ) -> Option<(usize, Kind)> {
         let smoothing = self.settings.rate_smoothing;
-        let rate = match prompt.subject {
-            Some(part) => self.parts.get(&part).map_or(0.0, |r| r.at(now, smoothing)),
+        let own = match prompt.subject {
+            Some(part) => {
+                let seen = self.parts.get(&part).map_or(0.0, |r| r.at(now, smoothing));
+                (seen - CHANCE * 1000.0 / smoothing).max(0.0)
+            }
             None => self.arrivals.at(now, smoothing),
-        } * proxies.max(1) as f64;
+        };
+        let rate = own * proxies.max(1) as f64;
         let kinds = self.kinds(candidates, prompt.subject, rate);
         let shares = self.shares(&kinds, prompt, rate);
         let at = draw(&shares, random)?;
--- a/crates/gaugesaddle-inference/src/sizes.rs
+++ b/crates/gaugesaddle-inference/src/sizes.rs
@@ -13,8 +13,10 @@
 /// Part of the work that long prompts are taken to be before any is seen, and how many prompts that counts as.
 const LONG_PART: f64 = 0.15;
 const PRIOR: u32 = 400;
-/// Prompts to see before any is called long.
-const LEAST_SEEN: u32 = 20;
+/// Mean tokens of a prompt that are taken before any is seen, and how many prompts that counts as: in a large fleet a
+/// proxy sees few.
+const MEAN: f64 = 2000.0;
+const MEAN_PRIOR: u32 = 30;
 /// The number of backends kept is changed only when it is off by more than this.
 const SLACK: f64 = 0.8;
 /// Backends kept, for each that the long prompts' part of the work would fill: they vary more.
@@ -37,7 +39,7 @@
 
 impl Default for PromptSizes {
     fn default() -> PromptSizes {
-        PromptSizes { seen: 0, mean: 0.0, long: LONG_PART, kept: LONG_PART }
+        PromptSizes { seen: 0, mean: MEAN, long: LONG_PART, kept: LONG_PART }
     }
 }
 
@@ -49,7 +51,7 @@
         }
         let tokens = prompt.unread(true) as f64;
         self.seen = self.seen.saturating_add(1);
-        let part = PART.max(1.0 / f64::from(self.seen));
+        let part = PART.max(1.0 / f64::from(self.seen.saturating_add(MEAN_PRIOR)));
         self.mean += part * (tokens - self.mean);
         let weight = tokens / self.mean.max(1.0);
         let long = if self.is_long(prompt) { 1.0 } else { 0.0 };
@@ -62,7 +64,7 @@
 
     /// Whether a prompt is long.
     pub fn is_long(&self, prompt: Prompt) -> bool {
-        self.seen >= LEAST_SEEN && prompt.unread(true) as f64 > LONG * self.mean
+        prompt.unread(true) as f64 > LONG * self.mean
     }
 
     /// Backends kept for long prompts, of so many.
