--- a/crates/gaugesaddle/src/edge/follow.rs
+++ b/crates/gaugesaddle/src/edge/follow.rs
@@ -1,10 +1,10 @@
 //! Follows the control plane: renews the proxy's lease and pulls what it lacks.
 
 use super::fleet::Fleet;
+use super::members::Members;
 use gaugesaddle_protocol::{Lifecycle, Pull, PullReply, Registration, Reply, Request, Subject};
 use gaugesaddle_transport::{Caller, LinkError};
 use spdlog::{debug, info};
-use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,71 +17,18 @@
 const ANSWER: Duration = Duration::from_millis(450);
 /// Pause before another process is asked.
 const PAUSE: Duration = Duration::from_millis(40);
-/// A process that failed, or is not in touch with a majority, is asked again only after the others, and so much later,
-/// in ms.
-const AVOID: u64 = 3000;
 /// Digests of the catalog's ranges go with a call so often, in ms.
 const COMPARE: u64 = 3000;
 /// Without a process in touch with a majority for so long, the boot file is read for other seeds, in ms.
 const LOST: u64 = 2000;
-/// A control process that nobody named for so long is forgotten, in ms.
-const FORGET: u64 = 60_000;
 /// Time for the last call.
 const FAREWELL: Duration = Duration::from_millis(300);
 
-/// Control processes that are known.
-struct Members {
-    own: u32,
-    /// When each was named last.
-    named: BTreeMap<u32, u64>,
-    /// When each failed last.
-    failed: BTreeMap<u32, u64>,
-    /// When the boot file was read last.
-    read: u64,
-}
-
-impl Members {
-    fn new(fleet: &Fleet) -> Members {
-        let now = fleet.now();
-        let named = fleet.boot.seeds.iter().map(|s| (u32::from(*s.ip()), now)).collect();
-        Members { own: u32::from(fleet.boot.ip), named, failed: BTreeMap::new(), read: now }
-    }
-
-    fn name(&mut self, now: u64, members: impl Iterator<Item = u32>) {
-        for ip in members {
-            self.named.insert(ip, now);
-        }
-        self.named.retain(|_, at| now < *at + FORGET);
-        let named = &self.named;
-        self.failed.retain(|ip, _| named.contains_key(ip));
-    }
-
-    /// The one to ask: not one that failed lately, if there is another; the one on this machine first, the others in an
-    /// order of this machine's own.
-    fn choose(&self, now: u64) -> Option<u32> {
-        let failed = |ip: &u32| self.failed.get(ip).copied().filter(|at| now < *at + AVOID).unwrap_or(0);
-        let order = |ip: &u32| beechworks::mix(u64::from(*ip) ^ (u64::from(self.own) << 32));
-        self.named.keys().copied().min_by_key(|ip| (failed(ip), *ip != self.own, order(ip)))
-    }
-
-    /// Takes the seeds of the boot file, which may have changed, while no process in touch answers.
-    fn read_seeds(&mut self, fleet: &Fleet) {
-        let now = fleet.now();
-        let lost = fleet.fresh_at.get().is_none_or(|at| now >= at + LOST);
-        if !lost || now < self.read + LOST {
-            return;
-        }
-        self.read = now;
-        // A file that cannot be read now is read again.
-        if let Ok(boot) = super::serve::read_boot() {
-            self.name(now, boot.seeds.iter().map(|s| u32::from(*s.ip())));
-        }
-    }
-}
-
 /// What goes on between this proxy and the control processes.
 struct Following {
     members: Members,
+    /// When the boot file was read last.
+    read: u64,
     sequence: u64,
     /// When digests were sent last.
     compared: u64,
@@ -89,20 +36,37 @@
 
 /// Runs for as long as the process lives.
 pub async fn run(fleet: Rc<Fleet>) {
-    let mut following = Following { members: Members::new(&fleet), sequence: 0, compared: fleet.now() };
+    let now = fleet.now();
+    let own = u32::from(fleet.boot.ip);
+    let members = Members::new(own, now, fleet.boot.seeds.iter().map(|s| u32::from(*s.ip())));
+    let mut following = Following { members, read: now, sequence: 0, compared: now };
     loop {
-        following.members.read_seeds(&fleet);
+        following.read_seeds(&fleet);
         if let Some(ip) = following.members.choose(fleet.now()) {
             if let Err(e) = following.follow(&fleet, ip).await {
                 debug!("control {}: {e}", Ipv4Addr::from(ip));
             }
-            following.members.failed.insert(ip, fleet.now());
+            following.members.failed(fleet.now(), ip);
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
 impl Following {
+    /// Takes the seeds of the boot file, which may have changed, while no process in touch answers.
+    fn read_seeds(&mut self, fleet: &Fleet) {
+        let now = fleet.now();
+        let lost = fleet.fresh_at.get().is_none_or(|at| now >= at + LOST);
+        if !lost || now < self.read + LOST {
+            return;
+        }
+        self.read = now;
+        // A file that cannot be read now is read again.
+        if let Ok(boot) = super::serve::read_boot() {
+            self.members.name(now, boot.seeds.iter().map(|s| u32::from(*s.ip())));
+        }
+    }
+
     /// Pulls from one process until it fails or is not in touch with a majority.
     async fn follow(&mut self, fleet: &Rc<Fleet>, ip: u32) -> Result<(), LinkError> {
         let address = SocketAddrV4::new(Ipv4Addr::from(ip), fleet.boot.ephemeral_ports.0);
--- a/crates/gaugesaddle/src/edge/mod.rs
+++ b/crates/gaugesaddle/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod front;
 mod headers;
 mod lending;
+mod members;
 mod ready;
 mod refusal;
 mod relay;
