--- a/crates/gaugesaddle-consensus/tests/ordering.rs
+++ b/crates/gaugesaddle-consensus/tests/ordering.rs
@@ -33,7 +33,7 @@
         Output::Persist { ticket, .. } => Some(*ticket),
         _ => None,
     });
-    tickets.last().expect("something is written")
+    tickets.reduce(|_, later| later).expect("something is written")
 }
 
 fn granted(out: &[Output]) -> bool {
