--- a/crates/gaugesaddle-config/src/boot.rs
+++ b/crates/gaugesaddle-config/src/boot.rs
@@ -5,10 +5,36 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::str::FromStr;
+use std::{env, fs, io};
+use thiserror::Error;
 
 /// Environment variable with the path of the boot file.
 pub const PATH_VARIABLE: &str = "GAUGESADDLE_BOOT";
 
+/// Why there are no settings.
+#[derive(Debug, Error)]
+pub enum BootError {
+    /// The environment names no file.
+    #[error("{PATH_VARIABLE}: expected the path of the boot file")]
+    NoPath,
+    /// The file cannot be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The file is no boot file.
+    #[error("{path}: {findings}")]
+    Invalid {
+        /// The file.
+        path: String,
+        /// Everything that is wrong with it.
+        findings: Findings,
+    },
+}
+
 /// What a process may use.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResourceLimits {
@@ -190,6 +216,15 @@
 const NUMBER: &str = "a number";
 
 impl BootSettings {
+    /// Reads the boot file that the environment names.
+    pub fn read() -> Result<BootSettings, BootError> {
+        let path = env::var(PATH_VARIABLE).map_err(|_| BootError::NoPath)?;
+        match fs::read_to_string(&path) {
+            Ok(text) => BootSettings::parse(&text).map_err(|findings| BootError::Invalid { path, findings }),
+            Err(source) => Err(BootError::Read { path, source }),
+        }
+    }
+
     /// Reads the text of a boot file. Unknown keys are left alone.
     pub fn parse(text: &str) -> Result<BootSettings, Findings> {
         let mut reader = Reader::new(text);
--- a/crates/gaugesaddle-control/src/serve.rs
+++ b/crates/gaugesaddle-control/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::peers::Peers;
 use crate::{api, disk, peers, requests, upkeep};
 use eyre::{eyre, Result, WrapErr};
-use gaugesaddle_config::{boot, BootSettings};
+use gaugesaddle_config::BootSettings;
 use gaugesaddle_transport::listen;
 use spdlog::info;
 use std::net::SocketAddrV4;
@@ -16,17 +16,9 @@
 /// Calls under way have so long to be answered after SIGTERM.
 const FAREWELL: Duration = Duration::from_millis(400);
 
-/// Reads the boot file that the environment names.
-pub fn read_boot() -> Result<BootSettings> {
-    let path = std::env::var(boot::PATH_VARIABLE)
-        .map_err(|_| eyre!("{}: expected the path of the boot file", boot::PATH_VARIABLE))?;
-    let text = std::fs::read_to_string(&path).wrap_err_with(|| format!("reading {path}"))?;
-    BootSettings::parse(&text).wrap_err_with(|| path)
-}
-
 /// Serves until SIGTERM.
 pub fn run() -> Result<()> {
-    let boot = read_boot()?;
+    let boot = BootSettings::read()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, serve(boot))
 }
--- a/crates/gaugesaddle-control/src/upkeep.rs
+++ b/crates/gaugesaddle-control/src/upkeep.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Core, CoreHandle};
 use crate::peers;
+use gaugesaddle_config::BootSettings;
 use gaugesaddle_protocol::{Lifecycle, Registration, Subject};
 use spdlog::info;
 use std::time::Duration;
@@ -39,7 +40,7 @@
 /// Takes the seeds of the boot file, which may have changed, while there is no leader.
 fn know_seeds(core: &CoreHandle) {
     // A file that cannot be read now is read again.
-    let Ok(boot) = crate::serve::read_boot() else { return };
+    let Ok(boot) = BootSettings::read() else { return };
     core.with(|c| {
         let own = c.boot.ip;
         for seed in boot.seeds.iter().filter(|s| *s.ip() != own) {
--- a/crates/gaugesaddle/src/edge/follow.rs
+++ b/crates/gaugesaddle/src/edge/follow.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::Fleet;
 use super::members::Members;
+use gaugesaddle_config::BootSettings;
 use gaugesaddle_protocol::{Lifecycle, Pull, PullReply, Registration, Reply, Request, Subject};
 use gaugesaddle_transport::{Caller, LinkError};
 use spdlog::{debug, info};
@@ -62,7 +63,7 @@
         }
         self.read = now;
         // A file that cannot be read now is read again.
-        if let Ok(boot) = super::serve::read_boot() {
+        if let Ok(boot) = BootSettings::read() {
             self.members.name(now, boot.seeds.iter().map(|s| u32::from(*s.ip())));
         }
     }
--- a/crates/gaugesaddle/src/edge/serve.rs
+++ b/crates/gaugesaddle/src/edge/serve.rs
@@ -3,7 +3,7 @@
 use super::fleet::Fleet;
 use super::{follow, front, lending, ready};
 use eyre::{eyre, Result, WrapErr};
-use gaugesaddle_config::{boot, BootSettings};
+use gaugesaddle_config::BootSettings;
 use gaugesaddle_transport::listen;
 use spdlog::{error, info};
 use std::rc::Rc;
@@ -22,18 +22,10 @@
 /// Between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Reads the boot file that the environment names.
-pub fn read_boot() -> Result<BootSettings> {
-    let path = std::env::var(boot::PATH_VARIABLE)
-        .map_err(|_| eyre!("{}: expected the path of the boot file", boot::PATH_VARIABLE))?;
-    let text = std::fs::read_to_string(&path).wrap_err_with(|| format!("reading {path}"))?;
-    BootSettings::parse(&text).wrap_err_with(|| path)
-}
-
 /// Serves until SIGTERM.
 pub fn run() -> Result<()> {
     gaugesaddle_transport::log::start();
-    let boot = read_boot()?;
+    let boot = BootSettings::read()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, serve(boot))
 }
