--- a/crates/gaugesaddle-consensus/src/election.rs
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -19,13 +19,19 @@
         self.election_at = now + self.settings.election + spread;
     }
 
+    /// Pre-votes are asked for anew soon: a majority may come up at any moment.
+    fn set_retry_time(&mut self, now: u64) {
+        self.random = next_random(self.random);
+        self.election_at = now + self.settings.retry + self.random % self.settings.retry_spread.max(1);
+    }
+
     /// Whether a leader has been heard so lately that nobody else should stand.
     fn follows_living_leader(&self, now: u64) -> bool {
         self.leader.is_some() && self.heard.is_some_and(|at| now < at + self.settings.election)
     }
 
     pub(crate) fn begin_election(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.set_election_time(now);
+        self.set_retry_time(now);
         self.leader = None;
         // A replica whose disk hangs could not keep its vote.
         if !self.is_voter() || self.disk_hangs(now) {
@@ -67,6 +73,8 @@
             return;
         }
         self.pre_votes.clear();
+        // A candidate's round has its full time: two writes to disks lie in it.
+        self.set_election_time(now);
         self.role = Role::Candidate;
         self.leader = None;
         self.ballot.term += 1;
--- a/crates/gaugesaddle-consensus/src/settings.rs
+++ b/crates/gaugesaddle-consensus/src/settings.rs
@@ -21,6 +21,10 @@
     pub election_spread: u64,
     /// Least time before an election of a replica that has just started and has heard nobody.
     pub first_election: u64,
+    /// Least time between two rounds of pre-votes while nobody leads, which cost nothing but messages.
+    pub retry: u64,
+    /// A random part of this is added to it.
+    pub retry_spread: u64,
     /// A leader without answers of a majority for so long steps down.
     pub lease: u64,
     /// A write to the own disk that takes longer ends a leadership.
@@ -36,6 +40,8 @@
             election: 500,
             election_spread: 400,
             first_election: 100,
+            retry: 120,
+            retry_spread: 250,
             lease: 450,
             disk: 1000,
             forget: 30_000,
--- a/crates/gaugesaddle-consensus/tests/elections.rs
+++ b/crates/gaugesaddle-consensus/tests/elections.rs
@@ -31,3 +31,25 @@
     assert_eq!(result(&group, again), Some(ProposalResult::Taken));
     assert!((1..=3).all(|ip| group.revision(ip) == 5));
 }
+
+/// The incident inc-fbca: after a loss of all power the first replica up asked before a majority was there, and then
+/// not again for most of a second.
+#[test]
+fn a_leader_stands_soon_after_a_majority_is_up_again() {
+    for seed in 1..=40 {
+        let mut group = Group::new(seed, 4, 3);
+        group.run_to_leader(5000).expect("somebody leads");
+        group.run(3000);
+        (1..=4).for_each(|ip| group.crash(ip));
+        group.run(800);
+        // One after the other, as machines come up; the third makes a majority.
+        for (ip, wait) in [(1, 200), (2, 100), (3, 0)] {
+            group.start(ip, false);
+            group.run(wait);
+        }
+        let up = group.now;
+        group.run_to_leader(3000).expect("somebody leads again");
+        let took = group.now - up;
+        assert!(took <= 450, "seed {seed}: {took} ms without a leader though a majority is up");
+    }
+}
