Keep back for a silent proxy from the moment it goes on alone, and fix the seeds of drawn cases

A drawn case in a run of the whole command had six proxies use 10,539 tokens in a window, bound 10,500. The leader kept back from 1.5 s of silence on, the proxy went on alone from 0.7 s: for 0.8 s its part was used twice. Both go by one figure now. Drawn cases of the new crates come from a fixed seed, as those of the others.

--- a/crates/gaugesaddle-catalog/tests/catalog.rs
+++ b/crates/gaugesaddle-catalog/tests/catalog.rs
@@ -4,6 +4,7 @@
 use gaugesaddle_catalog::{Catalog, Leases, KEEP_LEFT};
 use gaugesaddle_protocol::{Delta, Lifecycle, Origin, Registration, Subject, VersionVector};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const NOW: u64 = 1_000_000;
 
@@ -30,8 +31,11 @@
     catalog.iter().map(|r| (r.id.clone(), r.sequence, r.lifecycle)).collect()
 }
 
+/// Cases are the same in each run.
+const SEED: RngSeed = RngSeed::Fixed(20_261_202);
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: SEED, ..ProptestConfig::default() })]
 
     /// Whoever has heard all agrees, whatever the order, and however often each was told.
     #[test]
--- a/crates/gaugesaddle-config/tests/documents.rs
+++ b/crates/gaugesaddle-config/tests/documents.rs
@@ -3,6 +3,7 @@
 
 use gaugesaddle_config::{BootSettings, OperatorConfig, RouteKind, RoutingTable};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use serde_json::{json, Value};
 
 const BOOT: &str = "nodeName=edge-a-1
@@ -167,8 +168,11 @@
     assert!(OperatorConfig::parse(b"\xff\xfe").is_err());
 }
 
+/// Cases are the same in each run.
+const SEED: RngSeed = RngSeed::Fixed(20_261_202);
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, rng_seed: SEED, ..ProptestConfig::default() })]
 
     #[test]
     fn spoilt_boot_files_do_not_panic(at in any::<prop::sample::Index>(), byte in any::<char>()) {
--- a/crates/gaugesaddle-inference/tests/choice.rs
+++ b/crates/gaugesaddle-inference/tests/choice.rs
@@ -6,6 +6,7 @@
     warmth, Candidate, Chooser, ChooserSettings, Prompt, PromptParts, PromptSizes, TokenUsage,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -126,8 +127,11 @@
     assert_eq!(TokenUsage::parse("1460"), None);
 }
 
+/// Cases are the same in each run.
+const SEED: RngSeed = RngSeed::Fixed(20_261_202);
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: SEED, ..ProptestConfig::default() })]
 
     /// However the bytes come in pieces, only whole events go on, in order, and none is lost.
     #[test]
--- a/crates/gaugesaddle-log/tests/crashes.rs
+++ b/crates/gaugesaddle-log/tests/crashes.rs
@@ -2,6 +2,7 @@
 
 use gaugesaddle_log::{Ring, Store, SEGMENTS};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -174,8 +175,11 @@
     prop_oneof![Just(Fate::Missing), Just(Fate::Present), any::<u16>().prop_map(|at| Fate::Torn(at.into()))]
 }
 
+/// Cases are the same in each run.
+const SEED: RngSeed = RngSeed::Fixed(20_261_202);
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: SEED, ..ProptestConfig::default() })]
 
     /// Any number of losses of power, each in the middle of something.
     #[test]
--- a/crates/gaugesaddle-protocol/tests/frames.rs
+++ b/crates/gaugesaddle-protocol/tests/frames.rs
@@ -5,6 +5,7 @@
 };
 use gaugesaddle_protocol::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn pull() -> Request {
     let mut vector = VersionVector::default();
@@ -58,8 +59,11 @@
     assert_eq!(body_length(header), Err(FrameError::TooLong(MOST_BYTES + 1)));
 }
 
+/// Cases are the same in each run.
+const SEED: RngSeed = RngSeed::Fixed(20_261_202);
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 50_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 50_000, failure_persistence: None, rng_seed: SEED, ..ProptestConfig::default() })]
 
     #[test]
     fn spoilt_requests_are_errors_or_other_requests(at in 0usize..200, byte in any::<u8>(), cut in 0usize..200) {
--- a/crates/gaugesaddle-quota/src/dealer.rs
+++ b/crates/gaugesaddle-quota/src/dealer.rs
@@ -1,6 +1,6 @@
 //! The leader's side: a token bucket a tenant.
 
-use crate::{faded, FALLBACK, LEASE};
+use crate::{faded, FALLBACK, SILENCE};
 use gaugesaddle_protocol::{QuotaGrant, QuotaWant};
 use std::collections::BTreeMap;
 
@@ -67,9 +67,9 @@
     fn fill(&mut self, now: u64) {
         let passed = now.saturating_sub(self.filled) as f64 / 1000.0;
         self.filled = now;
-        self.paces.retain(|_, (asked, _)| now < *asked + FALLBACK + LEASE);
+        self.paces.retain(|_, (asked, _)| now < *asked + FALLBACK + SILENCE);
         // Proxies that have fallen silent may go on at their pace, which fades.
-        let silent = self.paces.values().filter(|(asked, _)| now >= *asked + LEASE);
+        let silent = self.paces.values().filter(|(asked, _)| now >= *asked + SILENCE);
         let kept_back: f64 = silent.map(|(asked, pace)| faded(*pace, now - *asked)).sum();
         let rate = (self.limit.rate - kept_back).max(0.0);
         self.tokens = (self.tokens + rate * passed).min(self.limit.burst.max(self.limit.rate * 0.1));
--- a/crates/gaugesaddle-quota/src/lib.rs
+++ b/crates/gaugesaddle-quota/src/lib.rs
@@ -19,6 +19,9 @@
 pub const LEASE: u64 = 1500;
 /// How long a proxy without a leader goes on at its pace, which fades meanwhile, in milliseconds.
 pub const FALLBACK: u64 = 6000;
+/// A leader that has not answered for so long is taken for lost by a proxy, and a proxy that has not asked for so long
+/// for one that goes on alone by the leader, in milliseconds.
+const SILENCE: u64 = 700;
 /// Paces are smoothed over, and fade in, so many milliseconds.
 const SMOOTHING: f64 = 2000.0;
 
--- a/crates/gaugesaddle-quota/src/purse.rs
+++ b/crates/gaugesaddle-quota/src/purse.rs
@@ -1,13 +1,11 @@
 //! A proxy's side: tokens lent, and what to ask for.
 
-use crate::{faded, FALLBACK, LEASE, SMOOTHING};
+use crate::{faded, FALLBACK, LEASE, SILENCE, SMOOTHING};
 use gaugesaddle_protocol::{QuotaGrant, QuotaWant};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Tokens are asked for ahead for so long, in seconds of the present pace.
 const AHEAD: f64 = 0.5;
-/// A leader that has not answered for so long is taken for lost, in milliseconds.
-const LEADER_SILENCE: u64 = 700;
 
 /// Whether a request may go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,8 +51,8 @@
 
     /// Takes the tokens of a request.
     pub fn take(&mut self, now: u64, tenant: &str, cost: u64) -> Taken {
-        let led = now < self.answered + LEADER_SILENCE;
-        let alone_until = self.answered + LEADER_SILENCE + FALLBACK;
+        let led = now < self.answered + SILENCE;
+        let alone_until = self.answered + SILENCE + FALLBACK;
         let floor = self.floor;
         let Some(pocket) = self.pockets.get_mut(tenant) else { return Taken::Granted };
         pocket.expire(now);
