Count places, accept and reach control processes in one piece of code each

Read again: five guards that count a place were one and the same (upstream.rs had it), four accept loops, six ways to write a control process's address, two ways to drive the replica; every process read the whole configuration for a dealer that only the leader uses; two wire fields had no reader. Behaviour is meant to be as before.

--- a/crates/gaugesaddle-config/src/boot.rs
+++ b/crates/gaugesaddle-config/src/boot.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// Where a machine's control process takes frames: the ports are the same on all machines.
+    pub fn control_process(&self, ip: u32) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(ip), self.ephemeral_ports.0)
+    }
+
     /// Reads the text of a boot file. Unknown keys are left alone.
     pub fn parse(text: &str) -> Result<BootSettings, Findings> {
         let mut reader = Reader::new(text);
--- a/crates/gaugesaddle-control/src/api.rs
+++ b/crates/gaugesaddle-control/src/api.rs
@@ -5,6 +5,7 @@
 use crate::registrations::{self, Registered};
 use bytes::Bytes;
 use gaugesaddle_protocol::OrderReply;
+use gaugesaddle_transport::accept;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
@@ -22,8 +23,6 @@
 const BODY: Duration = Duration::from_secs(5);
 /// A head has so long to come; a connection without a call is closed after it.
 const HEAD: Duration = Duration::from_secs(30);
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Header with the revision that a configuration builds on.
 const BASE: &str = "config-revision";
 const HEARTBEAT: &str = "/Instances.Heartbeat/";
@@ -36,10 +35,7 @@
 /// Accepts connections for as long as the process lives.
 pub async fn serve(core: CoreHandle, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = accept(&listener).await;
         let _ = stream.set_nodelay(true);
         let core = core.clone();
         let service = service_fn(move |request| {
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -183,12 +183,21 @@
 
     /// Gives the replica an input and carries out what it returns.
     pub fn step(&self, input: Input) {
+        self.drive(|replica, now, outputs| replica.handle(now, input, outputs));
+    }
+
+    /// Ends a leadership before the process ends.
+    pub fn resign(&self) {
+        self.drive(Replica::resign);
+    }
+
+    fn drive(&self, act: impl FnOnce(&mut Replica, u64, &mut Vec<Output>)) {
         let outputs = self.with(|core| {
             let now = core.clock.now();
             let mut outputs = Vec::new();
             if let Some(replica) = &mut core.replica {
                 let before = (replica.role(), replica.term());
-                replica.handle(now, input, &mut outputs);
+                act(replica, now, &mut outputs);
                 let after = (replica.role(), replica.term());
                 if before != after {
                     info!("replica {} is {:?} in term {}", replica.id(), after.0, after.1);
@@ -200,19 +209,6 @@
         self.timer.notify_one();
     }
 
-    /// Ends a leadership before the process ends.
-    pub fn resign(&self) {
-        let outputs = self.with(|core| {
-            let now = core.clock.now();
-            let mut outputs = Vec::new();
-            if let Some(replica) = &mut core.replica {
-                replica.resign(now, &mut outputs);
-            }
-            outputs
-        });
-        self.carry_out(outputs);
-    }
-
     fn carry_out(&self, outputs: Vec<Output>) {
         for output in outputs {
             match output {
@@ -262,7 +258,10 @@
                 return;
             }
             core.configuration = Some(newest.clone());
-            core.configure_dealer();
+            // Elsewhere nothing is dealt, and whoever leads next begins anew.
+            if core.is_leading() {
+                core.configure_dealer();
+            }
         });
         self.announce();
     }
@@ -390,6 +389,11 @@
         self.replica.as_ref().and_then(|r| r.leader()).map(|l| l.ip)
     }
 
+    /// Whether it takes itself for the leader.
+    pub fn is_leading(&self) -> bool {
+        self.leader() == Some(u32::from(self.boot.ip))
+    }
+
     /// How this process stands.
     pub fn report(&self) -> StatusReport {
         let now = self.clock.now();
--- a/crates/gaugesaddle-control/src/orders.rs
+++ b/crates/gaugesaddle-control/src/orders.rs
@@ -6,7 +6,6 @@
 use gaugesaddle_protocol::{Configuration, Order, OrderReply, Reply, Request};
 use gaugesaddle_transport::Caller;
 use spdlog::info;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 /// Time to reach the leader.
@@ -18,18 +17,14 @@
 
 /// Decides an order that came to any process.
 pub async fn put(core: &CoreHandle, base: u64, document: Vec<u8>) -> OrderReply {
-    let findings = match OperatorConfig::parse(&document) {
-        Ok(_) => Vec::new(),
-        Err(findings) => findings.0.iter().map(ToString::to_string).collect(),
-    };
-    if !findings.is_empty() {
-        info!("configuration refused: {} findings, first {}", findings.len(), findings[0]);
-        return OrderReply::Invalid { findings };
+    if let Err(findings) = OperatorConfig::parse(&document) {
+        info!("configuration refused: {findings}");
+        return OrderReply::Invalid { findings: findings.0.iter().map(ToString::to_string).collect() };
     }
     let time = ANSWER + Duration::from_millis(document.len() as u64 / BYTES_FOR_MILLISECOND);
     let order = Order { base, document };
     let deciding = async {
-        if core.with(|c| c.leader() == Some(u32::from(c.boot.ip))) {
+        if core.with(|c| c.is_leading()) {
             return decide(core, order).await;
         }
         match ask_leader(core, Request::Order(Box::new(order)), time).await {
@@ -63,7 +58,7 @@
 /// The current configuration: `Ok(None)` before the first, `Err` where nobody can tell.
 pub async fn get(core: &CoreHandle) -> Result<Option<Configuration>, ()> {
     let reading = async {
-        if core.with(|c| c.leader() == Some(u32::from(c.boot.ip))) {
+        if core.with(|c| c.is_leading()) {
             return core.read().await.map_err(|_| ());
         }
         match ask_leader(core, Request::Read, ANSWER).await {
@@ -75,8 +70,7 @@
 }
 
 async fn ask_leader(core: &CoreHandle, request: Request, time: Duration) -> Option<Reply> {
-    let (leader, port) = core.with(|c| (c.leader(), c.boot.ephemeral_ports.0));
-    let address = SocketAddrV4::new(Ipv4Addr::from(leader?), port);
+    let address = core.with(|c| Some(c.boot.control_process(c.leader()?)))?;
     let mut caller = Caller::open(address, CONNECT).await.ok()?;
     caller.call(&request, time).await.ok()
 }
--- a/crates/gaugesaddle-control/src/peers.rs
+++ b/crates/gaugesaddle-control/src/peers.rs
@@ -9,7 +9,7 @@
 use gaugesaddle_transport::{connect, Link, LinkError};
 use spdlog::debug;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -122,8 +122,7 @@
 
 /// Keeps a connection to a peer and sends what is queued.
 async fn speak(core: CoreHandle, ip: u32, mut messages: mpsc::Receiver<PeerMessage>) {
-    let port = core.with(|c| c.boot.ephemeral_ports.0);
-    let address = SocketAddrV4::new(Ipv4Addr::from(ip), port);
+    let address = core.with(|c| c.boot.control_process(ip));
     loop {
         if let Err(e) = speak_once(&core, address, &mut messages).await {
             debug!("peer {address}: {e}");
--- a/crates/gaugesaddle-control/src/registrations.rs
+++ b/crates/gaugesaddle-control/src/registrations.rs
@@ -1,7 +1,6 @@
 //! Heartbeats of backends and their end.
 
 use crate::core::CoreHandle;
-use crate::upkeep::is_backend;
 use gaugesaddle_protocol::{Lifecycle, Registration, Subject};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -58,7 +57,7 @@
 /// Takes the end of a backend.
 pub async fn deregister(core: &CoreHandle, id: &str) -> Registered {
     let known = core.with(|c| c.catalog.get(id).map(|e| e.registration.clone()));
-    let Some(mut registration) = known.filter(is_backend) else {
+    let Some(mut registration) = known.filter(|r| matches!(r.subject, Subject::Backend { .. })) else {
         // Nothing is sent to what is not known; where another process knows it, the caller goes there.
         return if core.with(|c| c.is_fresh()) { Registered::Acknowledged } else { Registered::NotSpread };
     };
--- a/crates/gaugesaddle-control/src/requests.rs
+++ b/crates/gaugesaddle-control/src/requests.rs
@@ -3,8 +3,7 @@
 use crate::core::{Core, CoreHandle};
 use crate::{orders, peers};
 use gaugesaddle_protocol::{Opening, Pull, PullReply, Reply, Request};
-use gaugesaddle_quota::LEASE;
-use gaugesaddle_transport::{Link, LinkError};
+use gaugesaddle_transport::{accept, Link, LinkError};
 use spdlog::debug;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -16,23 +15,17 @@
 const SEND: Duration = Duration::from_millis(4000);
 /// A connection without a request for so long is closed.
 const IDLE: Duration = Duration::from_secs(30);
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections for as long as the process lives.
 pub async fn serve(core: CoreHandle, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let core = core.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(e) = connection(core, Link::new(stream)).await {
-                        debug!("connection of {from} ends: {e}");
-                    }
-                });
+        let (stream, from) = accept(&listener).await;
+        let core = core.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(e) = connection(core, Link::new(stream)).await {
+                debug!("connection of {from} ends: {e}");
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
+        });
     }
 }
 
@@ -55,7 +48,7 @@
                 return Reply::Unavailable;
             }
             let now = c.clock.now();
-            Reply::Quota { grants: c.dealer.lend(now, &machine, &wants), lease_ms: LEASE as u32 }
+            Reply::Quota { grants: c.dealer.lend(now, &machine, &wants) }
         }),
         Request::Order(order) => Reply::Order(orders::decide(core, *order).await),
         Request::Read => match core.read().await {
@@ -104,5 +97,5 @@
     let delta = if repair { core.catalog.repair(&pull.digests) } else { core.catalog.delta(&pull.vector) };
     let mut members = core.peers.alive(now);
     members.push(u32::from(core.boot.ip));
-    PullReply { fresh: core.is_fresh(), leader: core.leader(), members, configuration, delta, repair }
+    PullReply { fresh: core.is_fresh(), leader: core.leader(), members, configuration, delta }
 }
--- a/crates/gaugesaddle-control/src/serve.rs
+++ b/crates/gaugesaddle-control/src/serve.rs
@@ -7,7 +7,6 @@
 use gaugesaddle_config::BootSettings;
 use gaugesaddle_transport::listen;
 use spdlog::info;
-use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
@@ -34,7 +33,7 @@
     for seed in boot.seeds.iter().filter(|s| *s.ip() != boot.ip) {
         peers.know(u32::from(*seed.ip()));
     }
-    let internal = SocketAddrV4::new(boot.ip, boot.ephemeral_ports.0);
+    let internal = boot.control_process(u32::from(boot.ip));
     info!("control at {control}, processes at {internal}, disk {}", disk.is_some());
     let core = CoreHandle::new(boot, disk, peers);
     let requests = listen(internal).wrap_err_with(|| format!("listening at {internal}"))?;
--- a/crates/gaugesaddle-control/src/upkeep.rs
+++ b/crates/gaugesaddle-control/src/upkeep.rs
@@ -3,7 +3,7 @@
 use crate::core::{Core, CoreHandle};
 use crate::peers;
 use gaugesaddle_config::BootSettings;
-use gaugesaddle_protocol::{Lifecycle, Registration, Subject};
+use gaugesaddle_protocol::{Lifecycle, Registration};
 use spdlog::info;
 use std::time::Duration;
 
@@ -93,8 +93,3 @@
     }
     ended
 }
-
-/// Whether a registration is a backend's.
-pub fn is_backend(registration: &Registration) -> bool {
-    matches!(registration.subject, Subject::Backend { .. })
-}
--- a/crates/gaugesaddle-inference/src/prompt.rs
+++ b/crates/gaugesaddle-inference/src/prompt.rs
@@ -20,8 +20,7 @@
     /// The last part that other requests may share: all but the prompt's own last one.
     pub fn subject(&self) -> Option<u64> {
         let shared = self.0.len().checked_sub(1)?;
-        let last = if shared == 0 { 0 } else { shared - 1 };
-        self.0.get(last).map(|(id, _)| *id)
+        self.0.get(shared.saturating_sub(1)).map(|(id, _)| *id)
     }
 }
 
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -43,8 +43,6 @@
     pub configuration: Option<Configuration>,
     /// What the proxy lacks of the catalog.
     pub delta: Delta,
-    /// Whether the delta has whole ranges that differed, and not only changes.
-    pub repair: bool,
 }
 
 /// An order of the operator, passed on to the leader.
@@ -103,10 +101,8 @@
     Pull(Box<PullReply>),
     /// To `Quota`.
     Quota {
-        /// What is lent.
+        /// What is lent, for a lease.
         grants: Vec<QuotaGrant>,
-        /// How long it may be used, in milliseconds.
-        lease_ms: u32,
     },
     /// To `Order`.
     Order(OrderReply),
--- a/crates/gaugesaddle-transport/src/lib.rs
+++ b/crates/gaugesaddle-transport/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use caller::Caller;
 pub use clock::Clock;
-pub use link::{connect, listen, Link, LinkError};
+pub use link::{accept, connect, listen, Link, LinkError};
--- a/crates/gaugesaddle-transport/src/link.rs
+++ b/crates/gaugesaddle-transport/src/link.rs
@@ -6,7 +6,7 @@
 use musli::{Decode, Encode};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,6 +16,8 @@
 const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
 /// A message that has begun is whole within this time, or its sender hangs.
 const BODY: Duration = Duration::from_millis(3000);
+/// Pause after a failure to accept: descriptors may come back.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 512;
 
@@ -46,11 +48,21 @@
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    socket.bind(&std::net::SocketAddr::V4(at).into())?;
+    socket.bind(&SocketAddr::V4(at).into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
 }
 
+/// The next connection; a failure to accept one is waited out.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 fn prepare(stream: &TcpStream) {
     // Neither is needed for correctness: a message without them is only slower, and a hang noticed later.
     let _ = stream.set_nodelay(true);
--- a/crates/gaugesaddle/src/edge/backend.rs
+++ b/crates/gaugesaddle/src/edge/backend.rs
@@ -1,5 +1,6 @@
 //! What a proxy knows of one backend by itself: connections, failures, load.
 
+use crate::counted::Counted;
 use crate::link::Link;
 use bytes::Bytes;
 use gaugesaddle_inference::warmth;
@@ -9,7 +10,7 @@
 use std::rc::Rc;
 
 /// A connection to a backend.
-pub type BackendLink = Link<Full<Bytes>, Socket>;
+pub type BackendLink = Link<Full<Bytes>, Counted>;
 
 /// First time that a backend is avoided after a failure, in ms; it doubles with each.
 const AVOID: u64 = 400;
@@ -22,24 +23,6 @@
 /// Part of the time a backend names that an idle connection is used for.
 const IDLE_PART: f64 = 0.6;
 
-/// One of the sockets to a backend.
-pub struct Socket(Rc<Cell<usize>>);
-
-impl Drop for Socket {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// A request at a backend.
-pub struct InUse(Rc<Backend>);
-
-impl Drop for InUse {
-    fn drop(&mut self) {
-        self.0.outstanding.set(self.0.outstanding.get() - 1);
-    }
-}
-
 /// The load that a backend told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -68,7 +51,8 @@
     pub open: Cell<bool>,
     /// Its lease has run out.
     pub expired: Cell<bool>,
-    pub outstanding: Cell<u32>,
+    /// Requests that are there.
+    outstanding: Rc<Cell<usize>>,
     sockets: Rc<Cell<usize>>,
     idle: RefCell<Vec<(u64, BackendLink)>>,
     idle_limit: Cell<u64>,
@@ -89,7 +73,7 @@
             slots,
             open: Cell::new(true),
             expired: Cell::new(false),
-            outstanding: Cell::new(0),
+            outstanding: Rc::default(),
             sockets: Rc::default(),
             idle: RefCell::default(),
             idle_limit: Cell::new(IDLE),
@@ -107,9 +91,12 @@
     }
 
     /// Counts a request until what is returned is dropped.
-    pub fn use_for(self: &Rc<Backend>) -> InUse {
-        self.outstanding.set(self.outstanding.get() + 1);
-        InUse(self.clone())
+    pub fn use_for(&self) -> Counted {
+        Counted::take(&self.outstanding)
+    }
+
+    pub fn outstanding(&self) -> usize {
+        self.outstanding.get()
     }
 
     pub fn sockets(&self) -> usize {
@@ -117,9 +104,8 @@
     }
 
     /// Counts a socket until what is returned is dropped.
-    pub fn open_socket(&self) -> Socket {
-        self.sockets.set(self.sockets.get() + 1);
-        Socket(self.sockets.clone())
+    pub fn open_socket(&self) -> Counted {
+        Counted::take(&self.sockets)
     }
 
     /// The connection that was used last, if the backend has not closed it.
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -1,11 +1,12 @@
 //! Sends an admitted request to backends until one answers or no further attempt is allowed.
 
 use super::admission::Admitted;
-use super::backend::{Backend, InUse};
+use super::backend::Backend;
 use super::fleet::Fleet;
 use super::headers::{API_KEY, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT};
 use super::refusal::Refusal;
 use super::upstream::{attempt, Answer, Outcome};
+use crate::counted::Counted;
 use crate::exchange::strip;
 use bytes::Bytes;
 use gaugesaddle_config::{Route, RoutingTable, ServiceIndex};
@@ -35,23 +36,7 @@
     /// Identities of the backends that it was sent to.
     tried: Vec<u64>,
     sends: u32,
-    _active: Active,
-}
-
-/// Counts a request while it is under way.
-struct Active(Rc<Fleet>);
-
-impl Active {
-    fn new(fleet: Rc<Fleet>) -> Active {
-        fleet.active.set(fleet.active.get() + 1);
-        Active(fleet)
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get() - 1);
-    }
+    _active: Counted,
 }
 
 /// A backend's answer that has begun, and where it comes from.
@@ -60,7 +45,7 @@
     pub backend: Rc<Backend>,
     pub kind: Kind,
     pub sent: Instant,
-    pub in_use: InUse,
+    pub in_use: Counted,
 }
 
 impl Job {
@@ -85,7 +70,7 @@
             route: admitted.route.clone(),
             prompt: admitted.prompt,
             deadline: admitted.deadline,
-            _active: Active::new(fleet.clone()),
+            _active: Counted::take(&fleet.active),
             fleet,
             table,
             service,
@@ -162,7 +147,7 @@
         let most = self.fleet.connections(&self.table, self.service);
         let mut backends = self.fleet.backends(&self.service_name);
         backends.retain(|b| !self.tried.contains(&b.identity));
-        backends.retain(|b| b.sockets() < most || (b.outstanding.get() as usize) < b.sockets());
+        backends.retain(|b| b.sockets() < most || b.outstanding() < b.sockets());
         let well = |b: &Rc<Backend>| !b.expired.get() && !b.is_avoided(now);
         if backends.iter().any(well) {
             backends.retain(well);
--- a/crates/gaugesaddle/src/edge/fleet.rs
+++ b/crates/gaugesaddle/src/edge/fleet.rs
@@ -33,7 +33,7 @@
     /// When a control process in touch with a majority answered last.
     pub fresh_at: Cell<Option<u64>>,
     /// Requests under way.
-    pub active: Cell<usize>,
+    pub active: Rc<Cell<usize>>,
     /// Bytes of bodies that are held.
     pub held_bytes: Cell<usize>,
     pub purse: RefCell<Purse>,
@@ -63,7 +63,7 @@
             terminating: Cell::new(false),
             leader: Cell::new(None),
             fresh_at: Cell::new(None),
-            active: Cell::new(0),
+            active: Rc::default(),
             held_bytes: Cell::new(0),
             purse: RefCell::default(),
             granted: Notify::new(),
@@ -181,7 +181,7 @@
         all.filter(|b| b.open.get()).cloned().collect()
     }
 
-    /// Whether every service that a route names has a backend.
+    /// Whether any service has a backend.
     pub fn has_backends(&self) -> bool {
         let Some(table) = self.table() else { return false };
         let services = self.services.borrow();
--- a/crates/gaugesaddle/src/edge/follow.rs
+++ b/crates/gaugesaddle/src/edge/follow.rs
@@ -6,7 +6,7 @@
 use gaugesaddle_protocol::{Lifecycle, Pull, PullReply, Registration, Reply, Request, Subject};
 use gaugesaddle_transport::{Caller, LinkError};
 use spdlog::{debug, info};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -70,7 +70,7 @@
 
     /// Pulls from one process until it fails or is not in touch with a majority.
     async fn follow(&mut self, fleet: &Rc<Fleet>, ip: u32) -> Result<(), LinkError> {
-        let address = SocketAddrV4::new(Ipv4Addr::from(ip), fleet.boot.ephemeral_ports.0);
+        let address = fleet.boot.control_process(ip);
         let mut caller = Caller::open(address, CONNECT).await?;
         let mut wait = 0;
         loop {
@@ -129,7 +129,7 @@
 /// Says that this proxy leaves.
 pub async fn farewell(fleet: Rc<Fleet>) {
     let Some(leader) = fleet.leader.get() else { return };
-    let address = SocketAddrV4::new(Ipv4Addr::from(leader), fleet.boot.ephemeral_ports.0);
+    let address = fleet.boot.control_process(leader);
     let Ok(mut caller) = Caller::open(address, FAREWELL).await else { return };
     // Without this call the lease runs out by itself.
     let _ = caller.call(&pull(&fleet, u64::MAX, Lifecycle::Gone, 0, false), FAREWELL).await;
--- a/crates/gaugesaddle/src/edge/front.rs
+++ b/crates/gaugesaddle/src/edge/front.rs
@@ -9,6 +9,7 @@
 use crate::exchange::{strip, BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 use gaugesaddle_config::{RouteKind, RoutingTable};
+use gaugesaddle_transport::accept;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -18,9 +19,10 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, Semaphore};
 use tokio::time::Instant;
 
 /// Time for a head, and for an idle connection, before a configuration tells them.
@@ -31,45 +33,19 @@
 const KEPT_DESCRIPTORS: u64 = 250;
 /// Part of the memory that bodies may take.
 const BODY_PART: f64 = 0.25;
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts clients until `closing` says so.
 pub async fn serve(fleet: Rc<Fleet>, listener: TcpListener, closing: watch::Receiver<bool>) {
     let most = (fleet.boot.limits.max_fds.saturating_sub(KEPT_DESCRIPTORS) as f64 * CLIENT_PART) as usize;
-    let places = Rc::new(tokio::sync::Semaphore::new(most.max(16)));
+    let places = Arc::new(Semaphore::new(most.max(16)));
     loop {
-        let Ok(place) = places.clone_acquire().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (fleet, closing) = (fleet.clone(), closing.clone());
-                tokio::task::spawn_local(async move {
-                    let _place = place;
-                    connection(fleet, stream, closing).await;
-                });
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
-}
-
-/// A place among a bounded number, held until it is dropped.
-struct Place(Rc<tokio::sync::Semaphore>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.add_permits(1);
-    }
-}
-
-trait Places {
-    async fn clone_acquire(&self) -> Result<Place, tokio::sync::AcquireError>;
-}
-
-impl Places for Rc<tokio::sync::Semaphore> {
-    async fn clone_acquire(&self) -> Result<Place, tokio::sync::AcquireError> {
-        self.acquire().await?.forget();
-        Ok(Place(self.clone()))
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        let (stream, _) = accept(&listener).await;
+        let (fleet, closing) = (fleet.clone(), closing.clone());
+        tokio::task::spawn_local(async move {
+            let _place = place;
+            connection(fleet, stream, closing).await;
+        });
     }
 }
 
--- a/crates/gaugesaddle/src/edge/lending.rs
+++ b/crates/gaugesaddle/src/edge/lending.rs
@@ -3,7 +3,6 @@
 use super::fleet::Fleet;
 use gaugesaddle_protocol::{Reply, Request};
 use gaugesaddle_transport::Caller;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,14 +36,13 @@
 
 /// One call; the connection, if it can be used again.
 async fn call(fleet: &Fleet, caller: Option<Caller>, request: &Request, asked: u64) -> Option<Caller> {
-    let leader = fleet.leader.get()?;
-    let address = SocketAddrV4::new(Ipv4Addr::from(leader), fleet.boot.ephemeral_ports.0);
+    let address = fleet.boot.control_process(fleet.leader.get()?);
     let mut caller = match caller.filter(|c| c.to() == address) {
         Some(caller) => caller,
         None => Caller::open(address, CONNECT).await.ok()?,
     };
     match caller.call(request, ANSWER).await.ok()? {
-        Reply::Quota { grants, .. } => {
+        Reply::Quota { grants } => {
             fleet.purse.borrow_mut().granted(asked, &grants);
             Some(caller)
         }
--- a/crates/gaugesaddle/src/edge/ready.rs
+++ b/crates/gaugesaddle/src/edge/ready.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::Fleet;
 use bytes::Bytes;
-use gaugesaddle_transport::listen;
+use gaugesaddle_transport::{accept, listen};
 use http_body_util::Empty;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,17 +15,12 @@
 
 /// A connection without a question for so long is closed.
 const IDLE: Duration = Duration::from_secs(10);
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Answers for as long as the process lives.
 pub async fn serve(fleet: Rc<Fleet>, at: SocketAddrV4) -> std::io::Result<()> {
     let listener = listen(at)?;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = accept(&listener).await;
         let fleet = fleet.clone();
         let service = service_fn(move |_| {
             let status = if is_ready(&fleet) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/gaugesaddle/src/lib.rs
+++ b/crates/gaugesaddle/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cli;
 mod clock;
 mod config;
+mod counted;
 mod discovery;
 mod driver;
 mod edge;
--- a/crates/gaugesaddle/src/upstream.rs
+++ b/crates/gaugesaddle/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{ends_with_connection, Payload, Piece, Upload, MOST_BYTES, STALL};
 use crate::clock::{duration, Clock};
+use crate::counted::Counted;
 use crate::exchange::{
     strip, Call, Ended, Gate, Local, Span, Target, Upstream, Upstreams, BODY_BYTES, TIME_LEFT,
 };
@@ -87,16 +88,7 @@
 }
 
 /// A connection that counts among the sockets.
-type Link = crate::link::Link<Upload, Slot>;
-
-/// One of the sockets that backends may take.
-struct Slot(Rc<Cell<usize>>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
+type Link = crate::link::Link<Upload, Counted>;
 
 /// What all attempts share.
 pub struct Pool {
@@ -180,8 +172,7 @@
         if self.is_full() {
             return Err(Outcome::NeverSent); // our own want of sockets says nothing against the backend
         }
-        self.sockets.set(self.sockets.get() + 1);
-        let slot = Slot(self.sockets.clone());
+        let slot = Counted::take(&self.sockets);
         let dialled = tokio::time::timeout(duration(self.dial_timeout), TcpStream::connect(to)).await;
         let stream = match dialled {
             Ok(Ok(stream)) => stream,
