--- a/crates/gaugesaddle-transport/src/link.rs
+++ b/crates/gaugesaddle-transport/src/link.rs
@@ -14,8 +14,8 @@
 
 /// Bytes that stay unacknowledged for so long end a connection.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
-/// A message that has begun is whole within this time, or its sender hangs.
-const BODY: Duration = Duration::from_millis(3000);
+/// A message that has begun goes on coming: a sender that says nothing for so long inside one hangs or is gone.
+const STALL: Duration = Duration::from_millis(450);
 /// Pause after a failure to accept: descriptors may come back.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Connections that may wait to be accepted.
@@ -99,14 +99,14 @@
         self.body(header).await
     }
 
-    /// Waits for one message to begin within a time. What has begun has longer: a large message over a slow link comes
-    /// as fast as it can.
+    /// Waits for one message to begin within a time. What has begun may take as long as it keeps coming: a large message
+    /// over a slow link.
     pub async fn receive_within<T>(&mut self, within: Duration) -> Result<T, LinkError>
     where
         T: for<'de> Decode<'de, Binary, Global>,
     {
         let header = tokio::time::timeout(within, self.header()).await.map_err(|_| LinkError::TimedOut)??;
-        tokio::time::timeout(BODY, self.body(header)).await.map_err(|_| LinkError::TimedOut)?
+        self.body(header).await
     }
 
     async fn header(&mut self) -> Result<[u8; HEADER_BYTES], LinkError> {
@@ -120,7 +120,15 @@
         T: for<'de> Decode<'de, Binary, Global>,
     {
         let mut body = vec![0; frame::body_length(header)?];
-        self.stream.read_exact(&mut body).await?;
+        let mut rest = body.as_mut_slice();
+        while !rest.is_empty() {
+            let reading = self.stream.read(rest);
+            let read = tokio::time::timeout(STALL, reading).await.map_err(|_| LinkError::TimedOut)??;
+            if read == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+            rest = &mut rest[read..];
+        }
         Ok(frame::decode(&body)?)
     }
 }
