--- a/crates/gaugesaddle-catalog/src/registrar.rs
+++ b/crates/gaugesaddle-catalog/src/registrar.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// Takes what a proxy knows to have left; what to push to all peers.
+    pub fn note_left(&mut self, now: u64, left: Vec<Registration>) -> Vec<Delta> {
+        let news = |r: &Registration| {
+            let known = self.catalog.get(&r.id);
+            r.lifecycle.is_leaving() && known.is_none_or(|e| !e.registration.lifecycle.is_leaving())
+        };
+        let left: Vec<Registration> = left.into_iter().filter(news).collect();
+        left.into_iter().filter_map(|registration| self.accept(now, registration)).collect()
+    }
+
     /// The registration of a backend that says it has left; where it is not known here, one that holds its identity, for
     /// others may know it.
     pub fn departed(&self, id: &str) -> Option<Registration> {
@@ -150,7 +160,7 @@
                 self.peers.knows(ip, origin, change);
                 (false, Vec::new())
             }
-            PeerMessage::Compare { vector, digests } => {
+            PeerMessage::Compare { vector, digests, .. } => {
                 for (origin, change) in &vector.0 {
                     self.peers.knows(ip, *origin, *change);
                 }
@@ -169,15 +179,15 @@
             .map(|origin| PeerMessage::Acknowledge { origin, change: vector.of(origin) })
             .collect();
         if merged.gap {
-            answers.push(self.compare(false));
+            answers.push(self.compare(false, Vec::new()));
         }
         (merged.changed, answers)
     }
 
-    /// What this process knows, for a peer to push what is lacking here.
-    pub fn compare(&self, with_ranges: bool) -> PeerMessage {
+    /// What this process knows, for a peer to push what is lacking here, and the machines that it knows to serve control.
+    pub fn compare(&self, with_ranges: bool, members: Vec<u32>) -> PeerMessage {
         let digests = if with_ranges { self.catalog.digests() } else { Vec::new() };
-        PeerMessage::Compare { vector: self.catalog.vector().clone(), digests }
+        PeerMessage::Compare { vector: self.catalog.vector().clone(), digests, members }
     }
 
     /// Whether a process with that vector and those digests lacks anything.
--- a/crates/gaugesaddle-consensus/src/lib.rs
+++ b/crates/gaugesaddle-consensus/src/lib.rs
@@ -22,6 +22,7 @@
 mod replica;
 mod replication;
 pub mod settings;
+pub mod stored;
 mod update;
 
 pub use pending::{Proposal, ProposalResult, TicketId};
--- a/crates/gaugesaddle-consensus/src/membership.rs
+++ b/crates/gaugesaddle-consensus/src/membership.rs
@@ -9,8 +9,8 @@
 //!     +------------- committed: outgoing is emptied ------+
 //! ```
 //!
-//! A successor takes the place of the voter that had its machine (its disk was lost), else of one that is silent (its
-//! machine was replaced), else it is added. Nobody loses a vote before its successor has the state, so that a second
+//! A successor takes the place of the voter that had its machine (its disk was lost), else of one that does not answer
+//! (its machine may have been replaced), else it is added. Nobody loses a vote before its successor has the state, so that a second
 //! loss meets as many copies as the first did.
 
 use crate::replica::Learner;
@@ -64,7 +64,8 @@
         if let Some(learner) = self.caught_up_learner() {
             match self.place_for(now, learner) {
                 Some(place) => voters[place] = learner,
-                None if voters.len() < MOST_VOTERS => voters.push(learner),
+                // Beside a voter that is gone a further one only makes the majority larger: it is known soon.
+                None if voters.len() < MOST_VOTERS && self.has_heard_all() => voters.push(learner),
                 None => return None,
             }
             return Some(voters);
@@ -72,7 +73,7 @@
         if voters.len() <= self.settings.least_voters {
             return None;
         }
-        let silent = voters.iter().position(|v| self.is_silent(now, v))?;
+        let silent = voters.iter().position(|v| self.is_without_contact(now, v, self.settings.silence))?;
         voters.remove(silent);
         Some(voters)
     }
@@ -89,11 +90,18 @@
         let voters = &self.state.voters;
         let same_machine = |v: &ReplicaId| v.ip == learner.ip && *v != self.ballot.me;
         let predecessor = voters.iter().position(same_machine);
-        predecessor.or_else(|| voters.iter().position(|v| self.is_silent(now, v)))
+        let quiet = |v: &ReplicaId| self.is_without_contact(now, v, self.settings.quiet);
+        predecessor.or_else(|| voters.iter().position(quiet))
     }
 
-    fn is_silent(&self, now: u64, voter: &ReplicaId) -> bool {
+    /// Whether every other voter has answered this leader.
+    fn has_heard_all(&self) -> bool {
+        let heard = |v: &ReplicaId| self.peers.get(v).is_some_and(|p| p.round > 0);
+        self.state.voters.iter().all(|v| *v == self.ballot.me || heard(v))
+    }
+
+    fn is_without_contact(&self, now: u64, voter: &ReplicaId, time: u64) -> bool {
         let contact = self.peers.get(voter).and_then(|p| p.contact).unwrap_or(0);
-        *voter != self.ballot.me && now >= contact + self.settings.silence
+        *voter != self.ballot.me && now >= contact + time
     }
 }
--- a/crates/gaugesaddle-consensus/src/replica.rs
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -269,6 +269,11 @@
         &self.state.voters
     }
 
+    /// Whether those voters are on a majority of disks and no change of them is under way, as far as it knows.
+    pub fn is_settled(&self) -> bool {
+        self.committed == self.state.stamp && self.state.outgoing.is_empty()
+    }
+
     /// The newest configuration known to be on a majority of disks.
     pub fn committed(&self) -> Option<&Configuration> {
         self.published.as_ref()
--- a/crates/gaugesaddle-consensus/src/settings.rs
+++ b/crates/gaugesaddle-consensus/src/settings.rs
@@ -31,7 +31,10 @@
     pub disk: u64,
     /// A follower calls itself current for so long after the newest mark that its leader has echoed.
     pub follower_lease: u64,
-    /// A voter silent for so long gives its vote to a replica that waits for one, or loses it.
+    /// A voter that has not answered for so long gives its place to a replica that waits for one: that one answers, and
+    /// the other may come back as it did.
+    pub quiet: u64,
+    /// A voter that has not answered for so long loses its vote also where nobody takes its place.
     pub silence: u64,
     /// Silent voters without a successor are not removed below this number: the disks that must hold a change so that it
     /// survives the losses to be borne.
@@ -50,6 +53,7 @@
             lease: 450,
             disk: 1000,
             follower_lease: 600,
+            quiet: 600,
             silence: 2000,
             least_voters: 3,
         }
--- a/crates/gaugesaddle-consensus/tests/group/mod.rs
+++ b/crates/gaugesaddle-consensus/tests/group/mod.rs
@@ -143,6 +143,41 @@
         machine.replica = Some(Replica::new(settings, ballot, state, now, seed, true));
     }
 
+    /// Adds an empty machine; its process starts.
+    pub fn add(&mut self, ip: u32) {
+        let machine = Machine {
+            replica: None,
+            disk: Disk::default(),
+            writes: Vec::new(),
+            life: 0,
+            disk_delay: 3,
+            frozen_until: 0,
+        };
+        self.machines.insert(ip, machine);
+        self.start(ip, false);
+    }
+
+    /// Ends a process in order: it hands its leadership over.
+    pub fn resign(&mut self, ip: u32) {
+        let now = self.now;
+        let Some(replica) = self.machines.get_mut(&ip).and_then(|m| m.replica.as_mut()) else { return };
+        let (me, mut outputs) = (replica.id(), Vec::new());
+        replica.resign(now, &mut outputs);
+        for output in outputs {
+            self.carry_out(ip, me, output);
+        }
+    }
+
+    /// The replica that leads.
+    pub fn leading(&self) -> Option<&Replica> {
+        self.machines.get(&self.leader()?)?.replica.as_ref()
+    }
+
+    /// Machines whose replicas vote, by the leader's word.
+    pub fn voting(&self) -> BTreeSet<u32> {
+        self.leading().into_iter().flat_map(|r| r.voters()).map(|v| v.ip).collect()
+    }
+
     /// Ends a process; what was not synced may or may not be on the disk.
     pub fn crash(&mut self, ip: u32) {
         let lucky = self.below(2) == 0;
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -338,6 +338,11 @@
         self.spread_news(|core, now| core.registrar.note(now, registration).into_iter().collect());
     }
 
+    /// Takes what a proxy knows to have left, and passes news on.
+    pub fn note_left(&self, left: Vec<Registration>) {
+        self.spread_news(|core, now| core.registrar.note_left(now, left));
+    }
+
     /// Ends what has fallen silent, and passes that on.
     pub fn expire(&self) {
         self.spread_news(|core, now| {
--- a/crates/gaugesaddle-control/src/disk.rs
+++ b/crates/gaugesaddle-control/src/disk.rs
@@ -1,11 +1,8 @@
 //! The disk's own thread: it writes and syncs, and opens the ring anew after an error.
 
-use gaugesaddle_consensus::TicketId;
+use gaugesaddle_consensus::{stored, TicketId};
 use gaugesaddle_log::{FileStore, LogError, Ring};
 use gaugesaddle_protocol::{Ballot, State};
-use musli::alloc::Global;
-use musli::mode::Binary;
-use musli::Decode;
 use spdlog::warn;
 use std::path::PathBuf;
 use std::sync::mpsc;
@@ -13,10 +10,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 
-/// Slot of the ring for who this is and how it voted.
-const BALLOT_SLOT: usize = 0;
-/// Slot of the ring for the configuration.
-const STATE_SLOT: usize = 1;
 /// Between attempts to open a disk that refused.
 const REOPEN: Duration = Duration::from_millis(300);
 /// Part of the disk that the ring's segments take together.
@@ -96,26 +89,13 @@
     Ring::open(store)
 }
 
-/// What the ring holds. Where one part of it cannot be read, it counts as empty: a replica that kept its name and not its
-/// state could elect or confirm what its own acknowledgements rule out.
 fn opened(ring: &Ring<FileStore>) -> DiskEvent {
-    let [ballot, state] = ring.slots();
-    let decoded = decode_part::<Ballot>(ballot).zip(decode_part::<State>(state));
-    let Some((ballot, state)) = decoded else {
-        warn!("what the disk holds cannot be read: it counts as empty");
-        return DiskEvent::Opened { ballot: None, state: None };
-    };
-    DiskEvent::Opened { ballot, state: state.map(Box::new) }
-}
-
-/// A part of what the ring holds, `Some(None)` where there is none; `None` where it cannot be read.
-fn decode_part<T>(bytes: &Option<Vec<u8>>) -> Option<Option<T>>
-where
-    T: for<'de> Decode<'de, Binary, Global>,
-{
-    match bytes {
-        Some(bytes) => musli::storage::from_slice(bytes).ok().map(Some),
-        None => Some(None),
+    match stored::read(ring.slots()) {
+        Ok((ballot, state)) => DiskEvent::Opened { ballot, state: state.map(Box::new) },
+        Err(unreadable) => {
+            warn!("{unreadable}: it counts as empty");
+            DiskEvent::Opened { ballot: None, state: None }
+        }
     }
 }
 
@@ -131,14 +111,8 @@
         }
         let Some(last) = writes.last() else { continue };
         let ticket = last.ticket;
-        let mut records = Vec::new();
-        if let Ok(bytes) = musli::storage::to_vec(&last.ballot) {
-            records.push((BALLOT_SLOT, bytes));
-        }
-        let newest = writes.iter().rev().find_map(|w| w.state.as_ref());
-        if let Some(bytes) = newest.and_then(|state| musli::storage::to_vec(state.as_ref()).ok()) {
-            records.push((STATE_SLOT, bytes));
-        }
+        let newest = writes.iter().rev().find_map(|w| w.state.as_deref());
+        let records = stored::records(&last.ballot, newest);
         ring.append(records)?;
         if events.send(DiskEvent::Persisted(ticket)).is_err() {
             return Ok(());
--- a/crates/gaugesaddle-control/src/peers.rs
+++ b/crates/gaugesaddle-control/src/peers.rs
@@ -85,7 +85,7 @@
 ) -> Result<(), LinkError> {
     let mut link = Link::new(connect(address, CONNECT).await?);
     link.send(&Opening::Peer, SEND).await?;
-    let (hello, compare) = core.with(|c| (c.hello(), c.registrar.compare(true)));
+    let (hello, compare) = core.with(|c| (c.hello(), c.compare(true)));
     link.send(&hello, SEND).await?;
     link.send(&compare, SEND).await?;
     while let Some(message) = messages.recv().await {
@@ -100,13 +100,10 @@
         return Err(LinkError::Frame(gaugesaddle_protocol::frame::FrameError::Malformed));
     };
     core.with(|c| {
-        let own = u32::from(c.boot.ip);
-        for known in members.into_iter().chain([ip]).filter(|ip| *ip != own) {
-            c.peers.know(known);
-        }
+        c.know(members.into_iter().chain([ip]));
         c.registrar.introduced(ip, origin);
         // What was pushed while the peer could not be reached is lost; it pushes what is lacking here.
-        let compare = c.registrar.compare(false);
+        let compare = c.compare(false);
         c.peers.send(ip, compare);
     });
     core.heard_of_disk(ip, has_disk, founder);
@@ -133,7 +130,13 @@
                 core.step(Input::Message { from, message });
             }
         }
-        message => core.take_of_catalog(ip, message),
+        message => {
+            if let PeerMessage::Compare { members, .. } = &message {
+                core.with(|c| c.know(members.iter().copied()));
+                open_wanted(core);
+            }
+            core.take_of_catalog(ip, message);
+        }
     }
 }
 
@@ -149,6 +152,20 @@
         }
     }
 
+    /// Makes machines known that serve control.
+    fn know(&mut self, members: impl Iterator<Item = u32>) {
+        let own = u32::from(self.boot.ip);
+        for member in members.filter(|ip| *ip != own) {
+            self.peers.know(member);
+        }
+    }
+
+    /// What this process knows, for the others.
+    pub fn compare(&self, with_ranges: bool) -> PeerMessage {
+        let now = self.clock.now();
+        self.registrar.compare(with_ranges, self.members(now))
+    }
+
     /// Addresses of the machines that serve control, this one included.
     pub fn members(&self, now: u64) -> Vec<u32> {
         let mut members = self.registrar.peers().alive(now);
--- a/crates/gaugesaddle-control/src/registrations.rs
+++ b/crates/gaugesaddle-control/src/registrations.rs
@@ -1,7 +1,7 @@
 //! Heartbeats of backends and their end.
 
 use crate::core::CoreHandle;
-use gaugesaddle_catalog::Spread;
+use gaugesaddle_catalog::Acknowledgement;
 use gaugesaddle_protocol::{Lifecycle, Registration, Subject};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -9,8 +9,6 @@
 
 /// A heartbeat is at most so long.
 pub const MOST_BYTES: usize = 4096;
-/// News of a drain is held for the acknowledgements of the other processes for so long.
-const SPREAD: Duration = Duration::from_millis(600);
 /// Between two looks at the acknowledgements.
 const LOOK: Duration = Duration::from_millis(3);
 
@@ -62,34 +60,18 @@
 }
 
 async fn register(core: &CoreHandle, registration: Registration) -> Registered {
-    let (id, leaving) = (registration.id.clone(), registration.lifecycle.is_leaving());
+    let waiting = core.with(|c| Acknowledgement::new(c.clock.now(), &registration));
     core.note(registration);
-    if !core.with(|c| c.is_fresh()) {
-        return Registered::NotSpread;
-    }
-    if !leaving {
-        return Registered::Acknowledged;
-    }
-    let spread = spread(core, &id).await;
-    // Time has passed: a process that was cut off meanwhile may have told nobody but others that are cut off.
-    if spread == Spread::Open || !core.with(|c| c.is_fresh()) {
-        return Registered::NotSpread;
-    }
-    Registered::Acknowledged
-}
-
-/// Waits until the processes that live have a change, or time is over.
-async fn spread(core: &CoreHandle, id: &str) -> Spread {
-    let until = tokio::time::Instant::now() + SPREAD;
     loop {
-        let spread = core.with(|c| {
+        let decided = core.with(|c| {
             let now = c.clock.now();
             let voters = c.replica.as_ref().map_or(0, |r| r.voters().len());
-            c.registrar.spread(now, id, voters)
+            waiting.decide(now, &c.registrar, c.is_fresh(), voters)
         });
-        if spread == Spread::Held || tokio::time::Instant::now() >= until {
-            return spread;
+        match decided {
+            Some(true) => return Registered::Acknowledged,
+            Some(false) => return Registered::NotSpread,
+            None => tokio::time::sleep(LOOK).await,
         }
-        tokio::time::sleep(LOOK).await;
     }
 }
--- a/crates/gaugesaddle-control/src/upkeep.rs
+++ b/crates/gaugesaddle-control/src/upkeep.rs
@@ -42,9 +42,9 @@
     fn tell_peers(&mut self, now: u64) {
         let alive = self.registrar.peers().alive(now);
         let drawn = alive.get(crate::core::draw() as usize % alive.len().max(1)).copied();
-        self.peers.broadcast(&self.registrar.compare(false));
+        self.peers.broadcast(&self.compare(false));
         if let Some(ip) = drawn {
-            let compare = self.registrar.compare(true);
+            let compare = self.compare(true);
             self.peers.send(ip, compare);
         }
     }
--- a/crates/gaugesaddle-distribution/src/follower.rs
+++ b/crates/gaugesaddle-distribution/src/follower.rs
@@ -2,13 +2,17 @@
 
 use crate::Members;
 use gaugesaddle_catalog::Catalog;
-use gaugesaddle_protocol::{Configuration, Digest, Lifecycle, Pull, PullReply, Registration, Stamp};
+use gaugesaddle_protocol::{Configuration, Digest, Lifecycle, Pull, PullReply, Registration, Stamp, Subject};
 
 /// Digests of the catalog's ranges go with a call so often, in milliseconds.
 const COMPARE: u64 = 3000;
 /// Without a process in touch with a majority for so long, other seeds are looked for, in milliseconds.
 const LOST: u64 = 2000;
 
+/// What has left is told at the first call to a process, up to so many: as many as leave in the time for which they are
+/// known, where all backends of a large fleet are replaced within the hour.
+const MOST_LEFT: usize = 512;
+
 /// What an answer brought.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Taken {
@@ -99,7 +103,8 @@
         self.members.name(now, seeds);
     }
 
-    /// The next call: the proxy's lease is renewed, and what it lacks is asked for.
+    /// The next call: the proxy's lease is renewed, and what it lacks is asked for. The first one to a process is answered
+    /// without a wait.
     pub fn pull(&mut self, now: u64, lifecycle: Lifecycle, wait_ms: u32) -> Pull {
         self.proxy.sequence = self.proxy.sequence.saturating_add(1);
         self.proxy.lifecycle = lifecycle;
@@ -113,10 +118,17 @@
             stamp: self.stamp(),
             document: self.document,
             digests: if compares { self.catalog.digests() } else { Vec::new() },
+            left: if wait_ms == 0 { self.left() } else { Vec::new() },
             wait_ms,
         }
     }
 
+    /// What is known to have left.
+    fn left(&self) -> Vec<Registration> {
+        let left = self.catalog.iter().filter(|r| r.lifecycle.is_leaving() && r.subject != Subject::Proxy);
+        left.take(MOST_LEFT).cloned().collect()
+    }
+
     /// Takes the answer to a call that was made at `asked` and is good for so long.
     ///
     /// One that is read later waited in the socket of a process that slept: what it calls current was so long ago.
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -20,6 +20,9 @@
     pub document: Option<Digest>,
     /// Digests of the ranges of its catalog, when it has taken all changes.
     pub digests: Vec<u64>,
+    /// What it knows to have left, at the first call to a process: one that has just started may not know it, and nobody
+    /// else may, where all control processes ended together after they had acknowledged it.
+    pub left: Vec<Registration>,
     /// How long the answer may be held back while there is no news, in milliseconds.
     pub wait_ms: u32,
 }
@@ -171,6 +174,8 @@
         vector: VersionVector,
         /// Digests of the ranges of its catalog.
         digests: Vec<u64>,
+        /// Addresses of the machines that it knows to serve control: one that was silent while another came is told of it.
+        members: Vec<u32>,
     },
 }
 
--- a/crates/gaugesaddle-protocol/tests/frames.rs
+++ b/crates/gaugesaddle-protocol/tests/frames.rs
@@ -24,6 +24,7 @@
         stamp,
         document: Some(Digest([4; 16])),
         digests: vec![1, 2, 3],
+        left: Vec::new(),
         wait_ms: 350,
     }))
 }
--- /dev/null
+++ b/crates/gaugesaddle-simulation/src/history.rs
@@ -0,0 +1,312 @@
+//! What was seen from outside, and the rules that it must keep.
+
+use crate::Millis;
+use gaugesaddle_protocol::{Configuration, ReplicaId, Stamp};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A proxy in touch has a change in force so long after its acknowledgement.
+pub const APPLIED: Millis = 2000;
+/// A proxy in touch sends nothing to a backend so long after its end was acknowledged.
+pub const DRAINED: Millis = 2000;
+/// A process that calls itself current has all that was committed so long ago: a follower's lease, and a few steps of
+/// clocks in whole milliseconds.
+pub const CURRENT: Millis = 605;
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two replicas led one term.
+    TwoLeaders {
+        /// The term.
+        term: u64,
+        /// Who led first.
+        one: ReplicaId,
+        /// Who led then.
+        other: ReplicaId,
+    },
+    /// One place of the history had two contents.
+    TwoContents {
+        /// The place.
+        stamp: Stamp,
+    },
+    /// A later place of the history has an earlier revision.
+    WentBack {
+        /// The place.
+        stamp: Stamp,
+        /// The revision.
+        revision: u64,
+        /// The one before it.
+        before: u64,
+    },
+    /// An order was confirmed and is not in force, or is not in the history.
+    Lost {
+        /// The revision.
+        revision: u64,
+    },
+    /// An order was refused and is in force.
+    RefusedInForce {
+        /// The revision.
+        revision: u64,
+    },
+    /// One order was both confirmed and refused.
+    ConfirmedAndRefused {
+        /// The revision.
+        revision: u64,
+    },
+    /// Two orders were confirmed on the same revision, or under the same number.
+    TwoConfirmed {
+        /// The revision that both build on.
+        base: u64,
+        /// The revision.
+        revision: u64,
+    },
+    /// A read saw less than had been confirmed, or read, before it began.
+    StaleRead {
+        /// What was seen.
+        seen: u64,
+        /// What was expected at least.
+        expected: u64,
+    },
+    /// A process called itself current without what had been committed a stated time before.
+    StaleFresh {
+        /// Its machine.
+        ip: u32,
+        /// When.
+        at: Millis,
+    },
+    /// A proxy in touch had not a change in force in time.
+    NotApplied {
+        /// The proxy.
+        proxy: u32,
+        /// When.
+        at: Millis,
+        /// The revision.
+        revision: u64,
+        /// What was expected at least.
+        expected: u64,
+    },
+    /// A proxy went back behind a configuration.
+    Regressed {
+        /// The proxy.
+        proxy: u32,
+        /// When.
+        at: Millis,
+    },
+    /// A proxy in touch would still send to a backend whose end was acknowledged.
+    NotDrained {
+        /// The proxy.
+        proxy: u32,
+        /// When.
+        at: Millis,
+        /// The backend.
+        backend: String,
+    },
+    /// A proxy in touch knows nothing of a backend that serves.
+    NotKnown {
+        /// The proxy.
+        proxy: u32,
+        /// When.
+        at: Millis,
+        /// The backend.
+        backend: String,
+    },
+    /// In the calm at the end something did not come about.
+    NoRecovery {
+        /// What was expected.
+        what: &'static str,
+    },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+/// How an order ended for its operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Confirmed.
+    Taken,
+    /// Refused.
+    Refused,
+    /// Given up without a clear answer.
+    GivenUp,
+}
+
+/// An order, with all its attempts.
+#[derive(Clone, Debug)]
+pub struct OrderRecord {
+    /// The revision it builds on.
+    pub base: u64,
+    /// The revision it brings.
+    pub revision: u64,
+    /// Its document.
+    pub document: Vec<u8>,
+    /// When it was sent first.
+    pub begun: Millis,
+    /// When and how it ended.
+    pub ended: Option<(Millis, Outcome)>,
+}
+
+#[derive(Clone, Debug)]
+struct ReadRecord {
+    begun: Millis,
+    /// When it ended, and the revision and document that it brought.
+    ended: Option<(Millis, u64, Vec<u8>)>,
+}
+
+#[derive(Clone, Debug)]
+struct CommittedState {
+    seen: Millis,
+    revision: u64,
+    document: Vec<u8>,
+}
+
+/// Everything that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Orders in the order in which they were first sent.
+    pub orders: Vec<OrderRecord>,
+    reads: Vec<ReadRecord>,
+    leaders: BTreeMap<u64, ReplicaId>,
+    committed: BTreeMap<Stamp, CommittedState>,
+    violations: Vec<Violation>,
+}
+
+impl History {
+    /// Notes a rule that was broken while the day ran.
+    pub fn violated(&mut self, violation: Violation) {
+        self.violations.push(violation);
+    }
+
+    /// A read begins; its number.
+    pub fn begin_read(&mut self, now: Millis) -> usize {
+        self.reads.push(ReadRecord { begun: now, ended: None });
+        self.reads.len() - 1
+    }
+
+    /// A read has brought a configuration.
+    pub fn end_read(&mut self, now: Millis, number: usize, configuration: Option<Configuration>) {
+        let (revision, document) = configuration.map_or((0, Vec::new()), |c| (c.revision, c.document));
+        self.reads[number].ended = Some((now, revision, document));
+    }
+
+    /// A replica leads a term.
+    pub fn leads(&mut self, term: u64, replica: ReplicaId) {
+        let first = *self.leaders.entry(term).or_insert(replica);
+        if first != replica {
+            self.violated(Violation::TwoLeaders { term, one: first, other: replica });
+        }
+    }
+
+    /// Terms in which somebody led.
+    pub fn terms(&self) -> usize {
+        self.leaders.len()
+    }
+
+    /// A process calls a configuration committed.
+    pub fn committed(&mut self, now: Millis, configuration: Configuration) {
+        let Configuration { stamp, revision, document } = configuration;
+        let state = CommittedState { seen: now, revision, document };
+        let first = self.committed.entry(stamp).or_insert_with(|| state.clone());
+        if (first.revision, &first.document) != (state.revision, &state.document) {
+            self.violated(Violation::TwoContents { stamp });
+        }
+    }
+
+    /// A process told a proxy that it is current.
+    pub fn called_current(&mut self, now: Millis, ip: u32, stamp: Option<Stamp>) {
+        let due = self.committed.iter().filter(|(_, state)| state.seen + CURRENT < now);
+        if due.map(|(stamp, _)| *stamp).max() > stamp {
+            self.violated(Violation::StaleFresh { ip, at: now });
+        }
+    }
+
+    /// The newest revision confirmed to an operator before a time.
+    pub fn confirmed_before(&self, time: Millis) -> u64 {
+        let taken = self.orders.iter().filter(|o| matches!(o.ended, Some((at, Outcome::Taken)) if at < time));
+        taken.map(|o| o.revision).max().unwrap_or(0)
+    }
+
+    /// Orders that were confirmed.
+    pub fn confirmed(&self) -> usize {
+        self.orders.iter().filter(|o| matches!(o.ended, Some((_, Outcome::Taken)))).count()
+    }
+
+    /// Every rule that was broken.
+    pub fn violations(&self) -> Vec<Violation> {
+        let mut violations = self.violations.clone();
+        self.check_order_of_states(&mut violations);
+        self.check_orders(&mut violations);
+        self.check_reads(&mut violations);
+        violations
+    }
+
+    fn check_order_of_states(&self, violations: &mut Vec<Violation>) {
+        let mut before = 0;
+        for (stamp, state) in &self.committed {
+            if state.revision < before {
+                violations.push(Violation::WentBack { stamp: *stamp, revision: state.revision, before });
+            }
+            before = state.revision;
+        }
+    }
+
+    fn check_orders(&self, violations: &mut Vec<Violation>) {
+        let in_force: BTreeMap<u64, &Vec<u8>> =
+            self.committed.values().map(|state| (state.revision, &state.document)).collect();
+        let mut on_base: BTreeMap<u64, &OrderRecord> = BTreeMap::new();
+        let mut under_number: BTreeMap<u64, &OrderRecord> = BTreeMap::new();
+        for order in &self.orders {
+            let Some((_, outcome)) = order.ended else { continue };
+            let holds = in_force.get(&order.revision).is_some_and(|document| **document == order.document);
+            let revision = order.revision;
+            match outcome {
+                Outcome::Taken => {
+                    if !holds {
+                        violations.push(Violation::Lost { revision });
+                    }
+                    let other =
+                        |first: &OrderRecord| first.document != order.document || first.base != order.base;
+                    let first = *on_base.entry(order.base).or_insert(order);
+                    let same_number = *under_number.entry(revision).or_insert(order);
+                    if other(first) || other(same_number) {
+                        violations.push(Violation::TwoConfirmed { base: order.base, revision });
+                    }
+                }
+                Outcome::Refused => {
+                    let same = |o: &&OrderRecord| o.base == order.base && o.document == order.document;
+                    let confirmed = |o: &OrderRecord| matches!(o.ended, Some((_, Outcome::Taken)));
+                    if self.orders.iter().filter(same).any(confirmed) {
+                        violations.push(Violation::ConfirmedAndRefused { revision });
+                    } else if holds && !self.is_explained(order) {
+                        violations.push(Violation::RefusedInForce { revision });
+                    }
+                }
+                Outcome::GivenUp => {}
+            }
+        }
+    }
+
+    /// Whether a document that is in force may have come by another order with the same words.
+    fn is_explained(&self, refused: &OrderRecord) -> bool {
+        let same_words = |o: &&OrderRecord| o.document == refused.document;
+        let not_refused = |o: &OrderRecord| !matches!(o.ended, Some((_, Outcome::Refused)));
+        self.orders.iter().filter(same_words).any(not_refused)
+    }
+
+    fn check_reads(&self, violations: &mut Vec<Violation>) {
+        let ended = || self.reads.iter().filter_map(|r| r.ended.as_ref().map(|ended| (r.begun, ended)));
+        for (begun, (_, seen, _)) in ended() {
+            let confirmed = self.confirmed_before(begun);
+            let read =
+                ended().filter(|(_, (at, ..))| *at < begun).map(|(_, (_, revision, _))| *revision).max();
+            let expected = confirmed.max(read.unwrap_or(0));
+            if *seen < expected {
+                violations.push(Violation::StaleRead { seen: *seen, expected });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaugesaddle-simulation/src/world.rs
@@ -0,0 +1,866 @@
+//! Plays a plan: machines, processes, people and links in virtual time.
+
+use crate::backend::Backend;
+use crate::control::{Answer, Effects, Packet, Process, Start};
+use crate::disk::Disk;
+use crate::history::{History, Violation, APPLIED, DRAINED};
+use crate::network::{Network, Node};
+use crate::operator::Operator;
+use crate::plan::{Fault, Plan, Target, Way, BACKENDS};
+use crate::proxy::Proxy;
+use crate::{Millis, Shape};
+use gaugesaddle_consensus::Settings;
+use gaugesaddle_protocol::{OrderReply, ReplicaId};
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// Machines are in touch so long after the last trouble.
+const CONTACT: Millis = 3000;
+/// A machine that is back, or new, counts as lost for so long.
+const CATCH_UP: Millis = 4000;
+/// Between two looks at the rules with a time bound.
+const LOOK: Millis = 50;
+/// Calm at the end of a day.
+const CALM: Millis = 14_000;
+/// A planned end takes so long.
+const FAREWELL: Millis = 400;
+/// A replacement comes, or the replaced machine ends, so much later.
+const REPLACEMENT: Millis = 1000;
+/// A fault that would lose too much waits its turn for so long in all.
+const MOST_WAIT: Millis = 9000;
+/// Operators.
+const OPERATORS: u32 = 2;
+/// One in so many faults without a lost disk strikes beyond what must be borne: service may rest, nothing may be lost.
+const BEYOND: u64 = 4;
+
+enum Event {
+    Arrive { from: Node, to: Node, life: u64, packet: Packet },
+    Wake { node: Node, life: u64 },
+    Written { ip: u32, life: u64 },
+    Fault { fault: Fault, until: Millis },
+    Start { ip: u32 },
+    StartProxy { number: u32 },
+    End { ip: u32, gone: bool },
+    Look,
+}
+
+/// A machine that serves control.
+struct Machine {
+    process: Option<Process>,
+    disk: Disk,
+    has_disk: bool,
+    life: u64,
+    started: bool,
+    frozen_until: Millis,
+    disk_factor: u64,
+    disk_slow_until: Millis,
+    disk_hangs_until: Millis,
+    disk_full_until: Millis,
+    /// It counts as lost until then.
+    lost_until: Millis,
+    /// Its disk was lost: until when it counts so, at least, and only once it votes again.
+    disk_lost: Option<Millis>,
+    /// The replica on its disk, as far as one was seen.
+    replica: Option<ReplicaId>,
+    /// It is never started again.
+    gone: bool,
+}
+
+struct ProxyMachine {
+    proxy: Option<Proxy>,
+    life: u64,
+    started: Millis,
+    frozen_until: Millis,
+    revision: u64,
+}
+
+/// How a day went.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Every rule that was broken.
+    pub violations: Vec<Violation>,
+    /// Orders that were confirmed.
+    pub confirmed: usize,
+    /// Terms in which somebody led.
+    pub terms: usize,
+    /// Faults that struck.
+    pub struck: usize,
+    /// Looks at which machines were in touch.
+    pub looks_in_touch: usize,
+}
+
+/// A day.
+struct World {
+    now: Millis,
+    order: u64,
+    events: BTreeMap<(Millis, u64), Event>,
+    random: Pcg64Mcg,
+    shape: Shape,
+    settings: Settings,
+    network: Network,
+    /// Which process of each node is woken next, and when.
+    wakes: BTreeMap<Node, (u64, Millis)>,
+    machines: BTreeMap<u32, Machine>,
+    proxies: BTreeMap<u32, ProxyMachine>,
+    operators: Vec<Operator>,
+    backends: Vec<Backend>,
+    history: History,
+    /// When the last trouble ends.
+    troubled_until: Millis,
+    answers_lost: (u64, Millis),
+    acknowledged_by: Option<u32>,
+    /// Who voted when that was last certain.
+    voters: Vec<ReplicaId>,
+    next_ip: u32,
+    struck: usize,
+    looks_in_touch: usize,
+}
+
+/// Plays a plan to its end.
+pub fn play(plan: &Plan) -> Outcome {
+    let mut world = World::new(plan);
+    for planned in &plan.faults {
+        let until = planned.at + MOST_WAIT;
+        world.push(planned.at, Event::Fault { fault: planned.fault, until });
+    }
+    world.run_until(plan.end() + MOST_WAIT);
+    world.end_day();
+    let World { history, struck, looks_in_touch, .. } = world;
+    Outcome {
+        violations: history.violations(),
+        confirmed: history.confirmed(),
+        terms: history.terms(),
+        struck,
+        looks_in_touch,
+    }
+}
+
+impl World {
+    fn new(plan: &Plan) -> World {
+        let shape = plan.shape.clone();
+        let standard = Settings::default();
+        let least_voters = standard.least_voters.max(2 * shape.losses as usize + 1);
+        let mut world = World {
+            now: 0,
+            order: 0,
+            events: BTreeMap::new(),
+            random: Pcg64Mcg::seed_from_u64(plan.seed),
+            settings: Settings { least_voters, ..standard },
+            network: Network::default(),
+            wakes: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            operators: (0..OPERATORS).map(|n| Operator::new(n + 1, 2500 + Millis::from(n) * 170)).collect(),
+            backends: (0..BACKENDS).map(|n| Backend::new(n, 500 + Millis::from(n) * 60)).collect(),
+            history: History::default(),
+            troubled_until: 0,
+            answers_lost: (0, 0),
+            acknowledged_by: None,
+            voters: Vec::new(),
+            next_ip: 1,
+            struck: 0,
+            looks_in_touch: 0,
+            shape,
+        };
+        for number in 0..world.shape.disks + world.shape.diskless {
+            let has_disk = number < world.shape.disks;
+            let ip = world.add_machine(has_disk);
+            let at = world.below(300);
+            world.push(at, Event::Start { ip });
+        }
+        for number in 0..world.shape.proxies {
+            let machine = ProxyMachine { proxy: None, life: 0, started: 0, frozen_until: 0, revision: 0 };
+            world.proxies.insert(number, machine);
+            let at = world.below(300);
+            world.push(at, Event::StartProxy { number });
+        }
+        for number in 0..OPERATORS {
+            world.wake(Node::Operator(number), 0, 1000);
+        }
+        for number in 0..BACKENDS {
+            world.wake(Node::Backend(number), 0, 500);
+        }
+        world.push(LOOK, Event::Look);
+        world
+    }
+
+    fn add_machine(&mut self, has_disk: bool) -> u32 {
+        let ip = self.next_ip;
+        self.next_ip += 1;
+        let machine = Machine {
+            process: None,
+            disk: Disk::default(),
+            has_disk,
+            life: 0,
+            started: false,
+            frozen_until: 0,
+            disk_factor: 1,
+            disk_slow_until: 0,
+            disk_hangs_until: 0,
+            disk_full_until: 0,
+            lost_until: 0,
+            disk_lost: None,
+            replica: None,
+            gone: false,
+        };
+        self.machines.insert(ip, machine);
+        ip
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.random.next_u64() % n.max(1)
+    }
+
+    fn push(&mut self, at: Millis, event: Event) {
+        self.order += 1;
+        self.events.insert((at.max(self.now), self.order), event);
+    }
+
+    /// Has a node woken at a time, unless it is woken sooner anyway; it then says when it wants to be woken next.
+    fn wake(&mut self, node: Node, life: u64, at: Millis) {
+        let at = at.max(self.now);
+        let sooner = self.wakes.get(&node).is_some_and(|(of, planned)| *of == life && *planned <= at);
+        if !sooner {
+            self.wakes.insert(node, (life, at));
+            self.push(at, Event::Wake { node, life });
+        }
+    }
+
+    fn run_until(&mut self, end: Millis) {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > end {
+                self.order += 1;
+                self.events.insert((at, self.order), event);
+                break;
+            }
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, event: Event) {
+        if let Some(thaw) = self.frozen(&event) {
+            // What comes meanwhile waits in the sockets of the process.
+            return self.push(thaw, event);
+        }
+        match event {
+            Event::Arrive { from, to, life, packet } => self.arrive(from, to, life, packet),
+            Event::Wake { node, life } => self.woken(node, life),
+            Event::Written { ip, life } => self.written(ip, life),
+            Event::Fault { fault, until } => self.strike(fault, until),
+            Event::Start { ip } => self.start(ip),
+            Event::StartProxy { number } => self.start_proxy(number),
+            Event::End { ip, gone } => self.end(ip, gone),
+            Event::Look => self.look(),
+        }
+    }
+
+    /// When the process that an event is for goes on, if it stands still.
+    fn frozen(&self, event: &Event) -> Option<Millis> {
+        let node = match event {
+            Event::Arrive { to, .. } => *to,
+            Event::Wake { node, .. } => *node,
+            Event::Written { ip, .. } => Node::Control(*ip),
+            _ => return None,
+        };
+        let until = match node {
+            Node::Control(ip) => self.machines.get(&ip)?.frozen_until,
+            Node::Proxy(number) => self.proxies.get(&number)?.frozen_until,
+            _ => return None,
+        };
+        (self.now < until).then_some(until)
+    }
+
+    fn send(&mut self, from: Node, to: Node, packet: Packet) {
+        let lost = matches!((&to, &packet), (Node::Operator(_), Packet::Answer { .. }))
+            && self.now < self.answers_lost.1
+            && self.below(100) < self.answers_lost.0;
+        if lost {
+            return;
+        }
+        let life = self.life_of(to);
+        if let Some(at) = self.network.send(self.now, from, to, &mut self.random) {
+            self.push(at, Event::Arrive { from, to, life, packet });
+        }
+    }
+
+    fn life_of(&self, node: Node) -> u64 {
+        match node {
+            Node::Control(ip) => self.machines.get(&ip).map_or(0, |m| m.life),
+            Node::Proxy(number) => self.proxies.get(&number).map_or(0, |p| p.life),
+            _ => 0,
+        }
+    }
+
+    fn arrive(&mut self, from: Node, to: Node, life: u64, packet: Packet) {
+        // A connection ends with the process that it was opened to.
+        if !self.network.passes(self.now, from, to) || life != self.life_of(to) {
+            return;
+        }
+        match to {
+            Node::Control(ip) => self.drive(ip, |process, now| process.receive(now, from, packet)),
+            Node::Proxy(number) => {
+                let (now, Packet::Answer { id, answer }) = (self.now, packet) else { return };
+                let machine = self.proxies.get_mut(&number).and_then(|m| m.proxy.as_mut());
+                let call = machine.and_then(|proxy| proxy.receive(now, id, answer));
+                self.after_proxy(number, call);
+            }
+            Node::Operator(number) => {
+                let Packet::Answer { id, answer } = packet else { return };
+                let (now, operator) = (self.now, &mut self.operators[number as usize]);
+                operator.receive(now, id, answer, &mut self.history);
+                let at = operator.deadline();
+                self.wake(to, 0, at);
+            }
+            Node::Backend(number) => {
+                let Packet::Answer { id, answer } = packet else { return };
+                let backend = &mut self.backends[number as usize];
+                backend.receive(self.now, id, &answer);
+                let at = backend.deadline();
+                self.wake(to, 0, at);
+            }
+        }
+    }
+
+    fn woken(&mut self, node: Node, life: u64) {
+        let planned = self.wakes.get(&node).is_some_and(|(of, at)| *of == life && *at <= self.now);
+        if life != self.life_of(node) || !planned {
+            return;
+        }
+        self.wakes.remove(&node);
+        match node {
+            Node::Control(ip) => self.drive(ip, |process, now| process.tick(now)),
+            Node::Proxy(number) => self.wake_proxy(number),
+            Node::Operator(number) => {
+                let (now, operator) = (self.now, &mut self.operators[number as usize]);
+                let call = operator.tick(now, &mut self.random, &mut self.history);
+                let at = operator.deadline();
+                if let Some(packet) = call {
+                    self.call_any(node, packet);
+                }
+                self.wake(node, 0, at.max(now + 1));
+            }
+            Node::Backend(number) => {
+                let (now, backend) = (self.now, &mut self.backends[number as usize]);
+                let call = backend.tick(now);
+                let at = backend.deadline();
+                if let Some(packet) = call {
+                    self.call_any(node, packet);
+                }
+                self.wake(node, 0, at.max(now + 1));
+            }
+        }
+    }
+
+    /// Somebody outside calls a machine that serves control; which of them run is not known.
+    fn call_any(&mut self, from: Node, packet: Packet) {
+        let ips: Vec<u32> =
+            self.machines.iter().filter(|(_, m)| m.started && !m.gone).map(|(ip, _)| *ip).collect();
+        if !ips.is_empty() {
+            let ip = ips[self.below(ips.len() as u64) as usize];
+            self.send(from, Node::Control(ip), packet);
+        }
+    }
+
+    /// Runs a step of a control process and carries its effects out.
+    fn drive(&mut self, ip: u32, step: impl FnOnce(&mut Process, Millis)) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        let Some(process) = &mut machine.process else { return };
+        step(process, now);
+        let effects = process.effects();
+        machine.replica =
+            process.replica.as_ref().filter(|_| machine.has_disk).map(|r| r.id()).or(machine.replica);
+        let deadline = process.deadline().max(now + 1);
+        let looks = process.looks_at(now);
+        let life = machine.life;
+        let woken = looks.map_or(deadline, |at| at.min(deadline));
+        self.carry_out(ip, life, effects);
+        self.wake(Node::Control(ip), life, woken);
+    }
+
+    fn carry_out(&mut self, ip: u32, life: u64, effects: Effects) {
+        let now = self.now;
+        if let Some((term, replica)) = effects.leads {
+            self.history.leads(term, replica);
+        }
+        for stamp in effects.fresh_answers {
+            self.history.called_current(now, ip, stamp);
+        }
+        for configuration in effects.committed {
+            self.history.committed(now, configuration);
+        }
+        if effects.disk_begins {
+            let at = self.disk_done(ip);
+            self.push(at, Event::Written { ip, life });
+        }
+        for (to, packet) in effects.packets {
+            if let (Node::Operator(_), Packet::Answer { answer: Answer::Order(OrderReply::Taken), .. }) =
+                (to, &packet)
+            {
+                self.acknowledged_by = Some(ip);
+            }
+            self.send(Node::Control(ip), to, packet);
+        }
+    }
+
+    fn disk_done(&self, ip: u32) -> Millis {
+        let Some(machine) = self.machines.get(&ip) else { return self.now };
+        let factor = if self.now < machine.disk_slow_until { machine.disk_factor } else { 1 };
+        (self.now + self.shape.disk_ms * factor).max(machine.disk_hangs_until)
+    }
+
+    fn written(&mut self, ip: u32, life: u64) {
+        let now = self.now;
+        if life != self.life_of(Node::Control(ip)) {
+            return;
+        }
+        if let Some(machine) = self.machines.get(&ip) {
+            machine.disk.set_full(now < machine.disk_full_until);
+        }
+        self.drive(ip, |process, now| process.written(now));
+    }
+
+    fn start(&mut self, ip: u32) {
+        let random = Pcg64Mcg::seed_from_u64(self.random.next_u64());
+        let founders: Vec<ReplicaId> = (1..=3).map(|ip| ReplicaId { ip, incarnation: 0 }).collect();
+        let seeds = self.seeds();
+        let (now, settings) = (self.now, self.settings);
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        if machine.process.is_some() || machine.gone {
+            return;
+        }
+        machine.life += 1;
+        let first = machine.life == 1 && now < 1000;
+        machine.started = true;
+        machine.disk.set_full(now < machine.disk_full_until);
+        let start = Start {
+            ip,
+            life: machine.life,
+            disk: machine.disk.clone(),
+            has_disk: machine.has_disk,
+            founders: first.then_some(founders),
+            seeds,
+            settings,
+            random,
+        };
+        machine.process = Some(Process::start(now, start));
+        self.drive(ip, |process, now| process.introduce(now));
+    }
+
+    /// What the boot file names: three machines that serve control.
+    fn seeds(&self) -> Vec<u32> {
+        self.machines.iter().filter(|(_, m)| !m.gone && m.has_disk).map(|(ip, _)| *ip).take(3).collect()
+    }
+
+    fn start_proxy(&mut self, number: u32) {
+        let (now, seeds) = (self.now, self.seeds());
+        let Some(machine) = self.proxies.get_mut(&number) else { return };
+        machine.life += 1;
+        machine.started = now;
+        machine.revision = 0;
+        machine.proxy = Some(Proxy::start(now, number, machine.life, &seeds));
+        self.wake_proxy(number);
+    }
+
+    fn wake_proxy(&mut self, number: u32) {
+        let (now, seeds) = (self.now, self.seeds());
+        let proxy = self.proxies.get_mut(&number).and_then(|m| m.proxy.as_mut());
+        let call = proxy.and_then(|proxy| proxy.tick(now, &seeds));
+        self.after_proxy(number, call);
+    }
+
+    fn after_proxy(&mut self, number: u32, call: Option<(Node, Packet)>) {
+        if let Some((to, packet)) = call {
+            self.send(Node::Proxy(number), to, packet);
+        }
+        let now = self.now;
+        let Some(machine) = self.proxies.get_mut(&number) else { return };
+        let Some(proxy) = &machine.proxy else { return };
+        let (revision, before) = (proxy.revision(), machine.revision);
+        machine.revision = revision;
+        let (life, at) = (machine.life, proxy.deadline().max(now + 1));
+        if revision < before {
+            self.history.violated(Violation::Regressed { proxy: number, at: now });
+        }
+        self.wake(Node::Proxy(number), life, at);
+    }
+
+    // Faults.
+
+    fn resolve(&mut self, target: Target, with_disk: bool) -> Option<u32> {
+        let runs = |m: &Machine| m.process.is_some() && !m.gone && (m.has_disk || !with_disk);
+        let running: Vec<u32> = self.machines.iter().filter(|(_, m)| runs(m)).map(|(ip, _)| *ip).collect();
+        let named = match target {
+            Target::Leader => self.leader(),
+            Target::Acknowledged => self.acknowledged_by,
+            Target::Number(number) => running.get(number as usize % running.len().max(1)).copied(),
+        };
+        named.filter(|ip| running.contains(ip)).or_else(|| running.first().copied())
+    }
+
+    fn leader(&self) -> Option<u32> {
+        let leads = |m: &Machine| m.process.as_ref().is_some_and(|p| p.has_lease(self.now));
+        self.machines.iter().find(|(_, m)| leads(m)).map(|(ip, _)| *ip)
+    }
+
+    /// Whether another machine may be lost now, and counts it as lost.
+    fn lose(&mut self, ip: u32, time: Millis) -> bool {
+        let now = self.now;
+        let counted = |(other, m): &(&u32, &Machine)| **other != ip && m.has_disk && now < m.lost_until;
+        let lost = self.machines.iter().filter(counted).count() as u32;
+        let has_disk = self.machines.get(&ip).is_some_and(|m| m.has_disk);
+        if has_disk && lost + 1 > self.shape.losses && self.below(BEYOND) != 0 {
+            return false;
+        }
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.lost_until = machine.lost_until.max(now + time + CATCH_UP);
+        }
+        self.trouble(time);
+        true
+    }
+
+    /// Whether another disk may be lost now: of those lost before, all but as many as must be borne have a successor that
+    /// votes, and none of them votes any more, when that was last certain.
+    fn may_lose_disk(&mut self) -> bool {
+        let now = self.now;
+        let leading = self.leader().and_then(|ip| self.machines[&ip].process.as_ref()?.replica.as_ref());
+        if let Some(replica) = leading.filter(|r| r.is_settled()) {
+            self.voters = replica.voters().to_vec();
+        }
+        let voters = self.voters.clone();
+        let kept: Vec<ReplicaId> =
+            self.machines.values().filter(|m| !m.gone).filter_map(|m| m.replica).collect();
+        let lost_voters = voters.iter().filter(|v| !kept.contains(v)).count() as u32;
+        let all_kept = !voters.is_empty() && lost_voters == 0;
+        let mut lost = 0;
+        for machine in self.machines.values_mut() {
+            let Some(until) = machine.disk_lost else { continue };
+            if all_kept && now >= until && machine.replica.is_some_and(|id| voters.contains(&id)) {
+                machine.disk_lost = None;
+            } else {
+                lost += 1;
+            }
+        }
+        lost.max(lost_voters) < self.shape.losses
+    }
+
+    fn trouble(&mut self, time: Millis) {
+        self.troubled_until = self.troubled_until.max(self.now + time);
+    }
+
+    fn strike(&mut self, fault: Fault, until: Millis) {
+        if self.struck_now(fault) {
+            self.struck += 1;
+        } else if self.now + 300 < until {
+            // It waits its turn.
+            let at = self.now + 200 + self.below(200);
+            self.push(at, Event::Fault { fault, until });
+        }
+    }
+
+    /// Brings a fault about; false where it must wait.
+    fn struck_now(&mut self, fault: Fault) -> bool {
+        let now = self.now;
+        match fault {
+            Fault::Kill { target, down } => self.strike_machine(target, false, down, |w, ip| {
+                w.kill(ip, false);
+                w.push(now + down, Event::Start { ip });
+            }),
+            Fault::PowerOff { target, down } => self.strike_machine(target, false, down, |w, ip| {
+                w.kill(ip, true);
+                w.push(now + down, Event::Start { ip });
+            }),
+            Fault::Wipe { target, down } => {
+                self.may_lose_disk()
+                    && self.strike_machine(target, true, down, |w, ip| {
+                        w.wipe(ip, down);
+                        w.push(now + down, Event::Start { ip });
+                    })
+            }
+            Fault::Restart { target, down } => {
+                self.strike_machine(target, false, FAREWELL + down, |w, ip| {
+                    w.drive(ip, |process, now| process.resign(now));
+                    w.push(now + FAREWELL, Event::End { ip, gone: false });
+                    w.push(now + FAREWELL + down, Event::Start { ip });
+                })
+            }
+            Fault::Replace { target, planned } => self.may_lose_disk() && self.replace(target, planned),
+            Fault::KillAll { power, down } => {
+                self.kill_all(power, down);
+                true
+            }
+            Fault::Freeze { target, time } => self.strike_machine(target, false, time, |w, ip| {
+                w.machines.entry(ip).and_modify(|m| m.frozen_until = now + time);
+            }),
+            Fault::Cut { target, way, all, time } => {
+                self.strike_machine(target, false, time, |w, ip| w.cut(ip, way, all, now + time))
+            }
+            Fault::CutHalves { time } => {
+                self.cut_halves(now + time);
+                self.trouble(time);
+                true
+            }
+            Fault::Stall { target, delay, time } => {
+                self.strike_machine(target, false, time + delay, |w, ip| {
+                    w.each_link(ip, |network, from, to| network.stall(from, to, now + time, delay));
+                })
+            }
+            Fault::Lose { target, percent, time } => self.strike_machine(target, false, time, |w, ip| {
+                w.each_link(ip, |network, from, to| network.lose(from, to, now + time, percent));
+            }),
+            Fault::SlowDisk { target, factor, time } => self.strike_machine(target, true, time, |w, ip| {
+                w.machines
+                    .entry(ip)
+                    .and_modify(|m| (m.disk_factor, m.disk_slow_until) = (factor, now + time));
+            }),
+            Fault::HangingDisk { target, time } => self.strike_machine(target, true, time, |w, ip| {
+                w.machines.entry(ip).and_modify(|m| m.disk_hangs_until = now + time);
+            }),
+            Fault::FullDisk { target, time } => self.strike_machine(target, true, time, |w, ip| {
+                w.machines.entry(ip).and_modify(|m| m.disk_full_until = now + time);
+            }),
+            Fault::FreezeProxy { number, time } => {
+                self.proxies.entry(number).and_modify(|p| p.frozen_until = now + time);
+                self.trouble(time);
+                true
+            }
+            Fault::KillProxy { number, down } => {
+                if let Some(machine) = self.proxies.get_mut(&number) {
+                    machine.proxy = None;
+                    machine.life += 1;
+                }
+                self.push(now + down, Event::StartProxy { number });
+                self.trouble(down);
+                true
+            }
+            Fault::LoseAnswers { percent, time } => {
+                self.answers_lost = (percent, now + time);
+                true
+            }
+            Fault::Storm { every, time } => {
+                self.operators.iter_mut().for_each(|o| o.hurry(every, now + time));
+                true
+            }
+            Fault::Leave { number, draining } => {
+                let backend = &mut self.backends[number as usize];
+                backend.leave(now, draining);
+                self.wake(Node::Backend(number), 0, now);
+                true
+            }
+            Fault::Crash { number } => {
+                self.backends[number as usize].crash();
+                true
+            }
+        }
+    }
+
+    fn strike_machine(
+        &mut self, target: Target, with_disk: bool, time: Millis, act: impl FnOnce(&mut World, u32),
+    ) -> bool {
+        let Some(ip) = self.resolve(target, with_disk) else { return false };
+        if !self.lose(ip, time) {
+            return false;
+        }
+        act(self, ip);
+        true
+    }
+
+    /// Ends a process; without power, what was not synced may be lost.
+    fn kill(&mut self, ip: u32, power: bool) {
+        let kept = self.below(2) == 0;
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        let Some(mut process) = machine.process.take() else { return };
+        machine.life += 1;
+        machine.frozen_until = 0;
+        if power {
+            machine.disk.begin_to_die();
+            // It never returns.
+            let _ = process.append();
+            machine.disk.lose_power(&mut self.random);
+        } else if kept {
+            // The write reaches the file though nobody hears of it.
+            let _ = process.append();
+        }
+    }
+
+    fn wipe(&mut self, ip: u32, down: Millis) {
+        self.kill(ip, true);
+        let now = self.now;
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.disk = Disk::default();
+            machine.replica = None;
+            machine.disk_lost = Some(now + down + CATCH_UP);
+        }
+    }
+
+    fn replace(&mut self, target: Target, planned: bool) -> bool {
+        let now = self.now;
+        let Some(old) = self.resolve(target, true) else { return false };
+        if !self.lose(old, REPLACEMENT + CATCH_UP) {
+            return false;
+        }
+        let new = self.add_machine(true);
+        let machine = self.machines.entry(new);
+        machine.and_modify(|m| m.disk_lost = Some(now + REPLACEMENT + CATCH_UP));
+        if planned {
+            self.push(now, Event::Start { ip: new });
+            self.push(now + REPLACEMENT, Event::End { ip: old, gone: true });
+        } else {
+            self.end(old, true);
+            self.push(now + REPLACEMENT, Event::Start { ip: new });
+        }
+        true
+    }
+
+    /// A process ends in order; with `gone` its machine never comes back.
+    fn end(&mut self, ip: u32, gone: bool) {
+        if gone {
+            self.drive(ip, |process, now| process.resign(now));
+        }
+        self.kill(ip, false);
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.gone |= gone;
+        }
+    }
+
+    fn kill_all(&mut self, power: bool, down: Millis) {
+        let ips: Vec<u32> = self.machines.keys().copied().collect();
+        for ip in ips {
+            self.kill(ip, power);
+            let at = self.now + down + self.below(300);
+            self.push(at, Event::Start { ip });
+        }
+        self.trouble(down + 300);
+    }
+
+    fn cut(&mut self, ip: u32, way: Way, all: bool, until: Millis) {
+        let mut others: Vec<Node> =
+            self.machines.keys().filter(|o| **o != ip).map(|o| Node::Control(*o)).collect();
+        if all {
+            others.extend(self.proxies.keys().map(|number| Node::Proxy(*number)));
+        }
+        for other in others {
+            if way != Way::Deaf {
+                self.network.cut(Node::Control(ip), other, until);
+            }
+            if way != Way::Mute {
+                self.network.cut(other, Node::Control(ip), until);
+            }
+        }
+    }
+
+    fn cut_halves(&mut self, until: Millis) {
+        let ips: Vec<u32> = self.machines.keys().copied().collect();
+        let (one, other): (Vec<u32>, Vec<u32>) =
+            ips.into_iter().partition(|_| self.random.next_u64() % 2 == 0);
+        for a in &one {
+            for b in &other {
+                self.network.cut(Node::Control(*a), Node::Control(*b), until);
+                self.network.cut(Node::Control(*b), Node::Control(*a), until);
+            }
+        }
+    }
+
+    fn each_link(&mut self, ip: u32, act: impl Fn(&mut Network, Node, Node)) {
+        let others = self.machines.keys().filter(|o| **o != ip).map(|o| Node::Control(*o));
+        let proxies = self.proxies.keys().map(|number| Node::Proxy(*number));
+        for other in others.chain(proxies) {
+            act(&mut self.network, Node::Control(ip), other);
+            act(&mut self.network, other, Node::Control(ip));
+        }
+    }
+
+    // Rules with a time bound.
+
+    fn look(&mut self) {
+        self.push(self.now + LOOK, Event::Look);
+        if self.now < self.troubled_until + CONTACT || self.now < 5000 {
+            return;
+        }
+        self.looks_in_touch += 1;
+        let (now, expected) = (self.now, self.history.confirmed_before(self.now - APPLIED));
+        for (number, machine) in &self.proxies {
+            let Some(proxy) = machine.proxy.as_ref().filter(|_| now >= machine.started + CONTACT) else {
+                continue;
+            };
+            let proxy_number = *number;
+            let revision = proxy.revision();
+            if revision < expected {
+                let violation = Violation::NotApplied { proxy: proxy_number, at: now, revision, expected };
+                self.history.violated(violation);
+            }
+            for backend in &self.backends {
+                let drained = backend.end_acknowledged().is_some_and(|at| now > at + DRAINED);
+                let (proxy, backend_id) = (proxy_number, backend.id.clone());
+                if drained && machine.proxy.as_ref().is_some_and(|p| p.uses(&backend.id)) {
+                    self.history.violated(Violation::NotDrained { proxy, at: now, backend: backend_id });
+                }
+            }
+        }
+    }
+
+    /// Calm at the end: everything must come back.
+    fn end_day(&mut self) {
+        self.network.calm();
+        let ips: Vec<u32> = self.machines.keys().copied().collect();
+        for ip in ips {
+            if let Some(machine) = self.machines.get_mut(&ip) {
+                (machine.disk_slow_until, machine.disk_hangs_until, machine.disk_full_until) = (0, 0, 0);
+                machine.disk.set_full(false);
+                machine.frozen_until = machine.frozen_until.min(self.now);
+                if machine.process.is_none() && !machine.gone {
+                    self.push(self.now, Event::Start { ip });
+                }
+            }
+        }
+        self.answers_lost = (0, 0);
+        self.trouble(2000);
+        self.run_until(self.now + CALM);
+        let before = self.history.confirmed();
+        self.run_until(self.now + CALM / 2);
+        if self.history.confirmed() == before {
+            self.history.violated(Violation::NoRecovery { what: "no order is confirmed in the calm" });
+        }
+        self.operators.iter_mut().for_each(|o| o.stopped = true);
+        self.run_until(self.now + 3 * APPLIED);
+        self.check_end();
+    }
+
+    fn check_end(&mut self) {
+        let mut missing = Vec::new();
+        let newest = self.history.confirmed_before(self.now);
+        if self.proxies.values().any(|m| m.proxy.as_ref().is_none_or(|p| p.revision() < newest)) {
+            missing.push("a proxy lacks the newest configuration");
+        }
+        for backend in self.backends.iter().filter(|b| b.serves()) {
+            if self.proxies.values().any(|m| m.proxy.as_ref().is_some_and(|p| !p.uses(&backend.id))) {
+                missing.push("a proxy does not use a backend that serves");
+            }
+        }
+        let leader = self.leader().and_then(|ip| self.machines[&ip].process.as_ref());
+        let Some(replica) = leader.and_then(|p| p.replica.as_ref()) else {
+            self.history.violated(Violation::NoRecovery { what: "nobody leads" });
+            return;
+        };
+        let living: Vec<ReplicaId> = self
+            .machines
+            .values()
+            .filter(|m| m.has_disk)
+            .filter_map(|m| m.process.as_ref()?.replica.as_ref().map(|r| r.id()))
+            .collect();
+        let mut voters = replica.voters().to_vec();
+        voters.sort();
+        if !voters.iter().all(|v| living.contains(v)) {
+            missing.push("a voter is gone for good");
+        }
+        if !living.iter().all(|id| voters.contains(id)) {
+            missing.push("a machine with a disk does not vote");
+        }
+        for what in missing {
+            self.history.violated(Violation::NoRecovery { what });
+        }
+    }
+}
