--- a/crates/gaugesaddle-catalog/src/lib.rs
+++ b/crates/gaugesaddle-catalog/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod digest;
 mod leases;
 pub mod peers;
+mod proxies;
 mod registrar;
 
 pub use acknowledgement::Acknowledgement;
--- a/crates/gaugesaddle-catalog/src/peers.rs
+++ b/crates/gaugesaddle-catalog/src/peers.rs
@@ -5,7 +5,7 @@
 
 /// A peer that says nothing for so long is taken for dead, in milliseconds.
 pub const SILENCE: u64 = 3500;
-/// A peer that has said nothing for so long is not waited for, in milliseconds.
+/// A peer or proxy that has said nothing for so long is not waited for, in milliseconds.
 pub const LIVELY: u64 = 1300;
 
 /// Another control process.
@@ -15,7 +15,7 @@
     heard: Option<u64>,
     /// The process that runs there now.
     origin: Option<Origin>,
-    /// What it has said that it knows.
+    /// What it has said that it and the proxies that follow it know.
     vector: VersionVector,
 }
 
@@ -45,7 +45,17 @@
         }
     }
 
-    /// A peer has said that it knows the changes of an origin up to a number.
+    /// The process that runs on a machine.
+    pub fn origin_of(&self, ip: u32) -> Option<Origin> {
+        self.peers.get(&ip).and_then(|p| p.origin)
+    }
+
+    /// The machine that a process runs on.
+    pub fn machine_of(&self, origin: Origin) -> Option<u32> {
+        self.peers.iter().find(|(_, p)| p.origin == Some(origin)).map(|(ip, _)| *ip)
+    }
+
+    /// A peer has said that it and its proxies know the changes of an origin up to a number.
     pub fn knows(&mut self, ip: u32, origin: Origin, change: u64) {
         if let Some(peer) = self.peers.get_mut(&ip) {
             peer.vector.advance(origin, change);
@@ -79,6 +89,6 @@
 
 impl Peer {
     fn has(&self, origin: Origin, change: u64) -> bool {
-        self.origin == Some(origin) || self.vector.of(origin) >= change
+        self.vector.of(origin) >= change
     }
 }
--- a/crates/gaugesaddle-catalog/src/registrar.rs
+++ b/crates/gaugesaddle-catalog/src/registrar.rs
@@ -2,14 +2,22 @@
 //! enough processes to be acknowledged.
 //!
 //! ```text
-//!  call --> note --(news)--> push to all peers --> they acknowledge what they have without a gap
-//!                                                        |
-//!  2xx <-- held: every lively peer has it, a majority at least
+//!  call --> note --(news)--> push to all peers --> each tells its proxies, and acknowledges what it and they have
+//!                   |                                        |
+//!                   +--> own proxies ------------------------+
+//!                                                            v
+//!  2xx <-- held: every lively peer and every proxy that called a moment ago has it, a majority of peers at least
 //! ```
+//!
+//! A process that has just started knows no proxies and acknowledges nothing yet. Nothing of this is on a disk. An acknowledged end outlives the loss of all control processes at once because the
+//! proxies have it by then, and tell it to the processes that come after.
 
-use crate::peers::PeerTable;
+use crate::peers::{PeerTable, LIVELY};
+use crate::proxies::ProxyTable;
 use crate::{Catalog, Leases};
-use gaugesaddle_protocol::{Delta, Lifecycle, Origin, PeerMessage, Registration, Subject, VersionVector};
+use gaugesaddle_protocol::{
+    Delta, Lifecycle, Origin, PeerMessage, Pull, Registration, Subject, VersionVector,
+};
 use std::collections::BTreeMap;
 
 /// A proxy's lease in milliseconds; it renews it twice a second and more.
@@ -20,9 +28,9 @@
 /// Whether a change may be acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spread {
-    /// Every lively process has it, and a majority at least.
+    /// Every lively process and proxy has it, and a majority of processes at least.
     Held,
-    /// A majority has it; some process that spoke a moment ago has not said so.
+    /// A majority has it; some process or proxy that spoke a moment ago has not said so.
     Majority,
     /// It could be lost.
     Open,
@@ -39,6 +47,9 @@
     catalog: Catalog,
     leases: Leases,
     peers: PeerTable,
+    proxies: ProxyTable,
+    /// What was acknowledged to the origin of each change.
+    acknowledged: VersionVector,
     /// Registrations whose control process died, and since when that is known.
     orphans: BTreeMap<String, u64>,
 }
@@ -53,6 +64,8 @@
             catalog: Catalog::default(),
             leases: Leases::default(),
             peers: PeerTable::default(),
+            proxies: ProxyTable::default(),
+            acknowledged: VersionVector::default(),
             orphans: BTreeMap::new(),
         }
     }
@@ -95,6 +108,40 @@
         }
     }
 
+    /// Takes what a proxy says that it knows; what to acknowledge to which peer now that it does.
+    pub fn note_pull(&mut self, now: u64, pull: &Pull) -> Vec<(u32, PeerMessage)> {
+        if pull.proxy.lifecycle.is_leaving() {
+            self.proxies.left(&pull.proxy.id);
+        } else {
+            self.proxies.called(now, &pull.proxy.id, &pull.vector);
+        }
+        let owed = |(origin, change): &&(Origin, u64)| *change > self.acknowledged.of(*origin);
+        let origins: Vec<Origin> =
+            self.catalog.vector().0.iter().filter(owed).map(|(origin, _)| *origin).collect();
+        origins.into_iter().filter_map(|origin| self.acknowledgement(now, origin)).collect()
+    }
+
+    /// What to tell the origin of changes, where more of them are known here and at all proxies than it was told.
+    fn acknowledgement(&mut self, now: u64, origin: Origin) -> Option<(u32, PeerMessage)> {
+        let change = self.held(now, origin);
+        let ip = self.peers.machine_of(origin).filter(|_| change > self.acknowledged.of(origin))?;
+        self.acknowledged.advance(origin, change);
+        Some((ip, PeerMessage::Acknowledge { origin, change }))
+    }
+
+    /// Up to which change of an origin this process and the proxies that follow it know them all.
+    fn held(&self, now: u64, origin: Origin) -> u64 {
+        if self.is_young(now) {
+            return 0;
+        }
+        self.catalog.vector().of(origin).min(self.proxies.all_know(now, origin))
+    }
+
+    /// Whether proxies that will follow this process may not have called yet.
+    fn is_young(&self, now: u64) -> bool {
+        now < self.started + LIVELY
+    }
+
     /// Takes what a proxy knows to have left; what to push to all peers.
     pub fn note_left(&mut self, now: u64, left: Vec<Registration>) -> Vec<Delta> {
         let news = |r: &Registration| {
@@ -141,10 +188,10 @@
         let Some(entry) = self.catalog.get(id) else { return Spread::Open };
         let (origin, change) = (entry.origin, entry.change);
         // This process and the holders must be more than half.
-        if self.peers.holders(origin, change) < voters / 2 {
+        if self.is_young(now) || self.peers.holders(origin, change) < voters / 2 {
             return Spread::Open;
         }
-        if self.peers.all_lively_hold(now, origin, change) {
+        if self.peers.all_lively_hold(now, origin, change) && self.held(now, origin) >= change {
             Spread::Held
         } else {
             Spread::Majority
@@ -155,29 +202,30 @@
     /// left alone.
     pub fn take(&mut self, now: u64, ip: u32, message: PeerMessage) -> (bool, Vec<PeerMessage>) {
         match message {
-            PeerMessage::Push(delta) => self.take_push(now, delta),
+            PeerMessage::Push(delta) => self.take_push(now, ip, delta),
             PeerMessage::Acknowledge { origin, change } => {
                 self.peers.knows(ip, origin, change);
                 (false, Vec::new())
             }
             PeerMessage::Compare { vector, digests, .. } => {
-                for (origin, change) in &vector.0 {
-                    self.peers.knows(ip, *origin, *change);
-                }
-                (false, self.news_for(now, &vector, &digests).map(PeerMessage::Push).into_iter().collect())
+                let push = self.news_for(now, &vector, &digests).map(PeerMessage::Push);
+                // An acknowledgement may have been lost.
+                let origin = self.peers.origin_of(ip);
+                let held =
+                    origin.map(|origin| (origin, self.held(now, origin))).filter(|(_, change)| *change > 0);
+                let again = held.map(|(origin, change)| PeerMessage::Acknowledge { origin, change });
+                (false, push.into_iter().chain(again).collect())
             }
             _ => (false, Vec::new()),
         }
     }
 
-    fn take_push(&mut self, now: u64, delta: Delta) -> (bool, Vec<PeerMessage>) {
-        let origins: Vec<Origin> = delta.vector.0.iter().map(|(origin, _)| *origin).collect();
+    fn take_push(&mut self, now: u64, ip: u32, delta: Delta) -> (bool, Vec<PeerMessage>) {
         let merged = self.catalog.merge(now, delta);
-        let vector = self.catalog.vector();
-        let mut answers: Vec<PeerMessage> = origins
-            .into_iter()
-            .map(|origin| PeerMessage::Acknowledge { origin, change: vector.of(origin) })
-            .collect();
+        // Where proxies follow this process they are told first.
+        let origin = self.peers.origin_of(ip);
+        let acknowledgement = origin.and_then(|origin| self.acknowledgement(now, origin));
+        let mut answers: Vec<PeerMessage> = acknowledgement.map(|(_, message)| message).into_iter().collect();
         if merged.gap {
             answers.push(self.compare(false, Vec::new()));
         }
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -8,7 +8,7 @@
 use gaugesaddle_consensus::{Input, NotLeading, Output, Proposal, ProposalResult, Replica, Settings};
 use gaugesaddle_distribution::{Distributor, Standing};
 use gaugesaddle_protocol::{
-    Ballot, Configuration, Delta, Lifecycle, Origin, PeerMessage, Registration, ReplicaId, State,
+    Ballot, Configuration, Delta, Lifecycle, Origin, PeerMessage, Pull, Registration, ReplicaId, State,
     StatusReport, Subject,
 };
 use gaugesaddle_quota::{Dealer, Limit};
@@ -338,6 +338,17 @@
         self.spread_news(|core, now| core.registrar.note(now, registration).into_iter().collect());
     }
 
+    /// Takes a proxy's call: its lease is renewed, and what waits for what it knows is acknowledged.
+    pub fn note_pull(&self, pull: &Pull) {
+        self.with(|core| {
+            let now = core.clock.now();
+            for (ip, message) in core.registrar.note_pull(now, pull) {
+                core.peers.send(ip, message);
+            }
+        });
+        self.note(pull.proxy.clone());
+    }
+
     /// Takes what a proxy knows to have left, and passes news on.
     pub fn note_left(&self, left: Vec<Registration>) {
         self.spread_news(|core, now| core.registrar.note_left(now, left));
--- a/crates/gaugesaddle-control/src/requests.rs
+++ b/crates/gaugesaddle-control/src/requests.rs
@@ -61,7 +61,7 @@
 
 /// Renews the proxy's lease and answers when there is news for it, or when it wants an answer anyway.
 async fn answer_pull(core: &CoreHandle, mut pull: Pull) -> PullReply {
-    core.note(pull.proxy.clone());
+    core.note_pull(&pull);
     core.note_left(std::mem::take(&mut pull.left));
     let until = Instant::now() + Duration::from_millis(u64::from(pull.wait_ms).min(MOST_WAIT));
     let mut changes = core.subscribe();
--- a/crates/gaugesaddle-simulation/src/control.rs
+++ b/crates/gaugesaddle-simulation/src/control.rs
@@ -473,6 +473,9 @@
         let waiter = Waiter { caller, id, until: now + ANSWER };
         match call {
             Call::Pull(mut pull) => {
+                for (ip, message) in self.registrar.note_pull(self.clock(now), &pull) {
+                    self.say(ip, message);
+                }
                 self.note(now, pull.proxy.clone());
                 let left = std::mem::take(&mut pull.left);
                 for delta in self.registrar.note_left(self.clock(now), left) {
--- a/crates/gaugesaddle-simulation/src/history.rs
+++ b/crates/gaugesaddle-simulation/src/history.rs
@@ -86,6 +86,13 @@
         /// What was expected at least.
         expected: u64,
     },
+    /// A proxy that has just started was given a configuration that was not current when it asked.
+    StaleStart {
+        /// The proxy.
+        proxy: u32,
+        /// When.
+        at: Millis,
+    },
     /// A proxy went back behind a configuration.
     Regressed {
         /// The proxy.
@@ -224,6 +231,14 @@
         }
     }
 
+    /// A proxy takes its first configuration, in answer to a call made at a time.
+    pub fn started_with(&mut self, now: Millis, proxy: u32, asked: Millis, stamp: Option<Stamp>) {
+        let due = self.committed.iter().filter(|(_, state)| state.seen + CURRENT < asked);
+        if due.map(|(stamp, _)| *stamp).max() > stamp {
+            self.violated(Violation::StaleStart { proxy, at: now });
+        }
+    }
+
     /// The newest revision confirmed to an operator before a time.
     pub fn confirmed_before(&self, time: Millis) -> u64 {
         let taken = self.orders.iter().filter(|o| matches!(o.ended, Some((at, Outcome::Taken)) if at < time));
--- a/crates/gaugesaddle-simulation/src/proxy.rs
+++ b/crates/gaugesaddle-simulation/src/proxy.rs
@@ -34,6 +34,7 @@
     /// The first call at a process is answered at once.
     wait: u32,
     next_id: u64,
+    taken_of: Millis,
 }
 
 impl Proxy {
@@ -52,6 +53,7 @@
             next_at: now,
             wait: 0,
             next_id: u64::from(number) << 40 | life << 24 | 1 << 60,
+            taken_of: now,
         }
     }
 
@@ -104,10 +106,16 @@
     }
 
     fn take(&mut self, now: Millis, asked: Asked, reply: PullReply) -> bool {
+        self.taken_of = asked.at;
         let good_for = asked.until - asked.at + TRANSFER;
         self.follower.take(now, asked.at, good_for, reply).stays
     }
 
+    /// When the call was made whose answer was taken last.
+    pub fn taken_of(&self) -> Millis {
+        self.taken_of
+    }
+
     /// Whether it would send a request to a backend.
     pub fn uses(&self, backend: &str) -> bool {
         let entry = self.follower.catalog().get(backend);
