Play drawn orders of messages, writes, crashes and lost disks without clocks

Replicas of three, four and five voters, 3,000 walks each, with a rival, changes, crashes, lost disks and successors; anybody may stand at any time and every voter may be swapped, so that nothing rests on clocks.

--- /dev/null
+++ b/crates/gaugesaddle-consensus/tests/orders.rs
@@ -0,0 +1,382 @@
+//! The failure: in some order of messages, writes, crashes and lost disks two replicas lead one term, a confirmed change is
+//! lost, or a change of voters lets two groups decide.
+//!
+//! Orders are drawn, many of them, within bounds on how often each thing happens; it is no exhaustive search. Clocks are
+//! left out, so that nothing rests on them: anybody may stand at any time, nobody's lease runs out, and every voter
+//! counts as quiet, so that any may be swapped or removed. Messages may be lost, late and out of order, and each arrives
+//! once at most.
+
+use gaugesaddle_consensus::{Input, Output, Proposal, ProposalResult, Replica, Role, Settings, TicketId};
+use gaugesaddle_protocol::{Ballot, Digest, ReplicaId, ReplicaMessage, Stamp, State};
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// Far longer than any way lasts.
+const NEVER: u64 = 1 << 40;
+const NOW: u64 = 1 << 41;
+/// Between two heartbeats.
+const HEARTBEAT: u64 = 120;
+
+/// Walks of each group.
+const WALKS: u64 = 3000;
+/// Steps of a walk, at most.
+const STEPS: usize = 400;
+
+/// How often each thing may happen on one walk.
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    stands: u8,
+    heartbeats: u8,
+    proposals: u8,
+    crashes: u8,
+    wipes: u8,
+    joins: u8,
+}
+
+#[derive(Clone)]
+struct Write {
+    ticket: TicketId,
+    ballot: Ballot,
+    state: Option<State>,
+}
+
+#[derive(Clone)]
+struct Machine {
+    replica: Replica,
+    clock: u64,
+    ballot: Option<Ballot>,
+    state: Option<State>,
+    writes: Vec<Write>,
+}
+
+#[derive(Clone)]
+struct Group {
+    machines: BTreeMap<u32, Machine>,
+    messages: Vec<(ReplicaId, ReplicaId, ReplicaMessage)>,
+    budget: Budget,
+    /// Who led in each term.
+    leaders: BTreeMap<u64, ReplicaId>,
+    /// What was called committed.
+    committed: BTreeMap<Stamp, (u64, Vec<u8>)>,
+    /// Proposals under way, and those that were confirmed.
+    proposed: BTreeMap<u64, Digest>,
+    confirmed: Vec<Digest>,
+    incarnations: u64,
+    least_voters: usize,
+}
+
+/// One thing that may happen next.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Deliver(usize),
+    Disk(u32),
+    Stand(u32),
+    Heartbeat(u32),
+    Propose(u32),
+    Crash(u32),
+    Wipe(u32),
+    Join(u32, u32),
+}
+
+fn settings(least_voters: usize) -> Settings {
+    Settings {
+        heartbeat: HEARTBEAT,
+        election: NEVER,
+        election_spread: 1,
+        first_election: NEVER,
+        retry: NEVER,
+        retry_spread: 1,
+        lease: NEVER,
+        disk: NEVER,
+        follower_lease: 1,
+        quiet: 0,
+        silence: 0,
+        least_voters,
+    }
+}
+
+impl Group {
+    /// A settled group of so many voters that the first one leads.
+    fn new(size: u32, losses: usize, budget: Budget) -> Group {
+        let voters: Vec<ReplicaId> = (1..=size).map(|ip| ReplicaId { ip, incarnation: 0 }).collect();
+        let mut group = Group {
+            machines: BTreeMap::new(),
+            messages: Vec::new(),
+            budget: Budget { stands: 1, heartbeats: 0, proposals: 0, crashes: 0, wipes: 0, joins: 0 },
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            confirmed: Vec::new(),
+            incarnations: 100,
+            least_voters: 2 * losses + 1,
+        };
+        for me in &voters {
+            let stamp = Stamp { term: 1, index: 1 };
+            let state = State { stamp, voters: voters.clone(), ..State::default() };
+            let ballot = Ballot { me: *me, term: 1, voted_for: Some(voters[0]) };
+            group.boot(me.ip, ballot, state);
+        }
+        // The first stands and everybody answers.
+        let first = voters[0];
+        for ip in 2..=size {
+            let heartbeat = ReplicaMessage::Append {
+                term: 1,
+                round: 1,
+                at: Stamp { term: 1, index: 1 },
+                committed: Stamp::default(),
+                state: None,
+                echo: None,
+            };
+            group.input(ip, Input::Message { from: first, message: heartbeat });
+        }
+        group.messages.clear();
+        let me = group.machines.get_mut(&1).expect("the first");
+        // It follows itself for a moment, so that it may be asked to stand.
+        let mut out = Vec::new();
+        let follows = ReplicaMessage::Append {
+            term: 1,
+            round: 1,
+            at: Stamp { term: 1, index: 1 },
+            committed: Stamp::default(),
+            state: None,
+            echo: None,
+        };
+        me.replica.handle(NOW, Input::Message { from: first, message: follows }, &mut out);
+        group.step(Step::Stand(1));
+        while let Some(step) = group.quiet_step() {
+            group.step(step);
+        }
+        assert!(group.machines[&1].replica.is_settled() && group.machines[&1].replica.role() == Role::Leader);
+        group.budget = budget;
+        group
+    }
+
+    /// A step that goes on without anything going wrong.
+    fn quiet_step(&self) -> Option<Step> {
+        let writing = self.machines.iter().find(|(_, m)| !m.writes.is_empty()).map(|(ip, _)| Step::Disk(*ip));
+        writing.or_else(|| (!self.messages.is_empty()).then_some(Step::Deliver(0)))
+    }
+
+    fn boot(&mut self, ip: u32, ballot: Ballot, state: State) {
+        let settings = settings(self.least_voters);
+        let replica = Replica::new(settings, ballot, state.clone(), NOW, u64::from(ip), true);
+        let machine =
+            Machine { replica, clock: NOW, ballot: Some(ballot), state: Some(state), writes: Vec::new() };
+        self.machines.insert(ip, machine);
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        let mut steps: Vec<Step> = (0..self.messages.len()).map(Step::Deliver).collect();
+        for (ip, machine) in &self.machines {
+            let leads = machine.replica.role() == Role::Leader;
+            if !machine.writes.is_empty() {
+                steps.push(Step::Disk(*ip));
+            }
+            if self.budget.stands > 0
+                && machine.replica.role() == Role::Follower
+                && machine.replica.leader().is_some()
+            {
+                steps.push(Step::Stand(*ip));
+            }
+            if self.budget.heartbeats > 0 && leads {
+                steps.push(Step::Heartbeat(*ip));
+            }
+            if self.budget.proposals > 0 && leads {
+                steps.push(Step::Propose(*ip));
+            }
+            if self.budget.crashes > 0 {
+                steps.push(Step::Crash(*ip));
+            }
+            if self.budget.wipes > 0 && machine.ballot.is_some_and(|b| b.me.incarnation == 0) {
+                steps.push(Step::Wipe(*ip));
+            }
+            if self.budget.joins > 0 && leads {
+                let joiners =
+                    self.machines.iter().filter(|(_, m)| !machine.replica.voters().contains(&m.replica.id()));
+                steps.extend(joiners.map(|(joiner, _)| Step::Join(*joiner, *ip)));
+            }
+        }
+        steps
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Deliver(number) => {
+                let (from, to, message) = self.messages.remove(number);
+                if self.machines.get(&to.ip).is_some_and(|m| m.replica.id() == to) {
+                    self.input(to.ip, Input::Message { from, message });
+                }
+            }
+            Step::Disk(ip) => {
+                let Some(machine) = self.machines.get_mut(&ip) else { return };
+                let write = machine.writes.remove(0);
+                machine.ballot = Some(write.ballot);
+                machine.state = write.state.or(machine.state.take());
+                self.input(ip, Input::Persisted(write.ticket));
+            }
+            Step::Stand(ip) => {
+                self.budget.stands -= 1;
+                let replica = &self.machines[&ip].replica;
+                let (term, leader) = (replica.term(), replica.leader());
+                if let Some(from) = leader {
+                    self.input(ip, Input::Message { from, message: ReplicaMessage::TakeOver { term } });
+                }
+            }
+            Step::Heartbeat(ip) => {
+                self.budget.heartbeats -= 1;
+                if let Some(machine) = self.machines.get_mut(&ip) {
+                    machine.clock += HEARTBEAT;
+                }
+                self.input(ip, Input::Tick);
+            }
+            Step::Propose(ip) => {
+                self.budget.proposals -= 1;
+                let number = u64::from(self.budget.proposals) + 1;
+                let base = self.machines[&ip].replica.committed().map_or(0, |c| c.revision);
+                let proposal = Proposal::new(base, base + 1, vec![number as u8]);
+                self.proposed.insert(number, proposal.digest);
+                self.input(ip, Input::Propose(number, Box::new(proposal)));
+            }
+            Step::Crash(ip) => {
+                self.budget.crashes -= 1;
+                self.restart(ip);
+            }
+            Step::Wipe(ip) => {
+                self.budget.wipes -= 1;
+                if let Some(machine) = self.machines.get_mut(&ip) {
+                    (machine.ballot, machine.state) = (None, None);
+                }
+                self.restart(ip);
+            }
+            Step::Join(joiner, leader) => {
+                self.budget.joins -= 1;
+                let from = self.machines[&joiner].replica.id();
+                self.input(leader, Input::Message { from, message: ReplicaMessage::Join { durable: true } });
+            }
+        }
+    }
+
+    /// The process begins anew with what its disk holds.
+    fn restart(&mut self, ip: u32) {
+        self.incarnations += 1;
+        let drawn = ReplicaId { ip, incarnation: self.incarnations };
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        machine.writes.clear();
+        let ballot = machine.ballot.unwrap_or(Ballot { me: drawn, term: 0, voted_for: None });
+        let state = machine.state.clone().unwrap_or_default();
+        let clock = machine.clock;
+        machine.replica =
+            Replica::new(settings(self.least_voters), ballot, state, clock, self.incarnations, true);
+    }
+
+    fn input(&mut self, ip: u32, input: Input) {
+        let Some(machine) = self.machines.get_mut(&ip) else { return };
+        let mut outputs = Vec::new();
+        machine.replica.handle(machine.clock, input, &mut outputs);
+        let me = machine.replica.id();
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => self.messages.push((me, to, message)),
+                Output::Broadcast(_) | Output::Read(..) => {}
+                Output::Persist { ticket, ballot, state } => {
+                    let state = state.map(|state| *state);
+                    if let Some(machine) = self.machines.get_mut(&ip) {
+                        machine.writes.push(Write { ticket, ballot, state });
+                    }
+                }
+                Output::Committed => self.note_committed(ip),
+                Output::Proposed(number, ProposalResult::Taken) => {
+                    let digest = self.proposed[&number];
+                    self.confirmed.push(digest);
+                }
+                Output::Proposed(..) => {}
+            }
+        }
+        let replica = &self.machines[&ip].replica;
+        if replica.role() == Role::Leader {
+            let first = *self.leaders.entry(replica.term()).or_insert(me);
+            assert_eq!(first, me, "two lead term {}", replica.term());
+        }
+    }
+
+    fn note_committed(&mut self, ip: u32) {
+        let Some(c) = self.machines[&ip].replica.committed() else { return };
+        let told = (c.revision, c.document.clone());
+        let first = self.committed.entry(c.stamp).or_insert_with(|| told.clone());
+        assert_eq!(*first, told, "{:?} has two contents", c.stamp);
+        let newest = self.committed.values().map(|(revision, _)| *revision).collect::<Vec<_>>();
+        assert!(newest.windows(2).all(|pair| pair[0] <= pair[1]), "a later state goes back: {newest:?}");
+    }
+
+    /// What is confirmed must be found by whoever leads and has committed anything.
+    fn check(&self) {
+        let Some((stamp, (revision, document))) = self.committed.iter().next_back() else {
+            assert!(self.confirmed.is_empty(), "confirmed and committed nowhere");
+            return;
+        };
+        for digest in &self.confirmed {
+            let found = self.committed.values().any(|(revision, document)| {
+                Proposal::new(revision - 1, *revision, document.clone()).digest == *digest
+            });
+            assert!(found, "confirmed, and the newest is {stamp:?} {revision} {document:?}");
+        }
+    }
+}
+
+/// Goes on in a drawn order until nothing is left to happen, or for so many steps.
+fn walk(seed: u64, mut group: Group, most: usize) -> Group {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    for _ in 0..most {
+        let steps = group.steps();
+        if steps.is_empty() {
+            break;
+        }
+        // What goes on by itself mostly does, or nothing would ever come about.
+        let by_itself = |step: &Step| matches!(step, Step::Deliver(_) | Step::Disk(_));
+        let (moving, others): (Vec<Step>, Vec<Step>) = steps.into_iter().partition(by_itself);
+        let goes_on = others.is_empty() || !moving.is_empty() && random.next_u64() % 10 != 0;
+        let among = if goes_on { moving } else { others };
+        let step = among[random.next_u64() as usize % among.len()];
+        // One message in sixteen is lost.
+        match step {
+            Step::Deliver(number) if random.next_u64() % 16 == 0 => drop(group.messages.remove(number)),
+            step => group.step(step),
+        }
+        group.check();
+    }
+    group
+}
+
+fn hold(size: u32, losses: usize, budget: Budget) {
+    let begin = Group::new(size, losses, budget);
+    let (mut terms, mut confirmed, mut changed) = (0, 0, 0);
+    for seed in 0..WALKS {
+        let end = walk(seed, begin.clone(), STEPS);
+        terms += end.leaders.len();
+        confirmed += end.confirmed.len();
+        let first: Vec<ReplicaId> = begin.machines[&1].replica.voters().to_vec();
+        changed +=
+            usize::from(end.machines.values().any(|m| m.replica.is_settled() && m.replica.voters() != first));
+    }
+    // Walks on which nothing comes about would break nothing either.
+    let walks = WALKS as usize;
+    assert!(terms > walks, "{terms} terms led on {walks} walks");
+    assert!(confirmed > walks / 4, "{confirmed} changes confirmed on {walks} walks");
+    assert!(changed > walks / 10, "the voters changed on {changed} of {walks} walks");
+}
+
+#[test]
+fn three_voters_of_which_one_is_lost() {
+    hold(3, 1, Budget { stands: 4, heartbeats: 12, proposals: 3, crashes: 3, wipes: 1, joins: 4 });
+}
+
+#[test]
+fn four_voters_of_which_one_is_lost() {
+    hold(4, 1, Budget { stands: 4, heartbeats: 12, proposals: 3, crashes: 3, wipes: 1, joins: 4 });
+}
+
+#[test]
+fn five_voters_of_which_two_are_lost() {
+    hold(5, 2, Budget { stands: 4, heartbeats: 14, proposals: 3, crashes: 3, wipes: 2, joins: 6 });
+}
