--- a/crates/gaugesaddle-consensus/src/stored.rs
+++ b/crates/gaugesaddle-consensus/src/stored.rs
@@ -6,6 +6,8 @@
 use musli::{Decode, Encode};
 use thiserror::Error;
 
+/// Version of the format, the first byte of each record; another one's records cannot be read.
+const FORMAT: u8 = 2;
 /// Slot of the ballot.
 const BALLOT_SLOT: usize = 0;
 /// Slot of the state.
@@ -37,7 +39,10 @@
 
 fn push<T: Encode<Binary>>(records: &mut Vec<(usize, Vec<u8>)>, slot: usize, value: &T) {
     // Memory is the only thing that encoding can fail for.
-    if let Ok(bytes) = musli::storage::to_vec(value) {
+    if let Ok(encoded) = musli::storage::to_vec(value) {
+        let mut bytes = Vec::with_capacity(1 + encoded.len());
+        bytes.push(FORMAT);
+        bytes.extend_from_slice(&encoded);
         records.push((slot, bytes));
     }
 }
@@ -47,7 +52,10 @@
     T: for<'de> Decode<'de, Binary, Global>,
 {
     match bytes {
-        Some(bytes) => musli::storage::from_slice(bytes).map(Some).map_err(|_| Unreadable),
+        Some(bytes) => {
+            let encoded = bytes.strip_prefix(&[FORMAT]).ok_or(Unreadable)?;
+            musli::storage::from_slice(encoded).map(Some).map_err(|_| Unreadable)
+        }
         None => Ok(None),
     }
 }
