Refuse an order of revision 0 as before, and test what two planted faults left green

A refusal that did not wait for a majority's round stayed green in every test, and so did a successor added beside a dead voter: both have a test now, red with the fault.

--- a/crates/gaugesaddle-consensus/src/replication.rs
+++ b/crates/gaugesaddle-consensus/src/replication.rs
@@ -254,8 +254,8 @@
         let current = self.state.revision;
         if self.state.accepted.contains(&accepted) {
             out.push(Output::Proposed(id, ProposalResult::Taken));
-        } else if proposal.revision <= self.state.forgotten {
-            // It may have been accepted: an order that was is never refused.
+        } else if (1..=self.state.forgotten).contains(&proposal.revision) {
+            // It may have been accepted: an order that was is never refused. Revision 0 never was.
             out.push(Output::Proposed(id, ProposalResult::Unclear));
         } else if proposal.base != current {
             self.confirm(now, Confirmed::Proposal(id, ProposalResult::Conflict { current }));
--- a/crates/gaugesaddle-consensus/tests/group/mod.rs
+++ b/crates/gaugesaddle-consensus/tests/group/mod.rs
@@ -33,6 +33,20 @@
     pub frozen_until: u64,
 }
 
+impl Default for Machine {
+    /// An empty machine whose process does not run.
+    fn default() -> Machine {
+        Machine {
+            replica: None,
+            disk: Disk::default(),
+            writes: Vec::new(),
+            life: 0,
+            disk_delay: 3,
+            frozen_until: 0,
+        }
+    }
+}
+
 struct Flight {
     at: u64,
     order: u64,
@@ -106,15 +120,7 @@
             settings,
         };
         for ip in 1..=size {
-            let machine = Machine {
-                replica: None,
-                disk: Disk::default(),
-                writes: Vec::new(),
-                life: 0,
-                disk_delay: 3,
-                frozen_until: 0,
-            };
-            group.machines.insert(ip, machine);
+            group.machines.insert(ip, Machine::default());
             group.start(ip, true);
         }
         group
@@ -145,15 +151,7 @@
 
     /// Adds an empty machine; its process starts.
     pub fn add(&mut self, ip: u32) {
-        let machine = Machine {
-            replica: None,
-            disk: Disk::default(),
-            writes: Vec::new(),
-            life: 0,
-            disk_delay: 3,
-            frozen_until: 0,
-        };
-        self.machines.insert(ip, machine);
+        self.machines.insert(ip, Machine::default());
         self.start(ip, false);
     }
 
--- a/crates/gaugesaddle-consensus/tests/membership.rs
+++ b/crates/gaugesaddle-consensus/tests/membership.rs
@@ -107,6 +107,26 @@
     }
 }
 
+/// The machine of the leader is gone, and the one that takes its place is up before there is another leader: that one does
+/// not know yet who is gone, and a vote more beside a dead one only makes the majority larger.
+#[test]
+fn a_successor_is_not_added_beside_a_voter_that_nobody_has_heard() {
+    for seed in 1..=SEEDS {
+        let mut group = group(1, seed, 3);
+        let gone = group.leader().expect("somebody leads");
+        group.crash(gone);
+        group.machines.remove(&gone);
+        group.add(4);
+        for _ in 0..4000 {
+            group.run(1);
+            let voters = group.leading().map_or(3, |r| r.voters().len());
+            assert_eq!(voters, 3, "seed {seed}, {} ms", group.now);
+        }
+        let machines: BTreeSet<u32> = group.machines.keys().copied().collect();
+        assert_eq!(group.voting(), machines, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_voter_that_was_cut_off_and_taken_out_votes_again() {
     for seed in 1..=SEEDS {
--- a/crates/gaugesaddle-consensus/tests/ordering.rs
+++ b/crates/gaugesaddle-consensus/tests/ordering.rs
@@ -166,6 +166,37 @@
     assert!(answered(&message(&mut one, now + 5, 2, new)));
 }
 
+/// A leader that was replaced without knowing it would refuse an order that builds on what its successor has taken.
+#[test]
+fn a_refusal_waits_for_a_heartbeat_of_a_majority_sent_after_it() {
+    for (base, revision) in [(7, 9), (0, 0)] {
+        let mut one = replica(1, state(1, 1));
+        let (now, first) = elect(&mut one);
+        let out = give(&mut one, now + 1, Input::Persisted(first));
+        let (term, round, at) = heartbeat(&out).unwrap_or((2, 1, Stamp { term: 2, index: 2 }));
+        let reply = |round| ReplicaMessage::AppendReply { term, round, matched: at, held: at, mark: MARK };
+        message(&mut one, now + 2, 2, reply(round));
+        let refused = |out: &[Output]| {
+            out.iter().any(|o| {
+                let result = match o {
+                    Output::Proposed(5, result) => result,
+                    _ => return false,
+                };
+                matches!(result, ProposalResult::Conflict { .. } | ProposalResult::NotAbove { .. })
+            })
+        };
+        let order = Proposal::new(base, revision, vec![1]);
+        let out = give(&mut one, now + 3, Input::Propose(5, Box::new(order)));
+        assert!(!refused(&out), "nobody has confirmed that it still leads");
+        let (_, asked, _) = heartbeat(&out).expect("it asks at once");
+        assert!(
+            !refused(&message(&mut one, now + 4, 2, reply(asked - 1))),
+            "an answer to an earlier heartbeat"
+        );
+        assert!(refused(&message(&mut one, now + 5, 2, reply(asked))));
+    }
+}
+
 #[test]
 fn a_leader_that_slept_answers_nothing_when_it_wakes() {
     let mut one = replica(1, state(1, 1));
--- a/crates/gaugesaddle-consensus/tests/orders.rs
+++ b/crates/gaugesaddle-consensus/tests/orders.rs
@@ -117,24 +117,9 @@
             let ballot = Ballot { me: *me, term: 1, voted_for: Some(voters[0]) };
             group.boot(me.ip, ballot, state);
         }
-        // The first stands and everybody answers.
+        // Everybody follows the first, itself included, so that it may be asked to stand; then everybody answers.
         let first = voters[0];
-        for ip in 2..=size {
-            let heartbeat = ReplicaMessage::Append {
-                term: 1,
-                round: 1,
-                at: Stamp { term: 1, index: 1 },
-                committed: Stamp::default(),
-                state: None,
-                echo: None,
-            };
-            group.input(ip, Input::Message { from: first, message: heartbeat });
-        }
-        group.messages.clear();
-        let me = group.machines.get_mut(&1).expect("the first");
-        // It follows itself for a moment, so that it may be asked to stand.
-        let mut out = Vec::new();
-        let follows = ReplicaMessage::Append {
+        let message = ReplicaMessage::Append {
             term: 1,
             round: 1,
             at: Stamp { term: 1, index: 1 },
@@ -142,7 +127,10 @@
             state: None,
             echo: None,
         };
-        me.replica.handle(NOW, Input::Message { from: first, message: follows }, &mut out);
+        for ip in 1..=size {
+            group.input(ip, Input::Message { from: first, message: message.clone() });
+        }
+        group.messages.clear();
         group.step(Step::Stand(1));
         while let Some(step) = group.quiet_step() {
             group.step(step);
