Keep the history of states in one place, and drop the oldest orders in one

Cause, by reading the change again: four callers had to keep the old state before they wrote a new one, and one that forgot would only have sent wholes, unseen; the bound on remembered orders stood at the leader and again at the follower, which must drop the same ones; the simulation answered late calls in two loops that were the same.

Change: Replica::replace_state keeps, changes, stamps and writes; update::drop_oldest is called on both sides; one loop. Two opening comments keep the width. No behaviour is meant to change, and no test was touched.

--- a/crates/gaugesaddle-catalog/src/registrar.rs
+++ b/crates/gaugesaddle-catalog/src/registrar.rs
@@ -9,8 +9,9 @@
 //!  2xx <-- held: every lively peer and every proxy that called a moment ago has it, a majority of peers at least
 //! ```
 //!
-//! A process that has just started knows no proxies and acknowledges nothing yet. Nothing of this is on a disk. An acknowledged end outlives the loss of all control processes at once because the
-//! proxies have it by then, and tell it to the processes that come after.
+//! A process that has just started knows no proxies and acknowledges nothing yet. Nothing of this is on a disk. An
+//! acknowledged end outlives the loss of all control processes at once because the proxies have it by then, and tell it
+//! to the processes that come after.
 
 use crate::peers::{PeerTable, LIVELY};
 use crate::proxies::ProxyTable;
--- a/crates/gaugesaddle-consensus/src/election.rs
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -180,8 +180,7 @@
         let assumed = Some(now);
         self.peers.values_mut().for_each(|p| p.contact = assumed);
         self.history = History::default();
-        self.history.keep(&self.state);
-        self.write_state(now, out);
+        self.replace_state(now, |_| {}, out);
         self.heartbeat(now, out);
     }
 
--- a/crates/gaugesaddle-consensus/src/membership.rs
+++ b/crates/gaugesaddle-consensus/src/membership.rs
@@ -10,13 +10,13 @@
 //! ```
 //!
 //! A successor takes the place of the voter that had its machine (its disk was lost), else of one that does not answer
-//! (its machine may have been replaced), else it is added. Nobody loses a vote before its successor has the state, so that a second
-//! loss meets as many copies as the first did.
+//! (its machine may have been replaced), else it is added. Nobody loses a vote before its successor has the state, so
+//! that a second loss meets as many copies as the first did.
 
 use crate::replica::Learner;
 use crate::settings::{MOST_LEARNERS, MOST_VOTERS};
 use crate::{Output, Replica, Role};
-use gaugesaddle_protocol::{ReplicaId, ReplicaMessage};
+use gaugesaddle_protocol::{ReplicaId, ReplicaMessage, State};
 
 /// A replica that wants to be taken in asks so often, in milliseconds.
 const JOIN: u64 = 300;
@@ -47,14 +47,11 @@
             return;
         }
         if !self.state.outgoing.is_empty() {
-            self.history.keep(&self.state);
-            self.state.outgoing.clear();
-            self.write_state(now, out);
+            self.replace_state(now, |state| state.outgoing.clear(), out);
         } else if let Some(voters) = self.next_voters(now) {
             self.learners.retain(|l, _| !voters.contains(l));
-            self.history.keep(&self.state);
-            self.state.outgoing = std::mem::replace(&mut self.state.voters, voters);
-            self.write_state(now, out);
+            let change = |state: &mut State| state.outgoing = std::mem::replace(&mut state.voters, voters);
+            self.replace_state(now, change, out);
         }
     }
 
--- a/crates/gaugesaddle-consensus/src/replication.rs
+++ b/crates/gaugesaddle-consensus/src/replication.rs
@@ -2,9 +2,11 @@
 
 use crate::pending::{AfterWrite, Confirmed, Confirming};
 use crate::replica::{Answer, Heartbeat, NotLeading};
-use crate::settings::{MOST_ACCEPTED, MOST_PENDING};
+use crate::settings::MOST_PENDING;
 use crate::{update, Output, Proposal, ProposalResult, Replica, Role};
-use gaugesaddle_protocol::{Accepted, Configuration, Mark, ReplicaId, ReplicaMessage, Stamp, StateUpdate};
+use gaugesaddle_protocol::{
+    Accepted, Configuration, Mark, ReplicaId, ReplicaMessage, Stamp, State, StateUpdate,
+};
 
 /// Heartbeats whose time of sending is remembered.
 const MOST_ROUNDS: usize = 64;
@@ -15,9 +17,11 @@
 const BYTES_FOR_MILLISECOND: u64 = 1000;
 
 impl Replica {
-    /// Puts the present state into this leader's term, on this disk and on its way to the others.
-    /// Before a change of it, the history has kept it.
-    pub(crate) fn write_state(&mut self, now: u64, out: &mut Vec<Output>) {
+    /// Replaces the state by a changed one in this leader's term, on this disk and on its way to the others. The history
+    /// keeps the old one, so that the new one can be told against it.
+    pub(crate) fn replace_state(&mut self, now: u64, change: impl FnOnce(&mut State), out: &mut Vec<Output>) {
+        self.history.keep(&self.state);
+        change(&mut self.state);
         self.state.stamp = Stamp { term: self.ballot.term, index: self.state.stamp.index + 1 };
         self.persist(now, true, out);
         self.heartbeat_at = now;
@@ -262,15 +266,15 @@
         } else if proposal.revision <= current {
             self.confirm(now, Confirmed::Proposal(id, ProposalResult::NotAbove { current }));
         } else {
-            self.history.keep(&self.state);
-            self.state.revision = proposal.revision;
-            self.state.document = proposal.document;
-            self.state.accepted.push(accepted);
-            let surplus = self.state.accepted.len().saturating_sub(MOST_ACCEPTED);
-            let dropped = self.state.accepted.drain(..surplus).map(|a| a.revision).max();
-            self.state.forgotten = self.state.forgotten.max(dropped.unwrap_or(0));
             self.proposing = Some(id);
-            self.write_state(now, out);
+            let change = |state: &mut State| {
+                state.revision = proposal.revision;
+                state.document = proposal.document;
+                state.accepted.push(accepted);
+                let dropped = update::drop_oldest(&mut state.accepted);
+                state.forgotten = state.forgotten.max(dropped.unwrap_or(0));
+            };
+            self.replace_state(now, change, out);
         }
     }
 
--- a/crates/gaugesaddle-consensus/src/update.rs
+++ b/crates/gaugesaddle-consensus/src/update.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// Keeps the newest accepted orders only; the highest revision that is dropped. Every replica drops the same ones.
+pub(crate) fn drop_oldest(accepted: &mut Vec<Accepted>) -> Option<u64> {
+    let surplus = accepted.len().saturating_sub(MOST_ACCEPTED);
+    accepted.drain(..surplus).map(|a| a.revision).max()
+}
+
 /// The state that an update makes of the one at hand; `None` where it is told against another.
 pub(crate) fn apply(state: &State, update: StateUpdate) -> Option<State> {
     let (base, mut accepted) = match update.base {
@@ -66,8 +72,7 @@
         Some(_) => return None,
     };
     accepted.extend(update.accepted);
-    let surplus = accepted.len().saturating_sub(MOST_ACCEPTED);
-    accepted.drain(..surplus);
+    drop_oldest(&mut accepted);
     Some(State {
         stamp: update.stamp,
         revision: update.revision,
--- a/crates/gaugesaddle-simulation/src/control.rs
+++ b/crates/gaugesaddle-simulation/src/control.rs
@@ -346,20 +346,13 @@
     }
 
     fn expire_waiting(&mut self, now: Millis) {
-        let due = |waiting: &BTreeMap<u64, Waiter>| -> Vec<u64> {
-            waiting.iter().filter(|(_, w)| now >= w.until).map(|(number, _)| *number).collect()
-        };
-        for number in due(&self.waiting) {
-            self.waiting
-                .remove(&number)
-                .into_iter()
-                .for_each(|w| self.answer(w, Answer::Order(OrderReply::Unclear)));
+        let mut late = Vec::new();
+        for waiting in [&mut self.waiting, &mut self.forwarded] {
+            late.extend(waiting.values().filter(|waiter| now >= waiter.until).copied());
+            waiting.retain(|_, waiter| now < waiter.until);
         }
-        for number in due(&self.forwarded) {
-            self.forwarded
-                .remove(&number)
-                .into_iter()
-                .for_each(|w| self.answer(w, Answer::Order(OrderReply::Unclear)));
+        for waiter in late {
+            self.answer(waiter, Answer::Order(OrderReply::Unclear));
         }
     }
 
