--- a/crates/gaugesaddle-config/src/boot.rs
+++ b/crates/gaugesaddle-config/src/boot.rs
@@ -71,6 +71,10 @@
     pub ack_ms: u64,
     /// Time that a machine that came back needs, in s.
     pub catch_up_s: f64,
+    /// No request runs on a key that was taken away, on any machine, in touch or not.
+    pub closed: bool,
+    /// Time after an acknowledged configuration for which a key that it took away may still be used, in ms.
+    pub revoke_ms: u64,
 }
 
 /// What may be lost at once.
@@ -307,5 +311,7 @@
         quota_slack: r.or("bounds.quotaSlack", NUMBER, 0.0),
         ack_ms: r.or("bounds.ackMs", WHOLE, 4000),
         catch_up_s: r.or("bounds.catchUpS", NUMBER, 4.0),
+        closed: r.or("bounds.closed", "true or false", false),
+        revoke_ms: r.or("bounds.revokeMs", WHOLE, 5000),
     }
 }
--- a/crates/gaugesaddle-config/src/finding.rs
+++ b/crates/gaugesaddle-config/src/finding.rs
@@ -29,6 +29,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub struct Findings(pub Vec<Finding>);
 
+impl Findings {
+    /// A line for each.
+    pub fn lines(&self) -> String {
+        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    }
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         for (number, finding) in self.0.iter().enumerate() {
--- a/crates/gaugesaddle-consensus/src/lib.rs
+++ b/crates/gaugesaddle-consensus/src/lib.rs
@@ -25,6 +25,6 @@
 pub mod stored;
 mod update;
 
-pub use pending::{Proposal, ProposalResult, TicketId};
+pub use pending::{Content, Proposal, ProposalResult, TicketId};
 pub use replica::{Input, NotLeading, Output, Replica, Role};
 pub use settings::Settings;
--- a/crates/gaugesaddle-consensus/src/pending.rs
+++ b/crates/gaugesaddle-consensus/src/pending.rs
@@ -6,6 +6,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TicketId(pub u64);
 
+/// What a proposal brings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// A document that stands for itself.
+    Whole(Vec<u8>),
+    /// A document that was made out of another one: it is taken only on top of that very one.
+    Edited {
+        /// Digest of the document that it was made out of.
+        base: Digest,
+        /// The document.
+        document: Vec<u8>,
+    },
+    /// Nothing could be made, since its proposer did not have the document that the order builds on. It is known again
+    /// and refused like others, and never taken.
+    Unmade,
+}
+
 /// An operator's change, valid in itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Proposal {
@@ -13,17 +30,35 @@
     pub base: u64,
     /// The revision it brings.
     pub revision: u64,
-    /// The document.
-    pub document: Vec<u8>,
-    /// Digest of base and document, for knowing the order again.
+    /// What it brings.
+    pub content: Content,
+    /// Digest of base and body, for knowing the order again.
     pub digest: Digest,
 }
 
+/// Sets the digests of edits apart from those of whole documents.
+const EDIT: &[u8] = b"edit";
+
 impl Proposal {
     /// An order is what was sent, byte for byte: a document that only means the same is another order.
     pub fn new(base: u64, revision: u64, document: Vec<u8>) -> Proposal {
         let digest = Digest::of_parts(&[&base.to_le_bytes(), &document]);
-        Proposal { base, revision, document, digest }
+        Proposal { base, revision, content: Content::Whole(document), digest }
+    }
+
+    /// An order to edit the document of a revision; `body` is what was sent.
+    pub fn edit(base: u64, revision: u64, body: &[u8], content: Content) -> Proposal {
+        let digest = Digest::of_parts(&[EDIT, &base.to_le_bytes(), body]);
+        Proposal { base, revision, content, digest }
+    }
+
+    /// The document that it brings, on top of another one.
+    pub(crate) fn document_on(self, current: &[u8]) -> Option<Vec<u8>> {
+        match self.content {
+            Content::Whole(document) => Some(document),
+            Content::Edited { base, document } => (base == Digest::of(current)).then_some(document),
+            Content::Unmade => None,
+        }
     }
 }
 
--- a/crates/gaugesaddle-consensus/src/replication.rs
+++ b/crates/gaugesaddle-consensus/src/replication.rs
@@ -266,10 +266,16 @@
         } else if proposal.revision <= current {
             self.confirm(now, Confirmed::Proposal(id, ProposalResult::NotAbove { current }));
         } else {
+            let revision = proposal.revision;
+            let Some(document) = proposal.document_on(&self.state.document) else {
+                // Made out of a document that is no longer, or not yet, the one in force: its caller asks again.
+                out.push(Output::Proposed(id, ProposalResult::Unclear));
+                return;
+            };
             self.proposing = Some(id);
             let change = |state: &mut State| {
-                state.revision = proposal.revision;
-                state.document = proposal.document;
+                state.revision = revision;
+                state.document = document;
                 state.accepted.push(accepted);
                 let dropped = update::drop_oldest(&mut state.accepted);
                 state.forgotten = state.forgotten.max(dropped.unwrap_or(0));
--- a/crates/gaugesaddle-control/src/api.rs
+++ b/crates/gaugesaddle-control/src/api.rs
@@ -4,7 +4,7 @@
 use crate::orders;
 use crate::registrations::{self, Registered};
 use bytes::Bytes;
-use gaugesaddle_protocol::OrderReply;
+use gaugesaddle_protocol::{Order, OrderBody, OrderReply};
 use gaugesaddle_transport::accept;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -28,6 +28,7 @@
 const HEARTBEAT: &str = "/Instances.Heartbeat/";
 const DEREGISTER: &str = "/Instances.Deregister/";
 const PUT: &str = "/Config.Put";
+const PATCH: &str = "/Config.Patch";
 const GET: &str = "/Config.Get";
 
 type Answer = Response<Full<Bytes>>;
@@ -55,7 +56,8 @@
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, GET) => get(core).await,
-        (&Method::POST, PUT) => put(core, request).await,
+        (&Method::POST, PUT) => order(core, request, OrderBody::Whole).await,
+        (&Method::POST, PATCH) => order(core, request, OrderBody::Patch).await,
         (&Method::POST, path) => {
             if let Some(id) = path.strip_prefix(HEARTBEAT) {
                 match body(request, registrations::MOST_BYTES).await {
@@ -98,16 +100,19 @@
     }
 }
 
-async fn put(core: &CoreHandle, request: Request<Incoming>) -> Answer {
+/// An order of the operator: a whole configuration, or changes of named items.
+async fn order(core: &CoreHandle, request: Request<Incoming>, read: fn(Vec<u8>) -> OrderBody) -> Answer {
     let base = request.headers().get(BASE).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
     let Some(base) = base else {
         return plain(StatusCode::BAD_REQUEST, "Config-Revision: expected a whole number");
     };
-    let document = match body(request, MOST_CONFIGURATION).await {
-        Ok(document) => document,
-        Err(status) => return plain(status, "a whole configuration was expected"),
+    let body = match body(request, MOST_CONFIGURATION).await {
+        Ok(body) => read(body.to_vec()),
+        Err(status) => {
+            return plain(status, &format!("at most {MOST_CONFIGURATION} bytes were expected, whole"))
+        }
     };
-    match orders::put(core, base, document.to_vec()).await {
+    match orders::submit(core, Order { base, body }).await {
         OrderReply::Taken => json(StatusCode::OK, "{}".into()),
         OrderReply::Conflict { current } => {
             plain(StatusCode::PRECONDITION_FAILED, &format!("revision {current} is in place"))
--- a/crates/gaugesaddle-control/src/cli.rs
+++ b/crates/gaugesaddle-control/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::operator::{self, Target};
+use crate::operator::{self, Change, Target};
 use crate::serve;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use gaugesaddle_config::operator::OperatorConfig;
@@ -29,6 +29,14 @@
         .help("A control address; several are called in turn")
 }
 
+fn base() -> Arg {
+    Arg::new("base")
+        .long("base")
+        .value_name("REVISION")
+        .value_parser(clap::value_parser!(u64))
+        .help("The revision that it builds on; by default the current one")
+}
+
 fn patience() -> Arg {
     Arg::new("for")
         .long("for")
@@ -60,12 +68,20 @@
                 .arg(file())
                 .arg(at())
                 .arg(patience())
+                .arg(base()),
+        )
+        .subcommand(
+            Command::new("patch")
+                .about("Add, replace and remove named items of the configuration of a running fleet")
+                .arg(file())
+                .arg(at())
+                .arg(patience())
+                .arg(base())
                 .arg(
-                    Arg::new("base")
-                        .long("base")
-                        .value_name("REVISION")
-                        .value_parser(clap::value_parser!(u64))
-                        .help("The revision that it builds on; by default the current one"),
+                    Arg::new("dry-run")
+                        .long("dry-run")
+                        .action(ArgAction::SetTrue)
+                        .help("Print the whole configuration that it makes; nothing is brought"),
                 ),
         )
         .subcommand(Command::new("get").about("Print the configuration in force").arg(at()).arg(patience()))
@@ -108,6 +124,7 @@
     match matches.subcommand() {
         Some(("check", arguments)) => check(arguments),
         Some(("put", arguments)) => put(arguments),
+        Some(("patch", arguments)) => patch(arguments),
         Some(("get", arguments)) => get(arguments),
         Some(("watch", arguments)) => watch(arguments),
         Some(("status", arguments)) => status(arguments),
@@ -135,20 +152,36 @@
     Ok((path, document))
 }
 
+fn read_text(arguments: &ArgMatches) -> eyre::Result<String> {
+    let (_, document) = read(arguments)?;
+    Ok(String::from_utf8(document)?)
+}
+
 fn check(arguments: &ArgMatches) -> eyre::Result<()> {
     let (path, document) = read(arguments)?;
-    let config = OperatorConfig::parse(&document).map_err(|findings| {
-        let lines: Vec<String> = findings.0.iter().map(ToString::to_string).collect();
-        eyre::eyre!("{}:\n{}", path.display(), lines.join("\n"))
-    })?;
+    let config = OperatorConfig::parse(&document)
+        .map_err(|findings| eyre::eyre!("{}:\n{}", path.display(), findings.lines()))?;
     println!("{}: good, revision {}", path.display(), config.revision);
     Ok(())
 }
 
 fn put(arguments: &ArgMatches) -> eyre::Result<()> {
-    let (_, document) = read(arguments)?;
-    let text = String::from_utf8(document)?;
-    let revision = operator::put(&target(arguments), &text, arguments.get_one("base").copied())?;
+    let text = read_text(arguments)?;
+    order(arguments, Change::Whole(&text))
+}
+
+fn patch(arguments: &ArgMatches) -> eyre::Result<()> {
+    let text = read_text(arguments)?;
+    if arguments.get_flag("dry-run") {
+        let made = operator::preview(&target(arguments), &text, arguments.get_one("base").copied())?;
+        println!("{made}");
+        return Ok(());
+    }
+    order(arguments, Change::Patch(&text))
+}
+
+fn order(arguments: &ArgMatches, change: Change) -> eyre::Result<()> {
+    let revision = operator::order(&target(arguments), change, arguments.get_one("base").copied())?;
     println!("revision {revision} is acknowledged");
     Ok(())
 }
--- a/crates/gaugesaddle-control/src/operator.rs
+++ b/crates/gaugesaddle-control/src/operator.rs
@@ -5,6 +5,7 @@
 
 use cyper::Client;
 use eyre::{bail, eyre, Result, WrapErr};
+use gaugesaddle_config::{ConfigPatch, OperatorConfig};
 use gaugesaddle_protocol::{Reply, Request, StatusReport};
 use gaugesaddle_transport::Caller;
 use serde_json::json;
@@ -34,30 +35,71 @@
 /// What is called.
 enum Call<'a> {
     Get,
-    Put { base: u64, document: &'a str },
+    Order { change: Change<'a>, base: u64 },
+}
+
+/// What an order brings.
+#[derive(Clone, Copy, Debug)]
+pub enum Change<'a> {
+    /// A whole configuration.
+    Whole(&'a str),
+    /// Changes of named items.
+    Patch(&'a str),
+}
+
+impl<'a> Change<'a> {
+    fn path(self) -> &'static str {
+        match self {
+            Change::Whole(_) => "Config.Put",
+            Change::Patch(_) => "Config.Patch",
+        }
+    }
+
+    fn text(self) -> &'a str {
+        match self {
+            Change::Whole(text) | Change::Patch(text) => text,
+        }
+    }
 }
 
 fn on_runtime<T>(future: impl std::future::Future<Output = Result<T>>) -> Result<T> {
     compio::runtime::Runtime::new()?.block_on(future)
 }
 
-/// Brings a document; `base` is the revision it builds on, by default the current one. Returns the revision put in
-/// force.
-pub fn put(target: &Target, document: &str, base: Option<u64>) -> Result<u64> {
+/// Brings a change; `base` is the revision it builds on, by default the current one. Returns the revision put in force.
+pub fn order(target: &Target, change: Change, base: Option<u64>) -> Result<u64> {
     on_runtime(async {
         let base = match base {
             Some(base) => base,
             None => current(target).await?.map_or(Ok(0), |text| revision(&text))?,
         };
-        let answer = clear_answer(target, &Call::Put { base, document }).await?;
+        let answer = clear_answer(target, &Call::Order { change, base }).await?;
         match answer.status {
-            200 => revision(document),
+            200 => revision(change.text()),
             412 => bail!("another version is in place: {}", answer.text),
             status => bail!("refused with {status}:\n{}", answer.text),
         }
     })
 }
 
+/// The whole that a patch makes of the current configuration, checked as the fleet would; nothing is brought.
+pub fn preview(target: &Target, patch: &str, base: Option<u64>) -> Result<String> {
+    let current = get(target)?.unwrap_or_default();
+    let in_place = if current.is_empty() { 0 } else { revision(&current)? };
+    if base.is_some_and(|base| base != in_place) {
+        bail!("another version is in place: revision {in_place} is in place");
+    }
+    let made = ConfigPatch::parse(patch.as_bytes()).and_then(|patch| {
+        let made = patch.apply(current.as_bytes())?;
+        OperatorConfig::parse(&made).map(|_| (patch.revision, made))
+    });
+    let (brought, made) = made.map_err(|findings| eyre!("{}", findings.lines()))?;
+    if brought <= in_place {
+        bail!("revision: expected more than {in_place}");
+    }
+    Ok(String::from_utf8(made)?)
+}
+
 /// The current configuration; `None` before the first.
 pub fn get(target: &Target) -> Result<Option<String>> {
     on_runtime(current(target))
@@ -121,11 +163,11 @@
 async fn one_call(client: &Client, address: SocketAddrV4, call: &Call<'_>) -> Result<Clear> {
     let request = match call {
         Call::Get => client.get(format!("http://{address}/Config.Get"))?,
-        Call::Put { base, document } => client
-            .post(format!("http://{address}/Config.Put"))?
+        Call::Order { change, base } => client
+            .post(format!("http://{address}/{}", change.path()))?
             .header("Config-Revision", base.to_string())?
             .header("Content-Type", "application/json")?
-            .body((*document).to_owned()),
+            .body(change.text().to_owned()),
     };
     let response = request.send().await?;
     let status = response.status().as_u16();
--- a/crates/gaugesaddle-control/src/orders.rs
+++ b/crates/gaugesaddle-control/src/orders.rs
@@ -1,9 +1,9 @@
 //! The operator's orders: checked where they come in, decided by the leader.
 
 use crate::core::CoreHandle;
-use gaugesaddle_config::operator::OperatorConfig;
-use gaugesaddle_consensus::{Proposal, ProposalResult};
-use gaugesaddle_protocol::{Configuration, Order, OrderReply, Reply, Request};
+use gaugesaddle_config::{Findings, OperatorConfig};
+use gaugesaddle_consensus::{ProposalResult, Replica};
+use gaugesaddle_protocol::{Configuration, Order, OrderBody, OrderReply, Reply, Request};
 use gaugesaddle_transport::Caller;
 use spdlog::info;
 use std::time::Duration;
@@ -15,14 +15,12 @@
 /// A large body has a millisecond more for so many bytes.
 const BYTES_FOR_MILLISECOND: u64 = 1000;
 
-/// Decides an order that came to any process.
-pub async fn put(core: &CoreHandle, base: u64, document: Vec<u8>) -> OrderReply {
-    if let Err(findings) = OperatorConfig::parse(&document) {
-        info!("configuration refused: {findings}");
-        return OrderReply::Invalid { findings: findings.0.iter().map(ToString::to_string).collect() };
+/// Decides an order that came to any process. It is read there, so that one that cannot be read never travels.
+pub async fn submit(core: &CoreHandle, order: Order) -> OrderReply {
+    if let Err(findings) = check(&order.body) {
+        return refused(&findings);
     }
-    let time = ANSWER + Duration::from_millis(document.len() as u64 / BYTES_FOR_MILLISECOND);
-    let order = Order { base, document };
+    let time = ANSWER + Duration::from_millis(order.body.size() as u64 / BYTES_FOR_MILLISECOND);
     let deciding = async {
         if core.with(|c| c.is_leading()) {
             return decide(core, order).await;
@@ -35,15 +33,37 @@
     tokio::time::timeout(time, deciding).await.unwrap_or(OrderReply::Unclear)
 }
 
-/// Decides an order as the leader. The document was checked by whoever passes it on.
+/// What is wrong with an order in itself.
+fn check(body: &OrderBody) -> Result<(), Findings> {
+    match body {
+        OrderBody::Whole(document) => check_whole(document),
+        OrderBody::Patch(_) => gaugesaddle_orders::read(body).map(|_| ()),
+    }
+}
+
+fn check_whole(document: &[u8]) -> Result<(), Findings> {
+    OperatorConfig::parse(document).map(|_| ())
+}
+
+fn refused(findings: &Findings) -> OrderReply {
+    info!("configuration refused: {findings}");
+    OrderReply::Invalid { findings: findings.0.iter().map(ToString::to_string).collect() }
+}
+
+/// Decides an order as the leader. It was read by whoever passes it on.
 pub async fn decide(core: &CoreHandle, order: Order) -> OrderReply {
-    let Some(revision) = revision_of(&order.document) else {
-        return OrderReply::Invalid { findings: vec!["revision: expected a whole number".to_owned()] };
-    };
     if core.with(|c| c.is_being_founded()) {
         return OrderReply::Unclear;
     }
-    match core.propose(Proposal::new(order.base, revision, order.document)).await {
+    let proposal = core.with(|c| {
+        let committed = c.replica.as_ref().and_then(Replica::committed);
+        gaugesaddle_orders::proposal(order, committed, check_whole)
+    });
+    let proposal = match proposal {
+        Ok(proposal) => proposal,
+        Err(findings) => return refused(&findings),
+    };
+    match core.propose(proposal).await {
         ProposalResult::Taken => OrderReply::Taken,
         ProposalResult::Conflict { current } => OrderReply::Conflict { current },
         ProposalResult::NotAbove { current } => {
@@ -72,11 +92,3 @@
     let mut caller = Caller::open(address, CONNECT).await.ok()?;
     caller.call(&request, time).await.ok()
 }
-
-fn revision_of(document: &[u8]) -> Option<u64> {
-    #[derive(serde::Deserialize)]
-    struct Revision {
-        revision: u64,
-    }
-    serde_json::from_slice::<Revision>(document).ok().map(|r| r.revision)
-}
--- a/crates/gaugesaddle-control/tests/command_line.rs
+++ b/crates/gaugesaddle-control/tests/command_line.rs
@@ -2,7 +2,7 @@
 
 use gaugesaddle_testbed::fleet::{document, Fleet};
 use gaugesaddle_testbed::scripted::until;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -61,6 +61,35 @@
     assert!(text(&run(&["get", "--at", &at]).stderr).contains("no configuration yet"));
 }
 
+#[test]
+fn a_patch_is_shown_before_it_is_brought() {
+    let fleet = Fleet::start(3, 0).expect("it starts");
+    let at = format!("{},{}", fleet.control(0), fleet.control(1));
+    let good = file(&fleet, "good.json", &document(4));
+    assert!(run(&["put", &good, "--at", &at, "--for", "20"]).status.success());
+    let mut whole = document(6);
+    whole["routes"].as_array_mut().expect("routes").remove(3);
+    whole["tenants"].as_array_mut().expect("tenants").push(json!({"name": "new", "apiKeys": ["k-new"]}));
+    let patch = json!({"revision": 6, "upsert": {"tenants": [{"name": "new", "apiKeys": ["k-new"]}]},
+        "remove": {"routes": ["single"]}});
+    let patch = file(&fleet, "patch.json", &patch);
+    let shown = run(&["patch", &patch, "--at", &at, "--dry-run"]);
+    let parse = |output: &Output| serde_json::from_slice::<Value>(&output.stdout).unwrap_or_default();
+    assert_eq!(parse(&shown), whole, "{}", text(&shown.stderr));
+    assert_eq!(parse(&run(&["get", "--at", &at])), document(4), "nothing was brought");
+    let late = run(&["patch", &patch, "--at", &at, "--dry-run", "--base", "3"]);
+    assert!(text(&late.stderr).contains("another version is in place"), "{}", text(&late.stderr));
+    let brought = run(&["patch", &patch, "--at", &at]);
+    assert_eq!(text(&brought.stdout), "revision 6 is acknowledged\n", "{}", text(&brought.stderr));
+    assert_eq!(parse(&run(&["get", "--at", &at])), whole);
+    let bad = file(&fleet, "bad.json", &json!({"revision": 7, "remove": {"routes": ["nobody"]}}));
+    for arguments in [vec!["patch", &bad, "--at", &at, "--dry-run"], vec!["patch", &bad, "--at", &at]] {
+        let output = run(&arguments);
+        let said = text(&output.stderr);
+        assert!(!output.status.success() && said.contains("remove.routes[0] (nobody)"), "{said}");
+    }
+}
+
 #[test]
 fn status_names_the_leader_and_its_voters() {
     let fleet = Fleet::start(3, 0).expect("it starts");
--- a/crates/gaugesaddle-control/tests/traffic.rs
+++ b/crates/gaugesaddle-control/tests/traffic.rs
@@ -39,12 +39,17 @@
 /// A fleet with a configuration and these backends, its proxy ready.
 fn fleet_with(edges: u8, backends: &[(&str, SocketAddr)]) -> Fleet {
     let fleet = Fleet::start(1, edges).expect("it starts");
+    serve_by(fleet, backends)
+}
+
+/// Brings the configuration and these backends, and waits until all proxies are ready.
+fn serve_by(fleet: Fleet, backends: &[(&str, SocketAddr)]) -> Fleet {
     until("the configuration is taken", || fleet.put(CONTROL, 0, &document(1).to_string()).0 == 200);
     for (id, address) in backends {
         until("the backend is registered", || fleet.heartbeat(CONTROL, id, "s", *address, "ready") == 200);
     }
-    for at in 0..edges as usize {
-        until("the proxy is ready", || fleet.is_ready(EDGE + at));
+    for at in EDGE..fleet.len() {
+        until("the proxy is ready", || fleet.is_ready(at));
     }
     fleet
 }
@@ -278,3 +283,79 @@
     assert_eq!(client.join().expect("it ends").expect("the stream is whole"), events(0, 4));
     until("the process ends", || !fleet.runs(EDGE));
 }
+
+/// Time for which a key may be used after it was taken away in the closed fleets below, in ms.
+const REVOKE_MS: u64 = 2500;
+
+fn closed_fleet(backend: &Backend) -> Fleet {
+    let fleet = Fleet::start_closed(1, 1, REVOKE_MS).expect("it starts");
+    serve_by(fleet, &[("i-1", backend.address)])
+}
+
+#[test]
+fn without_news_no_key_is_used_for_longer_than_the_bound_and_nobody_is_denied() {
+    let backend = Backend::start(|_| answer("x"));
+    let mut fleet = closed_fleet(&backend);
+    let ask = |fleet: &Fleet| call(fleet.front(EDGE), &request("plain", FREE)).expect("answered");
+    // With a control plane keys are used on and on.
+    let begun = std::time::Instant::now();
+    until("the bound has passed twice", || {
+        assert_eq!(ask(&fleet).status(), 200);
+        begun.elapsed().as_millis() as u64 > 2 * REVOKE_MS
+    });
+    fleet.kill(CONTROL);
+    let cut_off = std::time::Instant::now();
+    assert_eq!(ask(&fleet).status(), 200, "a proof is good for a while");
+    until("clients are sent elsewhere", || !fleet.is_ready(EDGE));
+    let mut refused = Message::default();
+    until("keys are refused", || {
+        refused = ask(&fleet);
+        assert!([200, 503].contains(&refused.status()), "{}", refused.status());
+        refused.status() == 503
+    });
+    assert!(cut_off.elapsed().as_millis() as u64 <= REVOKE_MS, "after {:?}", cut_off.elapsed());
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(refused.header("connection"), Some("close"));
+    let before = backend.requests().len();
+    assert_eq!(
+        call(fleet.front(EDGE), &request("plain", "Api-Key: k-nobody\r\n")).map(|m| m.status()).ok(),
+        Some(401)
+    );
+    assert_eq!(ask(&fleet).status(), 503);
+    assert_eq!(backend.requests().len(), before);
+    // The control plane comes back.
+    fleet.run(CONTROL).expect("it starts again");
+    until("the backend is known", || fleet.heartbeat(CONTROL, "i-1", "s", backend.address, "ready") == 200);
+    until("keys are used again", || ask(&fleet).status() == 200);
+}
+
+#[test]
+fn a_frozen_proxy_runs_nothing_on_a_key_that_was_taken_away_meanwhile() {
+    let backend = Backend::start(|_| answer("x"));
+    let fleet = closed_fleet(&backend);
+    assert_eq!(call(fleet.front(EDGE), &request("plain", FREE)).map(|m| m.status()).ok(), Some(200));
+    let before = backend.requests().len();
+    fleet.freeze(EDGE).expect("a signal");
+    let without = document(2).to_string().replace("k-free", "k-other");
+    assert_eq!(fleet.put(CONTROL, 1, &without).0, 200);
+    let acknowledged = std::time::Instant::now();
+    until("the bound has passed", || acknowledged.elapsed().as_millis() as u64 > REVOKE_MS);
+    // Requests that wait in its sockets when it wakes.
+    let clients: Vec<_> = (0..8)
+        .map(|_| {
+            let to = fleet.front(EDGE);
+            std::thread::spawn(move || call(to, &request("plain", FREE)).map(|m| m.status()))
+        })
+        .collect();
+    let asked = std::time::Instant::now();
+    until("they are sent", || asked.elapsed().as_millis() > 200);
+    fleet.wake(EDGE).expect("a signal");
+    for client in clients {
+        let status = client.join().expect("it ends").expect("answered");
+        assert!([401, 503].contains(&status), "{status}");
+    }
+    assert_eq!(backend.requests().len(), before, "a request ran on a key that was taken away");
+    until("the new key is used", || {
+        call(fleet.front(EDGE), &request("plain", "Api-Key: k-other\r\n")).is_ok_and(|m| m.status() == 200)
+    });
+}
--- a/crates/gaugesaddle-distribution/src/follower.rs
+++ b/crates/gaugesaddle-distribution/src/follower.rs
@@ -9,6 +9,10 @@
 /// Without a process in touch with a majority for so long, other seeds are looked for, in milliseconds.
 const LOST: u64 = 2000;
 
+/// A process that calls itself current has all that was committed so long before it says so, in milliseconds: the lease of
+/// a follower of the replicas' leader (`gaugesaddle-consensus`, `Settings::follower_lease`).
+pub const CURRENT: u64 = 600;
+
 /// What has left is told at the first call to a process, up to so many: as many as leave in the time for which they are
 /// known, where all backends of a large fleet are replaced within the hour.
 const MOST_LEFT: usize = 512;
@@ -37,6 +41,9 @@
     leader: Option<u32>,
     /// When a process in touch with a majority answered last.
     fresh_at: Option<u64>,
+    /// The newest time, by this machine's steady clock, at which the configuration taken last is known to have been the
+    /// newest one acknowledged.
+    proven_at: Option<u64>,
     compared: u64,
     /// When seeds were looked for last.
     sought: u64,
@@ -53,6 +60,7 @@
             document: None,
             leader: None,
             fresh_at: None,
+            proven_at: None,
             compared: now,
             sought: now,
         }
@@ -73,6 +81,14 @@
         self.configuration.as_ref().map(|c| c.stamp)
     }
 
+    /// Whether the configuration taken last was the newest one acknowledged less than so many milliseconds ago.
+    ///
+    /// The proof is a call's own time, less what the process that answered it may lag behind: an answer that waited, or a
+    /// process that slept at either end, only makes it look older than it is.
+    pub fn is_proven_within(&self, now: u64, bound: u64) -> bool {
+        self.proven_at.is_some_and(|at| now < at + bound)
+    }
+
     /// Address of the leader's machine, as far as it is known.
     pub fn leader(&self) -> Option<u32> {
         self.leader
@@ -157,9 +173,15 @@
                     self.configuration = Some(Configuration { stamp, revision, document });
                     taken.configuration = true;
                 }
-                Err(_) => self.document = None,
+                Err(_) => {
+                    self.document = None;
+                    return taken;
+                }
             }
         }
+        if self.configuration.is_some() {
+            self.proven_at = self.proven_at.max(Some(asked.saturating_sub(CURRENT)));
+        }
         taken
     }
 }
--- a/crates/gaugesaddle-distribution/tests/following.rs
+++ b/crates/gaugesaddle-distribution/tests/following.rs
@@ -164,3 +164,53 @@
     let first = proxy.pull(NOW, Lifecycle::Ready, 0);
     assert_eq!(first.left.iter().map(|r| r.id.as_str()).collect::<Vec<_>>(), ["i-1"]);
 }
+
+#[test]
+fn a_proof_is_as_old_as_the_call_that_brought_it_and_what_its_process_may_lag_behind() {
+    let (mut control, mut proxy) = (Control::new(), follower());
+    control.distributor.take(&configuration(1, 1, 5));
+    assert!(!proxy.is_proven_within(NOW, 5000), "nothing is known yet");
+    let first = control.answer(&pull(&mut proxy), true);
+    // Read four seconds after the call was made.
+    proxy.take(NOW + 4000, NOW, GOOD_FOR, first);
+    assert!(proxy.is_proven_within(NOW + 4399, 5000));
+    assert!(!proxy.is_proven_within(NOW + 4400, 5000), "600 before the call");
+    // Without news it is a proof all the same.
+    let again = control.answer(&pull(&mut proxy), true);
+    proxy.take(NOW + 1300, NOW + 1000, GOOD_FOR, again);
+    assert!(proxy.is_proven_within(NOW + 5399, 5000) && !proxy.is_proven_within(NOW + 5400, 5000));
+    // An answer that comes late proves less than what is known already.
+    let late = control.answer(&pull(&mut proxy), true);
+    proxy.take(NOW + 1400, NOW + 100, GOOD_FOR, late);
+    assert!(proxy.is_proven_within(NOW + 5399, 5000));
+}
+
+#[test]
+fn neither_a_stale_process_nor_an_answer_that_cannot_be_used_proves_anything() {
+    let (mut control, mut proxy) = (Control::new(), follower());
+    control.distributor.take(&configuration(1, 1, 5));
+    let first = control.answer(&pull(&mut proxy), true);
+    proxy.take(NOW, NOW, GOOD_FOR, first);
+    let later = NOW + 3000;
+    let stale = control.answer(&pull(&mut proxy), false);
+    proxy.take(later, later, GOOD_FOR, stale);
+    assert!(!proxy.is_proven_within(later, 3000), "a process that lost its group");
+    let waited = control.answer(&pull(&mut proxy), true);
+    proxy.take(later + GOOD_FOR + 1, later, GOOD_FOR, waited);
+    assert!(!proxy.is_proven_within(later, 3000), "an answer that waited in the socket of a sleeping proxy");
+    control.distributor.take(&configuration(1, 2, 6));
+    let mut unusable = control.answer(&pull(&mut proxy), true);
+    let another = "{another,".repeat(40);
+    let update = unusable.configuration.as_mut().expect("a change");
+    update.document = DocumentUpdate::between(Some(another.as_bytes()), format!("{another}x").as_bytes());
+    assert!(matches!(update.document, DocumentUpdate::Patch(_)));
+    proxy.take(later, later, GOOD_FOR, unusable);
+    assert_eq!(proxy.configuration().map(|c| c.revision), Some(5));
+    assert!(!proxy.is_proven_within(later, 3000), "a change that could not be taken");
+}
+
+#[test]
+fn a_process_that_calls_itself_current_lags_behind_no_more_than_is_counted() {
+    let settings = gaugesaddle_consensus::Settings::default();
+    assert_eq!(gaugesaddle_distribution::CURRENT, settings.follower_lease.max(settings.lease));
+}
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -65,14 +65,31 @@
     pub delta: Delta,
 }
 
+/// What an order brings, as its operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum OrderBody {
+    /// A whole configuration.
+    Whole(#[musli(bytes)] Vec<u8>),
+    /// Changes of named items.
+    Patch(#[musli(bytes)] Vec<u8>),
+}
+
+impl OrderBody {
+    /// Its length in bytes.
+    pub fn size(&self) -> usize {
+        match self {
+            OrderBody::Whole(body) | OrderBody::Patch(body) => body.len(),
+        }
+    }
+}
+
 /// An order of the operator, passed on to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Order {
     /// The revision that the order builds on.
     pub base: u64,
-    /// The document.
-    #[musli(bytes)]
-    pub document: Vec<u8>,
+    /// What it brings.
+    pub body: OrderBody,
 }
 
 /// What became of an order.
--- a/crates/gaugesaddle-protocol/src/frame.rs
+++ b/crates/gaugesaddle-protocol/src/frame.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 /// Version of the format; another version's frames are refused.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Bytes before a message: its length (little endian, without these bytes) and the version.
 pub const HEADER_BYTES: usize = 5;
 /// A message is at most this long: a configuration of 4 MiB with room for what goes with it.
--- a/crates/gaugesaddle-simulation/src/control.rs
+++ b/crates/gaugesaddle-simulation/src/control.rs
@@ -5,7 +5,7 @@
 use crate::Millis;
 use gaugesaddle_catalog::{Acknowledgement, Registrar};
 use gaugesaddle_consensus::{
-    stored, Input, NotLeading, Output, Proposal, ProposalResult, Replica, Role, Settings, TicketId,
+    stored, Input, NotLeading, Output, ProposalResult, Replica, Role, Settings, TicketId,
 };
 use gaugesaddle_distribution::{Distributor, Standing};
 use gaugesaddle_log::Ring;
@@ -518,11 +518,12 @@
         let from_peer = matches!(waiter.caller, Node::Control(_));
         match self.route() {
             Some(ip) if ip == self.ip || from_peer => {
-                let Some(revision) = revision_of(&order.document) else {
+                let committed = self.replica.as_ref().and_then(Replica::committed);
+                // Made-up documents have no services: what they make is not checked as a whole.
+                let Ok(proposal) = gaugesaddle_orders::proposal(order, committed, |_| Ok(())) else {
                     return self.answer(waiter, Answer::Order(OrderReply::Invalid { findings: Vec::new() }));
                 };
                 let number = self.wait(waiter);
-                let proposal = Proposal::new(order.base, revision, order.document);
                 self.step(now, Input::Propose(number, Box::new(proposal)));
             }
             Some(ip) => self.pass_on(ip, waiter, Call::Order(Box::new(order))),
@@ -671,10 +672,3 @@
         }
     }
 }
-
-/// The revision of a made-up document, which begins with it.
-pub fn revision_of(document: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(document).ok()?;
-    let (revision, _) = text.strip_prefix("{\"revision\":")?.split_once(',')?;
-    revision.parse().ok()
-}
--- a/crates/gaugesaddle-simulation/src/history.rs
+++ b/crates/gaugesaddle-simulation/src/history.rs
@@ -1,7 +1,8 @@
 //! What was seen from outside, and the rules that it must keep.
 
 use crate::Millis;
-use gaugesaddle_protocol::{Configuration, ReplicaId, Stamp};
+use gaugesaddle_config::ConfigPatch;
+use gaugesaddle_protocol::{Configuration, OrderBody, ReplicaId, Stamp};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -13,6 +14,11 @@
 /// clocks in whole milliseconds.
 pub const CURRENT: Millis = 605;
 
+/// In a closed deployment a key may be used so long after its removal was acknowledged.
+pub const REVOKED: Millis = 5000;
+/// A proxy uses its proofs for so long: clocks run at speeds that differ.
+pub const PROVEN: Millis = 4500;
+
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -93,6 +99,17 @@
         /// When.
         at: Millis,
     },
+    /// A proxy would use keys of a configuration that was replaced too long ago.
+    UsedTooLong {
+        /// The proxy.
+        proxy: u32,
+        /// When.
+        at: Millis,
+        /// The revision.
+        revision: u64,
+        /// What was confirmed long enough ago.
+        expected: u64,
+    },
     /// A proxy went back behind a configuration.
     Regressed {
         /// The proxy.
@@ -149,14 +166,27 @@
     pub base: u64,
     /// The revision it brings.
     pub revision: u64,
-    /// Its document.
-    pub document: Vec<u8>,
+    /// What it brings.
+    pub body: OrderBody,
     /// When it was sent first.
     pub begun: Millis,
     /// When and how it ended.
     pub ended: Option<(Millis, Outcome)>,
 }
 
+impl OrderRecord {
+    /// The document that is in force with its revision, if it was taken: a patch makes it of the one it builds on.
+    fn makes(&self, in_force: &BTreeMap<u64, &Vec<u8>>) -> Option<Vec<u8>> {
+        match &self.body {
+            OrderBody::Whole(document) => Some(document.clone()),
+            OrderBody::Patch(patch) => {
+                let base = if self.base == 0 { &[] } else { in_force.get(&self.base)?.as_slice() };
+                ConfigPatch::parse(patch).ok()?.apply(base).ok()
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ReadRecord {
     begun: Millis,
@@ -276,15 +306,15 @@
         let mut under_number: BTreeMap<u64, &OrderRecord> = BTreeMap::new();
         for order in &self.orders {
             let Some((_, outcome)) = order.ended else { continue };
-            let holds = in_force.get(&order.revision).is_some_and(|document| **document == order.document);
+            let made = order.makes(&in_force);
+            let holds = made.is_some() && in_force.get(&order.revision).copied() == made.as_ref();
             let revision = order.revision;
             match outcome {
                 Outcome::Taken => {
                     if !holds {
                         violations.push(Violation::Lost { revision });
                     }
-                    let other =
-                        |first: &OrderRecord| first.document != order.document || first.base != order.base;
+                    let other = |first: &OrderRecord| first.body != order.body || first.base != order.base;
                     let first = *on_base.entry(order.base).or_insert(order);
                     let same_number = *under_number.entry(revision).or_insert(order);
                     if other(first) || other(same_number) {
@@ -292,11 +322,11 @@
                     }
                 }
                 Outcome::Refused => {
-                    let same = |o: &&OrderRecord| o.base == order.base && o.document == order.document;
+                    let same = |o: &&OrderRecord| o.base == order.base && o.body == order.body;
                     let confirmed = |o: &OrderRecord| matches!(o.ended, Some((_, Outcome::Taken)));
                     if self.orders.iter().filter(same).any(confirmed) {
                         violations.push(Violation::ConfirmedAndRefused { revision });
-                    } else if holds && !self.is_explained(order) {
+                    } else if holds && !self.is_explained(made.as_ref(), &in_force) {
                         violations.push(Violation::RefusedInForce { revision });
                     }
                 }
@@ -305,11 +335,11 @@
         }
     }
 
-    /// Whether a document that is in force may have come by another order with the same words.
-    fn is_explained(&self, refused: &OrderRecord) -> bool {
-        let same_words = |o: &&OrderRecord| o.document == refused.document;
+    /// Whether a document that is in force may have come by another order that makes the same.
+    fn is_explained(&self, made: Option<&Vec<u8>>, in_force: &BTreeMap<u64, &Vec<u8>>) -> bool {
+        let makes_the_same = |o: &&OrderRecord| o.makes(in_force).as_ref() == made;
         let not_refused = |o: &OrderRecord| !matches!(o.ended, Some((_, Outcome::Refused)));
-        self.orders.iter().filter(same_words).any(not_refused)
+        self.orders.iter().filter(makes_the_same).any(not_refused)
     }
 
     fn check_reads(&self, violations: &mut Vec<Violation>) {
--- a/crates/gaugesaddle-simulation/src/operator.rs
+++ b/crates/gaugesaddle-simulation/src/operator.rs
@@ -3,7 +3,7 @@
 use crate::control::{Answer, Call, Packet};
 use crate::history::{History, OrderRecord, Outcome};
 use crate::Millis;
-use gaugesaddle_protocol::{Order, OrderReply};
+use gaugesaddle_protocol::{Order, OrderBody, OrderReply};
 use rand_pcg::rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 
@@ -17,6 +17,8 @@
 const MOST_ATTEMPTS: u32 = 30;
 /// Bytes that documents are filled up with, so that patches have something to leave out.
 const ROUTES: u64 = 12;
+/// One patch in so many removes its route.
+const REMOVALS: u64 = 5;
 
 /// What an operator is doing.
 #[derive(Clone, Debug)]
@@ -52,6 +54,17 @@
     format!("{{\"revision\":{revision},\"routes\":[{}]}}", routes.join(",")).into_bytes()
 }
 
+/// A made-up change of one route, which is removed now and then: also where it is not there, which is refused.
+fn patch(revision: u64, author: u32, salt: u64) -> Vec<u8> {
+    let name = format!("r-{}", salt % ROUTES);
+    let change = if salt % REMOVALS == 0 {
+        format!("\"remove\":{{\"routes\":[\"{name}\"]}}")
+    } else {
+        format!("\"upsert\":{{\"routes\":[{{\"name\":\"{name}\",\"weight\":{salt},\"by\":{author}}}]}}")
+    };
+    format!("{{\"revision\":{revision},{change}}}").into_bytes()
+}
+
 impl Operator {
     /// An operator who begins at a time.
     pub fn new(number: u32, begin: Millis) -> Operator {
@@ -124,16 +137,19 @@
         let revision = self.base + 1 + random.next_u64() % 2;
         let author = if random.next_u64() % 8 == 0 { 0 } else { self.number };
         let salt = random.next_u64() % if author == 0 { 2 } else { 100 };
-        let document = document(revision, author, salt);
-        history.orders.push(OrderRecord { base: self.base, revision, document, begun: now, ended: None });
+        let body = match random.next_u64() % 2 {
+            0 => OrderBody::Whole(document(revision, author, salt)),
+            _ => OrderBody::Patch(patch(revision, author, salt)),
+        };
+        history.orders.push(OrderRecord { base: self.base, revision, body, begun: now, ended: None });
         self.send(now, history.orders.len() - 1, 1, history)
     }
 
     fn send(&mut self, now: Millis, record: usize, attempts: u32, history: &History) -> Packet {
         self.next_id += 1;
         self.doing = Doing::Ordering { id: Some(self.next_id), record, attempts, until: now + PATIENCE };
-        let OrderRecord { base, document, .. } = &history.orders[record];
-        let order = Order { base: *base, document: document.clone() };
+        let OrderRecord { base, body, .. } = &history.orders[record];
+        let order = Order { base: *base, body: body.clone() };
         Packet::Call { id: self.next_id, call: Call::Order(Box::new(order)) }
     }
 
--- a/crates/gaugesaddle-simulation/src/shape.rs
+++ b/crates/gaugesaddle-simulation/src/shape.rs
@@ -31,6 +31,7 @@
             Shape::new("tidewater-gs", 4, 4, 1, 5),
             Shape::new("nilavu-air-grown", 5, 5, 2, 1),
             Shape::new("tidewater-gs-grown", 8, 0, 2, 5),
+            Shape::new("lavallee-grown", 8, 0, 2, 1),
             Shape::new("three-zones", 3, 3, 1, 2),
         ]
     }
--- a/crates/gaugesaddle-simulation/src/world.rs
+++ b/crates/gaugesaddle-simulation/src/world.rs
@@ -92,6 +92,8 @@
     pub struck: usize,
     /// Looks at which machines were in touch.
     pub looks_in_touch: usize,
+    /// Looks at proxies that may not use keys any more, for want of a proof.
+    pub looks_unproven: usize,
 }
 
 /// A day.
@@ -123,6 +125,7 @@
     next_ip: u32,
     struck: usize,
     looks_in_touch: usize,
+    looks_unproven: usize,
 }
 
 /// Plays a plan to its end.
@@ -134,13 +137,14 @@
     }
     world.run_until(plan.end() + MOST_WAIT);
     world.end_day();
-    let World { history, struck, looks_in_touch, .. } = world;
+    let World { history, struck, looks_in_touch, looks_unproven, .. } = world;
     Outcome {
         violations: history.violations(),
         confirmed: history.confirmed(),
         terms: history.terms(),
         struck,
         looks_in_touch,
+        looks_unproven,
     }
 }
 
@@ -171,6 +175,7 @@
             next_ip: 1,
             struck: 0,
             looks_in_touch: 0,
+            looks_unproven: 0,
             shape,
         };
         for number in 0..world.shape.disks + world.shape.diskless {
--- a/crates/gaugesaddle-simulation/src/world/rules.rs
+++ b/crates/gaugesaddle-simulation/src/world/rules.rs
@@ -1,12 +1,13 @@
 //! Looks at the rules with a time bound while a day runs, and at what must have come back at its end.
 
 use super::{Event, World, CALM, CONTACT, LOOK};
-use crate::history::{Violation, APPLIED, DRAINED};
+use crate::history::{Violation, APPLIED, DRAINED, PROVEN, REVOKED};
 use gaugesaddle_protocol::ReplicaId;
 
 impl World {
     pub(super) fn look(&mut self) {
         self.push(self.now + LOOK, Event::Look);
+        self.look_at_keys();
         if self.now < self.troubled_until + CONTACT || self.now < 5000 {
             return;
         }
@@ -32,6 +33,21 @@
         }
     }
 
+    /// No proxy, in touch or not, uses keys of a configuration that was replaced too long ago.
+    fn look_at_keys(&mut self) {
+        let (now, expected) = (self.now, self.history.confirmed_before(self.now.saturating_sub(REVOKED)));
+        for (number, machine) in &self.proxies {
+            let Some(proxy) = &machine.proxy else { continue };
+            let (proxy_number, revision) = (*number, proxy.revision());
+            if !proxy.follower.is_proven_within(now, PROVEN) {
+                self.looks_unproven += 1;
+            } else if revision < expected {
+                let violation = Violation::UsedTooLong { proxy: proxy_number, at: now, revision, expected };
+                self.history.violated(violation);
+            }
+        }
+    }
+
     /// Calm at the end: everything must come back.
     pub(super) fn end_day(&mut self) {
         self.network.calm();
--- a/crates/gaugesaddle-testbed/src/fleet.rs
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -42,6 +42,8 @@
     nodes: Vec<Node>,
     /// Whether the processes' logs go to this process's standard error.
     loud: bool,
+    /// Further lines of every boot file.
+    settings: String,
 }
 
 static FLEETS: AtomicU32 = AtomicU32::new(0);
@@ -55,17 +57,24 @@
 impl Fleet {
     /// Starts so many control processes and proxies, each on a machine of its own.
     pub fn start(controls: u8, edges: u8) -> io::Result<Fleet> {
-        Fleet::start_with(controls, edges, false)
+        Fleet::start_with(controls, edges, false, "")
     }
 
-    /// The same; a loud one shows what its processes log.
-    pub fn start_with(controls: u8, edges: u8, loud: bool) -> io::Result<Fleet> {
+    /// The same, of a deployment in which no request runs on a key so long after it was taken away, in ms.
+    pub fn start_closed(controls: u8, edges: u8, revoke_ms: u64) -> io::Result<Fleet> {
+        let settings = format!("bounds.closed=true\nbounds.revokeMs={revoke_ms}\n");
+        Fleet::start_with(controls, edges, false, &settings)
+    }
+
+    /// The same, with further lines in every boot file; a loud one shows what its processes log.
+    pub fn start_with(controls: u8, edges: u8, loud: bool, settings: &str) -> io::Result<Fleet> {
         let (pid, number) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
         let folder = std::env::temp_dir().join(format!("gaugesaddle-fleet-{pid}-{number}"));
         std::fs::create_dir_all(&folder)?;
         let port = 20_000 + (pid % 5000) as u16 * 8;
         let third = ((pid / 5000 + number * 5) % 250) as u8;
-        let mut fleet = Fleet { folder, port, nodes: Vec::new(), loud };
+        let settings = settings.to_owned();
+        let mut fleet = Fleet { folder, port, nodes: Vec::new(), loud, settings };
         for machine in 0..controls + edges {
             let role = if machine < controls { Role::Control } else { Role::Edge };
             let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, third, 1 + machine);
@@ -77,6 +86,16 @@
         Ok(fleet)
     }
 
+    /// Number of its machines.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether it has none.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
     fn seeds(&self) -> String {
         let controls = self.nodes.iter().filter(|n| n.role == Role::Control).take(3);
         let address = |n: &Node| format!("{}:{}", n.ip, self.port + CONTROL_PORT);
@@ -100,6 +119,7 @@
             format!("faultTolerance.machines={}", self.controls().saturating_sub(1) / 2),
             "bounds.gracePeriodS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10".to_owned(),
             "bounds.budgetSlack=50\nbounds.quotaWindowS=8\nbounds.quotaSlack=0\n".to_owned(),
+            self.settings.clone(),
         ];
         lines.join("\n")
     }
@@ -145,8 +165,27 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&mut self, at: usize) -> io::Result<()> {
+        self.signal(at, "-TERM")
+    }
+
+    /// Ends a process with SIGKILL while others use the fleet; [`Fleet::kill`] must follow before it may run again.
+    pub fn stop_abruptly(&self, at: usize) {
+        let _ = self.signal(at, "-KILL");
+    }
+
+    /// Stops a process until it is woken.
+    pub fn freeze(&self, at: usize) -> io::Result<()> {
+        self.signal(at, "-STOP")
+    }
+
+    /// Wakes a process that was stopped.
+    pub fn wake(&self, at: usize) -> io::Result<()> {
+        self.signal(at, "-CONT")
+    }
+
+    fn signal(&self, at: usize, signal: &str) -> io::Result<()> {
         let Some(child) = &self.nodes[at].child else { return Ok(()) };
-        Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        Command::new("kill").args([signal, &child.id().to_string()]).status()?;
         Ok(())
     }
 
@@ -187,9 +226,18 @@
 
     /// Brings a configuration to a control process: the answer's status and text; 0 where there is none.
     pub fn put(&self, at: usize, base: u64, document: &str) -> (u16, String) {
+        self.order(at, "Put", base, document)
+    }
+
+    /// Brings changes of named items, likewise.
+    pub fn patch(&self, at: usize, base: u64, patch: &str) -> (u16, String) {
+        self.order(at, "Patch", base, patch)
+    }
+
+    fn order(&self, at: usize, call: &str, base: u64, body: &str) -> (u16, String) {
         let text = format!(
-            "POST /Config.Put HTTP/1.1\r\nHost: c\r\nConfig-Revision: {base}\r\nContent-Length: {}\r\n\r\n{document}",
-            document.len()
+            "POST /Config.{call} HTTP/1.1\r\nHost: c\r\nConfig-Revision: {base}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
         );
         self.control_call(at, &text)
     }
--- a/crates/gaugesaddle/src/edge/attempts.rs
+++ b/crates/gaugesaddle/src/edge/attempts.rs
@@ -92,6 +92,15 @@
         }
     }
 
+    /// The answer where its key may not be used any more without news of the configuration.
+    pub fn unproven(&self) -> Refusal {
+        if self.may_have_run {
+            Refusal::Broken
+        } else {
+            Refusal::Unproven
+        }
+    }
+
     /// The answer where its time is over before an attempt.
     pub fn out_of_time(&self) -> Refusal {
         if self.may_have_run {
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -4,11 +4,13 @@
 use super::attempts::Attempts;
 use super::backend::Backend;
 use super::fleet::Fleet;
-use super::headers::{API_KEY, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT};
+use super::headers::{self, API_KEY, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT};
+use super::keys::KeyInUse;
 use super::refusal::Refusal;
 use super::upstream::{attempt, Answer};
 use crate::counted::Counted;
 use crate::exchange::strip;
+use crate::wire::MayBegin;
 use bytes::Bytes;
 use gaugesaddle_config::{Route, RoutingTable, ServiceIndex};
 use gaugesaddle_inference::{Candidate, Kind, Prompt};
@@ -29,6 +31,7 @@
     pub service_name: String,
     pub prompt: Prompt,
     pub deadline: Instant,
+    key: Option<KeyInUse>,
     head: Parts,
     body: Bytes,
     /// Identities of the backends that it was sent to.
@@ -51,6 +54,7 @@
         fleet: Rc<Fleet>, table: Rc<RoutingTable>, admitted: Admitted, mut head: Parts, body: Bytes,
     ) -> Result<Job, Refusal> {
         let service = pick_service(&fleet, admitted.route).ok_or(Refusal::Unavailable)?;
+        let key = KeyInUse::of(&fleet, headers::text(&head.headers, &API_KEY), admitted.tenant);
         let service_name = table.services.get(service.0).ok_or(Refusal::Unavailable)?.name.clone();
         strip(&mut head.headers);
         head.headers.remove(API_KEY);
@@ -74,6 +78,7 @@
             table,
             service,
             service_name,
+            key,
             head,
             body,
             tried: Vec::new(),
@@ -95,6 +100,9 @@
             if Instant::now() >= self.deadline {
                 return Err(self.attempts.out_of_time());
             }
+            if self.key.as_ref().is_some_and(|key| !key.may_begin()) {
+                return Err(self.attempts.unproven());
+            }
             if self.attempts.is_repeat() && !self.fleet.may_repeat(&self.service_name) {
                 return Err(self.attempts.refusal());
             }
@@ -102,7 +110,7 @@
             let in_use = backend.use_for();
             let sent = Instant::now();
             let request = self.request(&backend, resume);
-            let outcome = attempt(&self.fleet, &backend, request, self.deadline).await;
+            let outcome = attempt(&self.fleet, &backend, request, self.deadline, self.key.clone()).await;
             self.tried.push(backend.identity);
             match outcome {
                 Ok(answer) => {
--- a/crates/gaugesaddle/src/edge/fleet.rs
+++ b/crates/gaugesaddle/src/edge/fleet.rs
@@ -98,6 +98,11 @@
         self.table.borrow().clone()
     }
 
+    /// Whether the configuration in force was the newest one acknowledged less than so many milliseconds ago.
+    pub fn is_proven_within(&self, bound: u64) -> bool {
+        self.follower.borrow().is_proven_within(self.now(), bound)
+    }
+
     /// Proxies that live, this one included.
     pub fn proxies(&self) -> usize {
         self.proxies.get()
--- a/crates/gaugesaddle/src/edge/mod.rs
+++ b/crates/gaugesaddle/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod front;
 mod headers;
+mod keys;
 mod lending;
 mod ready;
 mod refusal;
--- a/crates/gaugesaddle/src/edge/ready.rs
+++ b/crates/gaugesaddle/src/edge/ready.rs
@@ -1,6 +1,7 @@
 //! The platform's question whether clients may be sent here.
 
 use super::fleet::Fleet;
+use super::keys;
 use bytes::Bytes;
 use gaugesaddle_transport::{accept, listen};
 use http_body_util::Empty;
@@ -36,7 +37,9 @@
     }
 }
 
-/// Ready with a current configuration and backends; once it is, it stays so without a control plane.
+/// Ready with a current configuration and backends; once it is, it stays so without a control plane, unless keys may not
+/// be used for long without it.
 fn is_ready(fleet: &Fleet) -> bool {
-    !fleet.terminating.get() && fleet.table().is_some() && fleet.has_backends()
+    let serves = fleet.table().is_some() && fleet.has_backends();
+    serves && !fleet.terminating.get() && keys::will_be_proven(fleet)
 }
--- a/crates/gaugesaddle/src/edge/refusal.rs
+++ b/crates/gaugesaddle/src/edge/refusal.rs
@@ -2,7 +2,7 @@
 
 use super::relay::Outgoing;
 use bytes::Bytes;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// Why a request gets no backend's answer. Only some of these promise that it has not run.
@@ -22,6 +22,8 @@
     Unread,
     /// No backend could take it; it has not run.
     Unavailable,
+    /// Its key may have been taken away, and this proxy cannot tell; it has not run.
+    Unproven,
     /// A backend may have run it, and gave no answer.
     Broken,
     /// Its time is over, and it may have run.
@@ -42,7 +44,9 @@
     /// The status that says it.
     pub fn status(self) -> StatusCode {
         match self {
-            Refusal::NotConfigured | Refusal::Unavailable | Refusal::Late => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NotConfigured | Refusal::Unavailable | Refusal::Unproven | Refusal::Late => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoKey => StatusCode::UNAUTHORIZED,
             Refusal::OverQuota => StatusCode::TOO_MANY_REQUESTS,
@@ -57,7 +61,7 @@
     fn retry_after(self) -> Option<&'static str> {
         match self {
             Refusal::NotConfigured => Some(AT_START),
-            Refusal::Unavailable | Refusal::Late => Some(SOON),
+            Refusal::Unavailable | Refusal::Unproven | Refusal::Late => Some(SOON),
             Refusal::OverQuota => Some(LATER),
             _ => None,
         }
@@ -70,6 +74,10 @@
         if let Some(after) = self.retry_after() {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(after));
         }
+        if self == Refusal::Unproven {
+            // On another connection it may reach a proxy that is in touch.
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         answer
     }
 }
--- a/crates/gaugesaddle/src/edge/upstream.rs
+++ b/crates/gaugesaddle/src/edge/upstream.rs
@@ -4,6 +4,7 @@
 use super::backend::{Backend, BackendLink, Load};
 use super::fleet::Fleet;
 use super::headers::{self, BACKEND_LOAD, KEEP_ALIVE, NOT_EXECUTED, REQUEST_ID};
+use super::keys::KeyInUse;
 use crate::upstream::out_of_descriptors;
 use crate::wire::MayBegin;
 use bytes::Bytes;
@@ -37,23 +38,26 @@
 struct Gate {
     backend: Rc<Backend>,
     deadline: Instant,
+    key: Option<KeyInUse>,
 }
 
 impl MayBegin for Gate {
     fn may_begin(&self) -> bool {
-        self.backend.open.get() && Instant::now() < self.deadline
+        let key_holds = self.key.as_ref().is_none_or(KeyInUse::may_begin);
+        self.backend.open.get() && key_holds && Instant::now() < self.deadline
     }
 }
 
 /// Sends a request to a backend and waits for the head of its answer.
 pub async fn attempt(
     fleet: &Fleet, backend: &Rc<Backend>, request: Request<Full<Bytes>>, deadline: Instant,
+    key: Option<KeyInUse>,
 ) -> Result<Answer, Failed> {
     let id = request.headers().get(REQUEST_ID).cloned();
     let mut link = obtain(fleet, backend).await.ok_or(Failed::NeverSent)?;
     link.progress.restart(true);
     link.progress.most.set(usize::MAX);
-    link.progress.guard(Rc::new(Gate { backend: backend.clone(), deadline }));
+    link.progress.guard(Rc::new(Gate { backend: backend.clone(), deadline, key }));
     let sending = link.with_sender(async |sender| sender.send_request(request).await);
     let sent = tokio::time::timeout_at(deadline, sending).await;
     let now = fleet.now();
