--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -7,6 +7,7 @@
 use gaugesaddle_config::{operator::OperatorConfig, BootSettings};
 use gaugesaddle_consensus::{Input, NotLeading, Output, Proposal, ProposalResult, Replica, Settings};
 use gaugesaddle_distribution::{Distributor, Standing};
+use gaugesaddle_load::LoadBoard;
 use gaugesaddle_protocol::{
     Ballot, Configuration, Delta, Lifecycle, Origin, PeerMessage, Pull, Registration, ReplicaId, State,
     StatusReport, Subject,
@@ -67,6 +68,10 @@
     dealer_term: u64,
     pub peers: Peers,
     pub distributor: Distributor,
+    /// What proxies see of the backends' load.
+    pub loads: LoadBoard,
+    /// Wakes the task that tells the other processes of it.
+    pub reported: Rc<Notify>,
     disk: Option<mpsc::Sender<Write>>,
     waiting: HashMap<u64, Waiting>,
     next_waiting: u64,
@@ -100,6 +105,8 @@
             dealer_term: 0,
             peers,
             distributor: Distributor::default(),
+            loads: LoadBoard::default(),
+            reported: Rc::default(),
             disk,
             waiting: HashMap::new(),
             next_waiting: 1,
--- a/crates/gaugesaddle-control/src/lib.rs
+++ b/crates/gaugesaddle-control/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 mod disk;
 pub mod founding;
+mod loads;
 pub mod operator;
 mod orders;
 mod peers;
--- a/crates/gaugesaddle-control/src/peers.rs
+++ b/crates/gaugesaddle-control/src/peers.rs
@@ -130,6 +130,10 @@
                 core.step(Input::Message { from, message });
             }
         }
+        PeerMessage::Load(loads) => core.with(|c| {
+            let now = c.clock.now();
+            c.loads.take(now, ip, loads);
+        }),
         message => {
             if let PeerMessage::Compare { members, .. } = &message {
                 core.with(|c| c.know(members.iter().copied()));
--- a/crates/gaugesaddle-control/src/requests.rs
+++ b/crates/gaugesaddle-control/src/requests.rs
@@ -1,7 +1,7 @@
 //! Requests of proxies and of other control processes, over frames.
 
 use crate::core::CoreHandle;
-use crate::{orders, peers};
+use crate::{loads, orders, peers};
 use gaugesaddle_protocol::{Opening, Pull, PullReply, Reply, Request};
 use gaugesaddle_transport::{accept, Link, LinkError};
 use spdlog::debug;
@@ -50,6 +50,7 @@
             let now = c.clock.now();
             Reply::Quota { grants: c.dealer.lend(now, &machine, &wants) }
         }),
+        Request::Load { proxy, loads } => Reply::Load { loads: loads::report(core, proxy, loads) },
         Request::Order(order) => Reply::Order(orders::decide(core, *order).await),
         Request::Read => match core.read().await {
             Ok(configuration) => Reply::Read(configuration),
--- a/crates/gaugesaddle-control/src/serve.rs
+++ b/crates/gaugesaddle-control/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::core::CoreHandle;
 use crate::peers::Peers;
-use crate::{api, disk, peers, requests, upkeep};
+use crate::{api, disk, loads, peers, requests, upkeep};
 use eyre::{eyre, Result, WrapErr};
 use gaugesaddle_config::BootSettings;
 use gaugesaddle_transport::listen;
@@ -43,6 +43,7 @@
     tokio::task::spawn_local(api::serve(core.clone(), calls));
     tokio::task::spawn_local(core.clone().run_timer());
     tokio::task::spawn_local(upkeep::run(core.clone()));
+    tokio::task::spawn_local(loads::run(core.clone()));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     loop {
--- a/crates/gaugesaddle-inference/src/chooser.rs
+++ b/crates/gaugesaddle-inference/src/chooser.rs
@@ -1,34 +1,23 @@
 //! Shares by the clamped formula, and the draw inside a kind.
 
-use crate::{warmth, Prompt, Rate};
+use crate::settings::ChooserSettings;
+use crate::{bands, warmth, Prompt, Rate};
 use beechworks::halb_shares;
 use rand_core::RngCore;
 use std::collections::BTreeMap;
 
-/// Figures of the choice.
-#[derive(Clone, Copy, Debug)]
-pub struct ChooserSettings {
-    /// Smoothing of arrival rates, in ms.
-    pub rate_smoothing: f64,
-    /// Part that one latency has in the smoothed one.
-    pub latency_part: f64,
-    /// Backends that keep a part of a prompt, at least.
-    pub copies: usize,
-    /// Requests a second for one part, over the fleet, that call for another copy.
-    pub rate_for_copy: f64,
-}
-
-impl Default for ChooserSettings {
-    fn default() -> ChooserSettings {
-        ChooserSettings { rate_smoothing: 12_000.0, latency_part: 0.1, copies: 1, rate_for_copy: 6.0 }
-    }
-}
-
 /// Parts whose rate is remembered.
 const MOST_PARTS: usize = 8192;
+/// What a request takes that reads nothing, in tokens that could be read in that time.
+pub const OVERHEAD_TOKENS: f64 = 300.0;
+/// A crowded backend without data is taken to be so much slower.
+const CROWDED: f64 = 8.0;
+/// Part of the shared tokens that a backend next in rank is taken to have yet to read: it keeps them if it was tried
+/// before.
+const NEXT_UNREAD: f64 = 0.5;
 
 /// A backend that may get the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// Number of its identity, see [`warmth::identity`].
     pub identity: u64,
@@ -36,22 +25,34 @@
     pub slots: u32,
     /// It has more requests than it works on at once.
     pub crowded: bool,
+    /// Work that waits there, in tokens.
+    pub backlog: f64,
+}
+
+/// What a backend is taken to keep of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Keeps {
+    /// Its shared parts.
+    All,
+    /// Its shared parts, if the prompt's keepers had too much to do before.
+    Perhaps,
+    /// Nothing.
+    Nothing,
 }
 
 /// A kind of backends, for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Kind {
-    /// Size of its backends.
-    pub slots: u32,
-    /// They keep the prompt's shared part.
-    pub warm: bool,
-    /// They have more requests than they work on at once.
-    pub crowded: bool,
+struct Kind {
+    slots: u32,
+    keeps: Keeps,
+    crowded: bool,
+    /// How much work waits there, see [`bands`].
+    band: u32,
 }
 
-/// What latencies are learned for: warm and cold backends read a token equally fast.
+/// What latencies are learned for: a token is read equally fast whatever is kept and waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Reader {
+pub struct Reader {
     slots: u32,
     crowded: bool,
 }
@@ -62,13 +63,38 @@
     }
 }
 
-/// Arrivals of one prompt part at one proxy that may be chance: what few proxies see of a part says little of what all
-/// of them see together, and would be multiplied by their number.
-const CHANCE: f64 = 2.0;
-/// What a request takes that reads nothing, in tokens that could be read in that time.
-const OVERHEAD_TOKENS: f64 = 300.0;
-/// A crowded backend without data is taken to be so much slower.
-const CROWDED: f64 = 8.0;
+/// The backend that was drawn, and what is expected of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Its place among the candidates.
+    pub index: usize,
+    /// What its latency teaches something of.
+    pub reader: Reader,
+    /// Work that the request brings there, in tokens.
+    pub work: f64,
+    /// The same, with what waits there before it.
+    pub ahead: f64,
+    /// Whether it is taken to keep the prompt's shared parts.
+    pub warm: bool,
+}
+
+/// The members of a kind, and what waits at one of them on the mean.
+#[derive(Debug, Default)]
+struct Members {
+    indices: Vec<usize>,
+    backlog: f64,
+}
+
+/// What is known of the traffic that a choice belongs to.
+#[derive(Clone, Copy, Debug)]
+pub struct Surroundings {
+    /// Proxies that arrivals are spread over.
+    pub proxies: usize,
+    /// Work that arrives at one backend while news of it travels, in tokens.
+    pub inflow: f64,
+    /// The objective of the request's answer, in ms.
+    pub target_ms: f64,
+}
 
 /// Chooses backends of one service for one route.
 #[derive(Clone, Debug)]
@@ -100,78 +126,123 @@
     }
 
     /// A served request took so many milliseconds, to its first event where it is a stream.
-    pub fn note_latency(&mut self, kind: Kind, prompt: Prompt, latency: f64) {
+    pub fn note_latency(&mut self, choice: &Choice, latency: f64) {
         let part = self.settings.latency_part;
-        let sample = latency / work(prompt, kind.warm);
-        let learned = self.latencies.entry(Reader::from(&kind)).or_insert(sample);
+        let sample = latency / choice.ahead.max(OVERHEAD_TOKENS);
+        let learned = self.latencies.entry(choice.reader).or_insert(sample);
         *learned += part * (sample - *learned);
     }
 
-    /// The index of the backend drawn, and the kind it was drawn from. `proxies` is the number of proxies that
-    /// arrivals are spread over.
+    /// Draws a backend; `None` where there is none.
     pub fn choose(
-        &self, now: u64, candidates: &[Candidate], prompt: Prompt, proxies: usize, random: &mut impl RngCore,
-    ) -> Option<(usize, Kind)> {
+        &self, now: u64, candidates: &[Candidate], prompt: Prompt, around: Surroundings,
+        random: &mut impl RngCore,
+    ) -> Option<Choice> {
+        let rate = self.rate(now, prompt) * around.proxies.max(1) as f64;
+        let kinds = self.kinds(candidates, prompt.subject, rate, around.inflow);
+        let shares = self.shares(&kinds, prompt, rate, around.target_ms);
+        let at = draw(&shares, random)?;
+        let (kind, members) = kinds.get(at)?;
+        let index = *members.indices.get(below(random, members.indices.len()))?;
+        let work = work(prompt, kind.keeps, 1.0);
+        let ahead = work + candidates.get(index)?.backlog;
+        Some(Choice { index, reader: Reader::from(kind), work, ahead, warm: kind.keeps == Keeps::All })
+    }
+
+    /// Requests a second at this proxy that may be taken to be like this one.
+    fn rate(&self, now: u64, prompt: Prompt) -> f64 {
         let smoothing = self.settings.rate_smoothing;
-        let own = match prompt.subject {
+        match prompt.subject {
             Some(part) => {
                 let seen = self.parts.get(&part).map_or(0.0, |r| r.at(now, smoothing));
-                (seen - CHANCE * 1000.0 / smoothing).max(0.0)
+                (seen - self.settings.chance * 1000.0 / smoothing).max(0.0)
             }
             None => self.arrivals.at(now, smoothing),
-        };
-        let rate = own * proxies.max(1) as f64;
-        let kinds = self.kinds(candidates, prompt.subject, rate);
-        let shares = self.shares(&kinds, prompt, rate);
-        let at = draw(&shares, random)?;
-        let (kind, members) = kinds.get(at)?;
-        let member = members.get(below(random, members.len()))?;
-        Some((*member, *kind))
+        }
     }
 
     /// The members of each kind.
-    fn kinds(&self, candidates: &[Candidate], part: Option<u64>, rate: f64) -> Vec<(Kind, Vec<usize>)> {
-        let marks = match part {
-            Some(part) => {
-                let more = (rate / self.settings.rate_for_copy) as usize;
-                let identities: Vec<u64> = candidates.iter().map(|c| c.identity).collect();
-                warmth::warm(part, &identities, self.settings.copies + more)
-            }
-            None => vec![false; candidates.len()],
-        };
-        let mut kinds: BTreeMap<Kind, Vec<usize>> = BTreeMap::new();
-        for (index, (candidate, warm)) in candidates.iter().zip(marks).enumerate() {
-            let kind = Kind { slots: candidate.slots, warm, crowded: candidate.crowded };
-            kinds.entry(kind).or_default().push(index);
+    fn kinds(
+        &self, candidates: &[Candidate], part: Option<u64>, rate: f64, inflow: f64,
+    ) -> Vec<(Kind, Members)> {
+        let keeps = self.keepers(candidates, part, rate);
+        let bands = self.bands(candidates, inflow);
+        let mut kinds: BTreeMap<Kind, Members> = BTreeMap::new();
+        for (index, candidate) in candidates.iter().enumerate() {
+            let Candidate { slots, crowded, backlog, .. } = *candidate;
+            let crowded = crowded && self.settings.crowded;
+            let kind = Kind { slots, keeps: keeps[index], crowded, band: bands[index] };
+            let members = kinds.entry(kind).or_default();
+            members.indices.push(index);
+            members.backlog += (backlog - members.backlog) / members.indices.len() as f64;
         }
         kinds.into_iter().collect()
     }
 
+    fn bands(&self, candidates: &[Candidate], inflow: f64) -> Vec<u32> {
+        if !self.settings.backlog {
+            return vec![0; candidates.len()];
+        }
+        let backlogs: Vec<f64> = candidates.iter().map(|c| c.backlog).collect();
+        bands::of(&backlogs, inflow * self.settings.band, self.settings.light_part)
+    }
+
+    /// What each candidate is taken to keep of a part.
+    fn keepers(&self, candidates: &[Candidate], part: Option<u64>, rate: f64) -> Vec<Keeps> {
+        let mut keeps = vec![Keeps::Nothing; candidates.len()];
+        let (Some(part), copies) = (part, self.settings.copies) else { return keeps };
+        if copies == 0 {
+            return keeps;
+        }
+        let copies = copies + (rate / self.settings.rate_for_copy) as usize;
+        let identities: Vec<u64> = candidates.iter().map(|c| c.identity).collect();
+        let ranked = warmth::ranked(part, &identities, copies + self.settings.next_copies);
+        for (place, index) in ranked.into_iter().enumerate() {
+            keeps[index] = if place < copies { Keeps::All } else { Keeps::Perhaps };
+        }
+        keeps
+    }
+
     /// The clamped formula. Speeds are what the latencies tell under the present load; a kind without data counts as
-    /// equally fast, but a crowded one as slow until it is known. A backend serves as many requests at once as it has
+    /// equally fast, but a crowded one as slow until it is known. What waits at a backend counts as far as it makes the
+    /// answer late: up to there all are equally good, and the one that reads least is best for the others. A backend serves as many requests at once as it has
     /// slots: each slot is one of the formula's servers.
-    fn shares(&self, kinds: &[(Kind, Vec<usize>)], prompt: Prompt, rate: f64) -> Vec<f64> {
+    fn shares(&self, kinds: &[(Kind, Members)], prompt: Prompt, rate: f64, target_ms: f64) -> Vec<f64> {
         let calm = self.latencies.iter().filter(|(reader, _)| !reader.crowded).map(|(_, ms)| *ms);
         let typical = calm.reduce(f64::max).unwrap_or(1.0);
-        let latency = |kind: &Kind| {
+        let good = target_ms * self.settings.target_part;
+        let latency = |kind: &Kind, backlog: f64| {
             let guess = if kind.crowded { typical * CROWDED } else { typical };
             let learned = self.latencies.get(&Reader::from(kind)).copied();
-            learned.unwrap_or(guess).max(1e-6) * work(prompt, kind.warm) / 1000.0
+            let token_ms = learned.unwrap_or(guess).max(1e-6);
+            // Where requests wait for a place already, what is kept is no reason to add one more.
+            let keeps = if kind.crowded { Keeps::Nothing } else { kind.keeps };
+            let own = token_ms * work(prompt, keeps, self.settings.read_again);
+            let late = (token_ms * (work(prompt, kind.keeps, 1.0) + backlog) - good).max(0.0);
+            (own + late) / 1000.0
         };
-        let servers = |kind: &Kind, members: &[usize]| members.len() as f64 * f64::from(kind.slots.max(1));
+        let servers =
+            |kind: &Kind, members: &Members| members.indices.len() as f64 * f64::from(kind.slots.max(1));
         let total: f64 = kinds.iter().map(|(kind, members)| servers(kind, members)).sum();
         let even = rate / total.max(1.0);
+        let backlog = |members: &Members| if self.settings.backlog { members.backlog } else { 0.0 };
         let table: Vec<(f64, f64)> = kinds
             .iter()
-            .map(|(kind, members)| (servers(kind, members), 1.0 / latency(kind) + even))
+            .map(|(kind, members)| (servers(kind, members), 1.0 / latency(kind, backlog(members)) + even))
             .collect();
         halb_shares(&table, Some(rate))
     }
 }
 
-/// What a request takes, in tokens read.
-fn work(prompt: Prompt, warm: bool) -> f64 {
-    OVERHEAD_TOKENS + prompt.unread(warm) as f64
+/// What a request takes at a backend, in tokens read; a shared one that is read again weighs so much.
+fn work(prompt: Prompt, keeps: Keeps, read_again: f64) -> f64 {
+    let (own, shared) = ((prompt.total - prompt.shared) as f64, prompt.shared as f64);
+    let unread = match keeps {
+        Keeps::All => 0.0,
+        Keeps::Perhaps => NEXT_UNREAD,
+        Keeps::Nothing => 1.0,
+    };
+    OVERHEAD_TOKENS + own + shared * unread * read_again
 }
 
 fn draw(shares: &[f64], random: &mut impl RngCore) -> Option<usize> {
--- a/crates/gaugesaddle-inference/src/lib.rs
+++ b/crates/gaugesaddle-inference/src/lib.rs
@@ -13,14 +13,17 @@
 //! - [`events`]: the events of a stream, for passing on whole and for continuing.
 //! - [`PromptParts`]: what a request says of its prompt.
 
+mod bands;
 mod chooser;
 pub mod events;
 mod prompt;
 mod rate;
+mod settings;
 mod sizes;
 pub mod warmth;
 
-pub use chooser::{Candidate, Chooser, ChooserSettings, Kind};
+pub use chooser::{Candidate, Choice, Chooser, Reader, Surroundings, OVERHEAD_TOKENS};
 pub use prompt::{Prompt, PromptParts, TokenUsage};
 pub use rate::Rate;
+pub use settings::{ChooserSettings, UnknownSetting};
 pub use sizes::PromptSizes;
--- a/crates/gaugesaddle-inference/src/sizes.rs
+++ b/crates/gaugesaddle-inference/src/sizes.rs
@@ -4,7 +4,7 @@
 //! events both suffer. So a part of the backends, as large as the long prompts' part of the work asks for, is kept for
 //! them. All proxies keep the same ones: those that rank highest for a fixed number.
 
-use crate::{warmth, Prompt};
+use crate::{warmth, Prompt, Rate, OVERHEAD_TOKENS};
 
 /// A prompt of so many times the mean is long.
 const LONG: f64 = 10.0;
@@ -23,6 +23,8 @@
 const ROOM: f64 = 1.4;
 /// Fewer backends are not divided.
 const LEAST_BACKENDS: usize = 4;
+/// Smoothing of the arrival rate, in ms.
+const SMOOTHING: f64 = 5000.0;
 /// What backends are ranked for.
 const RESERVED: u64 = 0x6c6f_6e67;
 
@@ -35,17 +37,19 @@
     long: f64,
     /// The part by which backends are kept; follows `long` when that is well off.
     kept: f64,
+    arrivals: Rate,
 }
 
 impl Default for PromptSizes {
     fn default() -> PromptSizes {
-        PromptSizes { seen: 0, mean: MEAN, long: LONG_PART, kept: LONG_PART }
+        PromptSizes { seen: 0, mean: MEAN, long: LONG_PART, kept: LONG_PART, arrivals: Rate::default() }
     }
 }
 
 impl PromptSizes {
     /// Takes a prompt into account; tokens that a backend that keeps its shared part would read.
-    pub fn note(&mut self, prompt: Prompt) {
+    pub fn note(&mut self, now: u64, prompt: Prompt) {
+        self.arrivals.note(now, SMOOTHING);
         if prompt.total == 0 {
             return;
         }
@@ -62,6 +66,15 @@
         }
     }
 
+    /// Work that arrives at each of so many backends within a time in ms, from so many proxies like this one, in tokens;
+    /// one request's at least.
+    pub fn inflow(&self, now: u64, time: f64, proxies: usize, backends: usize) -> f64 {
+        let read = if self.seen == 0 { 0.0 } else { self.mean };
+        let rate = self.arrivals.at(now, SMOOTHING) * proxies.max(1) as f64;
+        let requests = rate * time / 1000.0 / backends.max(1) as f64;
+        (OVERHEAD_TOKENS + read) * requests.max(1.0)
+    }
+
     /// Whether a prompt is long.
     pub fn is_long(&self, prompt: Prompt) -> bool {
         prompt.unread(true) as f64 > LONG * self.mean
--- a/crates/gaugesaddle-inference/src/warmth.rs
+++ b/crates/gaugesaddle-inference/src/warmth.rs
@@ -12,15 +12,22 @@
     id.bytes().fold(0x9ae1_6a3b_2f90_404f, |hash, byte| mix(hash ^ u64::from(byte)))
 }
 
-/// Marks the `copies` highest ranks among backends.
-pub fn warm(part: u64, backends: &[u64], copies: usize) -> Vec<bool> {
+/// Indices of so many backends with the highest ranks, the highest first.
+pub fn ranked(part: u64, backends: &[u64], count: usize) -> Vec<usize> {
     let mut ranked: Vec<(u64, usize)> =
         backends.iter().enumerate().map(|(index, backend)| (rank(part, *backend), index)).collect();
-    let mut marks = vec![false; backends.len()];
-    if copies < ranked.len() {
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
+    if count < ranked.len() {
+        ranked.select_nth_unstable_by(count, |a, b| b.cmp(a));
+        ranked.truncate(count);
     }
-    for (_, index) in ranked.into_iter().take(copies) {
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, index)| index).collect()
+}
+
+/// Marks the `copies` highest ranks among backends.
+pub fn warm(part: u64, backends: &[u64], copies: usize) -> Vec<bool> {
+    let mut marks = vec![false; backends.len()];
+    for index in ranked(part, backends, copies) {
         marks[index] = true;
     }
     marks
--- a/crates/gaugesaddle-inference/tests/choice.rs
+++ b/crates/gaugesaddle-inference/tests/choice.rs
@@ -3,7 +3,7 @@
 
 use gaugesaddle_inference::events::EventScanner;
 use gaugesaddle_inference::{
-    warmth, Candidate, Chooser, ChooserSettings, Prompt, PromptParts, PromptSizes, TokenUsage,
+    warmth, Candidate, Chooser, ChooserSettings, Prompt, PromptParts, PromptSizes, Surroundings, TokenUsage,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -12,10 +12,17 @@
 use std::collections::BTreeMap;
 
 const NOW: u64 = 1_000_000;
+/// Work that arrives at a backend while news travels.
+const INFLOW: f64 = 4000.0;
 
 fn candidates(count: usize) -> Vec<Candidate> {
     (0..count)
-        .map(|n| Candidate { identity: warmth::identity(&format!("i-{n}")), slots: 64, crowded: false })
+        .map(|n| Candidate {
+            identity: warmth::identity(&format!("i-{n}")),
+            slots: 64,
+            crowded: false,
+            backlog: 0.0,
+        })
         .collect()
 }
 
@@ -30,9 +37,10 @@
     let mut random = Pcg64Mcg::seed_from_u64(3);
     let mut counts = BTreeMap::new();
     for _ in 0..4000 {
-        let (at, _) =
-            chooser.choose(NOW, candidates, prompt, proxies, &mut random).expect("there are candidates");
-        *counts.entry(at).or_default() += 1;
+        let around = Surroundings { proxies, inflow: INFLOW, target_ms: 800.0 };
+        let choice =
+            chooser.choose(NOW, candidates, prompt, around, &mut random).expect("there are candidates");
+        *counts.entry(choice.index).or_default() += 1;
     }
     counts
 }
@@ -77,6 +85,75 @@
     assert!(!counts.contains_key(&warm), "the crowded backend is still drawn");
 }
 
+/// The backend that keeps a part, and the one next in rank.
+fn keepers(chooser: &Chooser, backends: &[Candidate], prompt: Prompt) -> (usize, usize) {
+    let identities: Vec<u64> = backends.iter().map(|b| b.identity).collect();
+    let ranked = warmth::ranked(prompt.subject.expect("a part"), &identities, 2);
+    assert_eq!(draws(chooser, backends, prompt, 9).keys().next(), Some(&ranked[0]));
+    (ranked[0], ranked[1])
+}
+
+/// A chooser that has learned that a token takes a fiftieth of a millisecond.
+fn learned(backends: &[Candidate], prompt: Prompt) -> Chooser {
+    let mut chooser = Chooser::new(ChooserSettings::default());
+    let around = Surroundings { proxies: 9, inflow: INFLOW, target_ms: 800.0 };
+    let mut random = Pcg64Mcg::seed_from_u64(5);
+    for _ in 0..100 {
+        let choice = chooser.choose(NOW, backends, prompt, around, &mut random).expect("a backend");
+        chooser.note_latency(&choice, choice.ahead / 50.0);
+    }
+    chooser
+}
+
+#[test]
+fn what_waits_at_a_keeper_moves_a_prompt_only_where_its_answer_would_be_late() {
+    let mut backends = candidates(18);
+    let chooser = learned(&backends, prompt(5));
+    let (keeper, next) = keepers(&chooser, &backends, prompt(5));
+    // 20,000 tokens are read in 400 ms of the 800: reading 5,000 shared ones again elsewhere would be in vain.
+    backends[keeper].backlog = 20_000.0;
+    assert_eq!(draws(&chooser, &backends, prompt(5), 9).len(), 1);
+    backends[keeper].backlog = 200_000.0;
+    let moved = draws(&chooser, &backends, prompt(5), 9);
+    assert_eq!(
+        moved.keys().copied().collect::<Vec<_>>(),
+        [next],
+        "the next in rank, at all proxies the same"
+    );
+    backends[next].backlog = 200_000.0;
+    let spread = draws(&chooser, &backends, prompt(5), 9);
+    assert!(spread.len() == 16 && !spread.contains_key(&keeper), "{spread:?}");
+}
+
+#[test]
+fn all_proxies_that_hear_the_same_news_spread_over_many_backends() {
+    let mut backends = candidates(60);
+    for (at, backend) in backends.iter_mut().enumerate() {
+        backend.backlog = 1000.0 * at as f64;
+    }
+    let chooser = learned(&backends, Prompt { subject: None, shared: 0, total: 40_000 });
+    let prompt = Prompt { subject: None, shared: 0, total: 40_000 };
+    let counts = draws(&chooser, &backends, prompt, 91);
+    assert!((15..=30).contains(&counts.len()), "{} of 60", counts.len());
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(most < 2 * 4000 / counts.len(), "one of them gets {most} of 4,000");
+    assert!(counts.keys().all(|at| backends[*at].backlog < 30_000.0), "one with much to do is drawn");
+}
+
+#[test]
+fn settings_are_read_by_their_keys_or_refused() {
+    let mut settings = ChooserSettings::default();
+    settings.set("copies=3").expect("a known key");
+    settings.set("long_apart=true").expect("a known key");
+    assert_eq!((settings.copies, settings.long_apart), (3, true));
+    let before = settings;
+    for bad in ["copies", "copies=x", "long_apart=1", "=", "nobody=1"] {
+        let error = settings.set(bad).expect_err("it is refused").to_string();
+        assert!(error.starts_with(bad), "{error}");
+    }
+    assert_eq!(settings, before);
+}
+
 #[test]
 fn requests_without_a_prompt_are_spread_evenly() {
     let chooser = Chooser::new(ChooserSettings::default());
@@ -84,7 +161,15 @@
     assert_eq!(counts.len(), 4);
     assert!(counts.values().all(|n| (850..1150).contains(n)), "{counts:?}");
     let mut random = Pcg64Mcg::seed_from_u64(3);
-    assert!(chooser.choose(NOW, &[], Prompt::default(), 3, &mut random).is_none());
+    assert!(chooser
+        .choose(
+            NOW,
+            &[],
+            Prompt::default(),
+            Surroundings { proxies: 3, inflow: INFLOW, target_ms: 800.0 },
+            &mut random
+        )
+        .is_none());
 }
 
 #[test]
@@ -105,7 +190,7 @@
     let short = Prompt { subject: Some(1), shared: 500, total: 1500 };
     let long = Prompt { subject: Some(1), shared: 500, total: 40_500 };
     for number in 0..4000 {
-        sizes.note(if number % 100 == 0 { long } else { short });
+        sizes.note(NOW + number, if number % 100 == 0 { long } else { short });
     }
     assert!(sizes.is_long(long) && !sizes.is_long(short));
     let kept = sizes.reserved(18);
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -1,8 +1,8 @@
 //! Requests to a control process and its answers, and what control processes tell each other.
 
 use crate::{
-    Delta, DocumentUpdate, QuotaGrant, QuotaWant, Registration, ReplicaId, ReplicaMessage, Stamp,
-    VersionVector,
+    BackendLoad, Delta, DocumentUpdate, QuotaGrant, QuotaWant, Registration, ReplicaId, ReplicaMessage,
+    Stamp, VersionVector,
 };
 use gaugesaddle_patch::Digest;
 use musli::{Decode, Encode};
@@ -123,6 +123,13 @@
         /// Its wants.
         wants: Vec<QuotaWant>,
     },
+    /// From a proxy: what it sees of the backends' load.
+    Load {
+        /// A number that this process of the proxy has drawn.
+        proxy: u64,
+        /// Its part.
+        loads: Vec<BackendLoad>,
+    },
     /// From a control process to the leader.
     Order(Box<Order>),
     /// From a control process to the leader: the current configuration.
@@ -141,6 +148,11 @@
         /// What is lent, for a lease.
         grants: Vec<QuotaGrant>,
     },
+    /// To `Load`: what all proxies together see, this one included.
+    Load {
+        /// The sums.
+        loads: Vec<BackendLoad>,
+    },
     /// To `Order`.
     Order(OrderReply),
     /// To `Read`: the configuration, `None` before the first.
@@ -176,6 +188,8 @@
         /// What is said.
         message: ReplicaMessage,
     },
+    /// The sums of what the proxies that call the sender see of the backends' load.
+    Load(Vec<BackendLoad>),
     /// Changes of the catalog, as they happen.
     Push(Delta),
     /// The sender has taken the changes of an origin up to a number.
--- a/crates/gaugesaddle-protocol/src/lib.rs
+++ b/crates/gaugesaddle-protocol/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod consensus;
 pub mod core;
 pub mod frame;
+pub mod load;
 pub mod quota;
 
 pub use catalog::*;
 pub use consensus::*;
 pub use core::*;
+pub use load::*;
 pub use quota::*;
 
 pub use gaugesaddle_patch::{Digest, Patch, PatchError};
--- a/crates/gaugesaddle/src/cli.rs
+++ b/crates/gaugesaddle/src/cli.rs
@@ -28,7 +28,11 @@
         file: PathBuf,
     },
     /// Serve as the data plane of a router fleet, as the boot file says that GAUGESADDLE_BOOT names.
-    Edge,
+    Edge {
+        /// A figure of the choice of backends, for measurements, as KEY=VALUE; may be given again.
+        #[arg(long = "set", value_name = "KEY=VALUE")]
+        settings: Vec<String>,
+    },
     /// Print the state of a running proxy: its requests, backends, connections and reasons.
     State {
         /// Only that part.
@@ -72,7 +76,7 @@
     let operator = || file.as_deref().map_or(Ok(Operator::default()), operator::load);
     match arguments.command {
         None => app::run(file.clone(), operator()?),
-        Some(Command::Edge) => edge::run().map_err(|e| Error::Edge(format!("{e:#}"))),
+        Some(Command::Edge { settings }) => edge::run(&settings).map_err(|e| Error::Edge(format!("{e:#}"))),
         Some(Command::Check { file }) => {
             let operator = operator::load(&file)?;
             region::check(&operator.region)?;
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -6,6 +6,7 @@
 use super::fleet::Fleet;
 use super::headers::{self, API_KEY, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT};
 use super::keys::KeyInUse;
+use super::load::{self, WorkInFlight};
 use super::refusal::Refusal;
 use super::upstream::{attempt, Answer};
 use crate::counted::Counted;
@@ -13,7 +14,7 @@
 use crate::wire::MayBegin;
 use bytes::Bytes;
 use gaugesaddle_config::{Route, RoutingTable, ServiceIndex};
-use gaugesaddle_inference::{Candidate, Kind, Prompt};
+use gaugesaddle_inference::{Candidate, Choice, Prompt, Surroundings};
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -22,6 +23,9 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Failing backends are left out only where so large a part is sound: else all are tried, since the fault may be here.
+const LEAST_SOUND: f64 = 0.5;
+
 /// A request with all that further attempts need.
 pub struct Job {
     pub fleet: Rc<Fleet>,
@@ -44,7 +48,9 @@
 pub struct Begun {
     pub answer: Answer,
     pub backend: Rc<Backend>,
-    pub kind: Kind,
+    pub choice: Choice,
+    /// Its work, until the answer has begun.
+    pub work: Option<WorkInFlight>,
     pub sent: Instant,
     pub in_use: Counted,
 }
@@ -63,9 +69,9 @@
         if let Some(value) = admitted.tenant.and_then(|t| HeaderValue::from_str(&t.name).ok()) {
             head.headers.insert(TENANT, value);
         }
-        head.headers.insert(PRIORITY, HeaderValue::from(admitted.priority));
         fleet.note_request(&service_name);
         fleet.note_prompt(&service_name, admitted.prompt);
+        head.headers.insert(PRIORITY, HeaderValue::from(admitted.priority));
         let now = fleet.now();
         fleet.with_chooser(admitted.route, &service_name, |c| c.note_arrival(now, admitted.prompt.subject));
         Ok(Job {
@@ -106,8 +112,9 @@
             if self.attempts.is_repeat() && !self.fleet.may_repeat(&self.service_name) {
                 return Err(self.attempts.refusal());
             }
-            let Some((backend, kind)) = self.choose() else { return Err(self.attempts.refusal()) };
+            let Some((backend, choice)) = self.choose() else { return Err(self.attempts.refusal()) };
             let in_use = backend.use_for();
+            let work = Some(WorkInFlight::begin(&self.fleet, backend.identity, choice.work));
             let sent = Instant::now();
             let request = self.request(&backend, resume);
             let outcome = attempt(&self.fleet, &backend, request, self.deadline, self.key.clone()).await;
@@ -115,40 +122,81 @@
             match outcome {
                 Ok(answer) => {
                     self.attempts.answered();
-                    return Ok(Begun { answer, backend, kind, sent, in_use });
+                    if answer.head.status.is_server_error() {
+                        self.note_failure(&backend);
+                    }
+                    return Ok(Begun { answer, backend, choice, work, sent, in_use });
+                }
+                Err(failed) => {
+                    drop(work);
+                    self.note_failure(&backend);
+                    self.attempts.failed(failed)?;
                 }
-                Err(failed) => self.attempts.failed(failed)?,
             }
         }
     }
 
+    /// What failed at a backend is told to the other proxies; whether it refused or broke off, others are better asked.
+    pub fn note_failure(&self, backend: &Backend) {
+        self.fleet.loads.borrow_mut().failed(self.fleet.now(), load::number(backend.identity));
+    }
+
     /// The answer that had begun broke off; whether another backend may go on.
     pub fn broke_off(&mut self) -> bool {
         self.attempts.broke_off()
     }
 
     /// Draws a backend that was not tried: of those that fare well, else of all.
-    fn choose(&self) -> Option<(Rc<Backend>, Kind)> {
+    fn choose(&self) -> Option<(Rc<Backend>, Choice)> {
         let now = self.fleet.now();
         let most = self.fleet.connections(&self.table, self.service);
         let mut backends = self.fleet.backends(&self.service_name);
         backends.retain(|b| !self.tried.contains(&b.identity));
         backends.retain(|b| b.sockets() < most || b.outstanding() < b.sockets());
-        let well = |b: &Rc<Backend>| !b.expired.get() && !b.is_avoided(now);
+        let settings = &self.fleet.settings;
+        let avoided = |b: &Backend| settings.avoid && b.is_avoided(now);
+        let well = |b: &Rc<Backend>| !b.expired.get() && !avoided(b);
         if backends.iter().any(well) {
             backends.retain(well);
         }
-        self.keep_apart(&mut backends);
-        let candidate =
-            |b: &Rc<Backend>| Candidate { identity: b.identity, slots: b.slots, crowded: b.is_crowded(now) };
+        self.leave_failing(now, &mut backends);
+        if settings.long_apart {
+            self.keep_apart(&mut backends);
+        }
+        let loads = self.fleet.loads.borrow();
+        let backlog = |b: &Backend| match settings.shared_load {
+            true => loads.work(now, load::number(b.identity)),
+            false => loads.own_work(load::number(b.identity)),
+        };
+        let candidate = |b: &Rc<Backend>| Candidate {
+            identity: b.identity,
+            slots: b.slots,
+            crowded: b.is_crowded(now),
+            backlog: backlog(b),
+        };
         let candidates: Vec<Candidate> = backends.iter().map(candidate).collect();
         let proxies = self.fleet.proxies();
+        let inflow =
+            self.fleet.sizes(&self.service_name).inflow(now, settings.news, proxies, candidates.len());
+        let around = Surroundings { proxies, inflow, target_ms: self.route.target_ms };
         let mut random = self.fleet.random.borrow_mut();
-        let drawn = self.fleet.with_chooser(&self.route, &self.service_name, |chooser| {
-            chooser.choose(now, &candidates, self.prompt, proxies, &mut *random)
-        });
-        let (index, kind) = drawn?;
-        backends.get(index).map(|b| (b.clone(), kind))
+        let choice = self.fleet.with_chooser(&self.route, &self.service_name, |chooser| {
+            chooser.choose(now, &candidates, self.prompt, around, &mut *random)
+        })?;
+        backends.get(choice.index).map(|b| (b.clone(), choice))
+    }
+
+    /// Leaves out backends at which requests fail, seen over all proxies, unless that leaves too few.
+    fn leave_failing(&self, now: u64, backends: &mut Vec<Rc<Backend>>) {
+        if !self.fleet.settings.shared_health {
+            return;
+        }
+        let loads = self.fleet.loads.borrow();
+        let fails = |b: &Rc<Backend>| loads.health(now, load::number(b.identity)).is_failing();
+        let sound = backends.iter().filter(|b| !fails(b)).count();
+        if sound as f64 >= backends.len() as f64 * LEAST_SOUND {
+            backends.retain(|b| !fails(b));
+        }
     }
 
     /// Leaves the backends that are kept for long prompts, or the others.
--- a/crates/gaugesaddle/src/edge/fleet.rs
+++ b/crates/gaugesaddle/src/edge/fleet.rs
@@ -5,6 +5,7 @@
 use gaugesaddle_config::{BootSettings, OperatorConfig, Route, RoutingTable, ServiceIndex};
 use gaugesaddle_distribution::{Follower, Taken};
 use gaugesaddle_inference::{Chooser, ChooserSettings, Prompt, PromptSizes};
+use gaugesaddle_load::LoadView;
 use gaugesaddle_protocol::{Lifecycle, PullReply, Registration, Subject};
 use gaugesaddle_quota::{Purse, RetryBudget, RetrySettings};
 use gaugesaddle_transport::Clock;
@@ -40,6 +41,12 @@
     /// Wakes the task that asks for tokens.
     pub short: Notify,
     pub random: RefCell<Pcg64Mcg>,
+    /// Figures of the choice of backends.
+    pub settings: ChooserSettings,
+    /// What is known of the backends' load.
+    pub loads: RefCell<LoadView>,
+    /// Wakes the task that reports it.
+    pub loaded: Notify,
     table: RefCell<Option<Rc<RoutingTable>>>,
     backends: RefCell<BTreeMap<String, Rc<Backend>>>,
     services: RefCell<HashMap<String, Vec<Rc<Backend>>>>,
@@ -50,7 +57,7 @@
 }
 
 impl Fleet {
-    pub fn new(boot: BootSettings) -> Fleet {
+    pub fn new(boot: BootSettings, settings: ChooserSettings) -> Fleet {
         let seed = OsRng.try_next_u64().unwrap_or_else(|_| u64::from(std::process::id()));
         let clock = Clock::default();
         let proxy = format!("{}#{seed:x}", boot.node_name);
@@ -75,6 +82,9 @@
             granted: Notify::new(),
             short: Notify::new(),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            settings,
+            loads: RefCell::default(),
+            loaded: Notify::new(),
             table: RefCell::default(),
             backends: RefCell::default(),
             services: RefCell::default(),
@@ -205,12 +215,13 @@
     pub fn with_chooser<T>(&self, route: &Route, service: &str, f: impl FnOnce(&mut Chooser) -> T) -> T {
         let mut choosers = self.choosers.borrow_mut();
         let key = (route.name.clone(), service.to_owned());
-        f(choosers.entry(key).or_insert_with(|| Chooser::new(ChooserSettings::default())))
+        f(choosers.entry(key).or_insert_with(|| Chooser::new(self.settings)))
     }
 
     /// Takes a prompt into account for the sizes of a service's prompts.
     pub fn note_prompt(&self, service: &str, prompt: Prompt) {
-        self.sizes.borrow_mut().entry(service.to_owned()).or_default().note(prompt);
+        let now = self.now();
+        self.sizes.borrow_mut().entry(service.to_owned()).or_default().note(now, prompt);
     }
 
     /// What a service's prompts are like.
--- a/crates/gaugesaddle/src/edge/front.rs
+++ b/crates/gaugesaddle/src/edge/front.rs
@@ -4,6 +4,7 @@
 use super::dispatch::{Begun, Job};
 use super::fleet::Fleet;
 use super::headers::{self, LAST_EVENT_ID};
+use super::load;
 use super::refusal::Refusal;
 use super::relay::{Outgoing, Relay};
 use crate::exchange::{strip, BODY_BYTES};
@@ -137,7 +138,7 @@
 
 /// Reads an answer whole, so that a broken one never reaches the client as a good one.
 async fn read_whole(begun: Begun, job: &Job) -> Result<Bytes, Refusal> {
-    let Begun { answer, backend, kind, sent, in_use } = begun;
+    let Begun { answer, backend, choice, work, sent, in_use } = begun;
     let (mut link, mut body) = (answer.link, answer.body);
     let mut held = BytesMut::new();
     let reading = async {
@@ -156,10 +157,11 @@
         }
         Err(_) => return Err(Refusal::TimedOut),
     }
-    drop(in_use);
+    drop((in_use, work));
     let latency = sent.elapsed().as_secs_f64() * 1000.0;
     if answer.head.status.is_success() {
-        job.fleet.with_chooser(&job.route, &job.service_name, |c| c.note_latency(kind, job.prompt, latency));
+        job.fleet.with_chooser(&job.route, &job.service_name, |c| c.note_latency(&choice, latency));
+        job.fleet.loads.borrow_mut().served(job.fleet.now(), load::number(backend.identity));
     }
     if link.alive().await {
         backend.put_back(job.fleet.now(), link);
--- a/crates/gaugesaddle/src/edge/mod.rs
+++ b/crates/gaugesaddle/src/edge/mod.rs
@@ -20,6 +20,7 @@
 mod headers;
 mod keys;
 mod lending;
+mod load;
 mod ready;
 mod refusal;
 mod relay;
--- a/crates/gaugesaddle/src/edge/relay.rs
+++ b/crates/gaugesaddle/src/edge/relay.rs
@@ -1,6 +1,7 @@
 //! Passes an answer on as it comes, and continues a stream at another backend where its route allows it.
 
 use super::dispatch::{Begun, Job};
+use super::load;
 use super::refusal::Refusal;
 use bytes::Bytes;
 use gaugesaddle_config::RouteKind;
@@ -181,15 +182,17 @@
     }
 
     fn note_latency(&mut self) {
-        if std::mem::replace(&mut self.heard, true) {
-            return;
-        }
-        if let Stage::Passing(passing) = &self.stage {
-            let Passing { begun, job } = passing.as_ref();
+        let Stage::Passing(passing) = &mut self.stage else { return };
+        let Passing { begun, job } = passing.as_mut();
+        begun.work = None;
+        if !std::mem::replace(&mut self.heard, true) {
             let latency = begun.sent.elapsed().as_secs_f64() * 1000.0;
-            let kind = begun.kind;
-            job.fleet
-                .with_chooser(&job.route, &job.service_name, |c| c.note_latency(kind, job.prompt, latency));
+            let choice = &begun.choice;
+            job.fleet.with_chooser(&job.route, &job.service_name, |c| c.note_latency(choice, latency));
+            if begun.answer.head.status.is_success() {
+                let backend = load::number(begun.backend.identity);
+                job.fleet.loads.borrow_mut().served(job.fleet.now(), backend);
+            }
         }
     }
 
@@ -204,6 +207,7 @@
         };
         let Passing { begun, mut job } = *passing;
         begun.backend.failed(job.fleet.now());
+        job.note_failure(&begun.backend);
         drop(begun);
         let last = self.first_id.clone();
         self.stage = Stage::Continuing(Box::pin(async move {
--- a/crates/gaugesaddle/src/edge/serve.rs
+++ b/crates/gaugesaddle/src/edge/serve.rs
@@ -1,9 +1,10 @@
 //! The start and the end of the process.
 
 use super::fleet::Fleet;
-use super::{follow, front, lending, ready};
+use super::{follow, front, lending, load, ready};
 use eyre::{eyre, Result, WrapErr};
 use gaugesaddle_config::BootSettings;
+use gaugesaddle_inference::ChooserSettings;
 use gaugesaddle_transport::listen;
 use spdlog::{error, info};
 use std::rc::Rc;
@@ -22,20 +23,24 @@
 /// Between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Serves until SIGTERM.
-pub fn run() -> Result<()> {
+/// Serves until SIGTERM; settings of the choice are texts of the form `KEY=VALUE`.
+pub fn run(settings: &[String]) -> Result<()> {
     gaugesaddle_transport::log::start();
     let boot = BootSettings::read()?;
+    let mut chooser = ChooserSettings::default();
+    for setting in settings {
+        chooser.set(setting)?;
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(boot))
+    LocalSet::new().block_on(&runtime, serve(boot, chooser))
 }
 
-async fn serve(boot: BootSettings) -> Result<()> {
+async fn serve(boot: BootSettings, settings: ChooserSettings) -> Result<()> {
     let at = boot.front.ok_or_else(|| eyre!("bind.front: expected an address"))?;
     let ready_at = boot.ready.ok_or_else(|| eyre!("bind.ready: expected an address"))?;
     let grace = Duration::from_secs_f64(boot.bounds.grace_period_s);
     let listener = listen(at).wrap_err_with(|| format!("listening at {at}"))?;
-    let fleet = Rc::new(Fleet::new(boot));
+    let fleet = Rc::new(Fleet::new(boot, settings));
     info!("proxy {} at {at}", fleet.proxy);
     let (close, closing) = watch::channel(false);
     let asked = fleet.clone();
@@ -46,6 +51,9 @@
     });
     let following = tokio::task::spawn_local(follow::run(fleet.clone()));
     tokio::task::spawn_local(lending::run(fleet.clone()));
+    if settings.shared_load || settings.shared_health {
+        tokio::task::spawn_local(load::run(fleet.clone()));
+    }
     let accepting = tokio::task::spawn_local(front::serve(fleet.clone(), listener, closing));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
