--- a/crates/gaugesaddle-control/src/loads.rs
+++ b/crates/gaugesaddle-control/src/loads.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Reports of so long are told together.
-const GATHER: Duration = Duration::from_millis(40);
+const GATHER: Duration = Duration::from_millis(80);
 
 /// Runs for as long as the process lives.
 pub async fn run(core: CoreHandle) {
--- a/crates/gaugesaddle-inference/src/chooser.rs
+++ b/crates/gaugesaddle-inference/src/chooser.rs
@@ -10,8 +10,6 @@
 const MOST_PARTS: usize = 8192;
 /// What a request takes that reads nothing, in tokens that could be read in that time.
 pub const OVERHEAD_TOKENS: f64 = 300.0;
-/// A crowded backend without data is taken to be so much slower.
-const CROWDED: f64 = 8.0;
 /// Part of the shared tokens that a backend next in rank is taken to have yet to read: it keeps them if it was tried
 /// before.
 const NEXT_UNREAD: f64 = 0.5;
@@ -23,8 +21,6 @@
     pub identity: u64,
     /// Requests that it works on at once: backends of one size are taken to be equally fast.
     pub slots: u32,
-    /// It has more requests than it works on at once.
-    pub crowded: bool,
     /// Work that waits there, in tokens.
     pub backlog: f64,
 }
@@ -45,7 +41,6 @@
 struct Kind {
     slots: u32,
     keeps: Keeps,
-    crowded: bool,
     /// How much work waits there, see [`bands`].
     band: u32,
 }
@@ -54,12 +49,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Reader {
     slots: u32,
-    crowded: bool,
 }
 
 impl From<&Kind> for Reader {
     fn from(kind: &Kind) -> Reader {
-        Reader { slots: kind.slots, crowded: kind.crowded }
+        Reader { slots: kind.slots }
     }
 }
 
@@ -169,9 +163,8 @@
         let bands = self.bands(candidates, inflow);
         let mut kinds: BTreeMap<Kind, Members> = BTreeMap::new();
         for (index, candidate) in candidates.iter().enumerate() {
-            let Candidate { slots, crowded, backlog, .. } = *candidate;
-            let crowded = crowded && self.settings.crowded;
-            let kind = Kind { slots, keeps: keeps[index], crowded, band: bands[index] };
+            let Candidate { slots, backlog, .. } = *candidate;
+            let kind = Kind { slots, keeps: keeps[index], band: bands[index] };
             let members = kinds.entry(kind).or_default();
             members.indices.push(index);
             members.backlog += (backlog - members.backlog) / members.indices.len() as f64;
@@ -204,20 +197,16 @@
     }
 
     /// The clamped formula. Speeds are what the latencies tell under the present load; a kind without data counts as
-    /// equally fast, but a crowded one as slow until it is known. What waits at a backend counts as far as it makes the
-    /// answer late: up to there all are equally good, and the one that reads least is best for the others. A backend serves as many requests at once as it has
-    /// slots: each slot is one of the formula's servers.
+    /// equally fast. What waits at a backend counts as far as it makes the answer late: up to there all are equally good,
+    /// and the one that reads least is best for the others. A backend serves as many requests at once as it has slots: each
+    /// slot is one of the formula's servers.
     fn shares(&self, kinds: &[(Kind, Members)], prompt: Prompt, rate: f64, target_ms: f64) -> Vec<f64> {
-        let calm = self.latencies.iter().filter(|(reader, _)| !reader.crowded).map(|(_, ms)| *ms);
-        let typical = calm.reduce(f64::max).unwrap_or(1.0);
+        let typical = self.latencies.values().copied().reduce(f64::max).unwrap_or(1.0);
         let good = target_ms * self.settings.target_part;
         let latency = |kind: &Kind, backlog: f64| {
-            let guess = if kind.crowded { typical * CROWDED } else { typical };
             let learned = self.latencies.get(&Reader::from(kind)).copied();
-            let token_ms = learned.unwrap_or(guess).max(1e-6);
-            // Where requests wait for a place already, what is kept is no reason to add one more.
-            let keeps = if kind.crowded { Keeps::Nothing } else { kind.keeps };
-            let own = token_ms * work(prompt, keeps, self.settings.read_again);
+            let token_ms = learned.unwrap_or(typical).max(1e-6);
+            let own = token_ms * work(prompt, kind.keeps, self.settings.read_again);
             let late = (token_ms * (work(prompt, kind.keeps, 1.0) + backlog) - good).max(0.0);
             (own + late) / 1000.0
         };
--- a/crates/gaugesaddle-inference/src/settings.rs
+++ b/crates/gaugesaddle-inference/src/settings.rs
@@ -23,8 +23,6 @@
     pub read_again: f64,
     /// Backends are kept for long prompts.
     pub long_apart: bool,
-    /// Backends that tell waiting requests are a kind of their own.
-    pub crowded: bool,
     /// Backends with more work waiting are kinds of their own.
     pub backlog: bool,
     /// What other proxies have sent counts, too.
@@ -54,7 +52,6 @@
             chance: 2.0,
             read_again: 20.0,
             long_apart: false,
-            crowded: true,
             backlog: true,
             shared_load: true,
             shared_health: true,
@@ -93,7 +90,6 @@
             "chance" => read(value, &mut self.chance),
             "read_again" => read(value, &mut self.read_again),
             "long_apart" => read(value, &mut self.long_apart),
-            "crowded" => read(value, &mut self.crowded),
             "backlog" => read(value, &mut self.backlog),
             "shared_load" => read(value, &mut self.shared_load),
             "shared_health" => read(value, &mut self.shared_health),
--- a/crates/gaugesaddle/src/edge/backend.rs
+++ b/crates/gaugesaddle/src/edge/backend.rs
@@ -16,30 +16,11 @@
 const AVOID: u64 = 400;
 /// A backend is avoided at most so long, in ms.
 const MOST_AVOID: u64 = 6400;
-/// Load that an answer told is used for so long, in ms.
-const LOAD_AGE: u64 = 1500;
 /// A connection that stands idle for longer is not used again unless the backend says more, in ms.
 const IDLE: u64 = 4000;
 /// Part of the time a backend names that an idle connection is used for.
 const IDLE_PART: f64 = 0.6;
 
-/// The load that a backend told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    pub running: u32,
-    pub waiting: u32,
-    pub slots: u32,
-}
-
-impl Load {
-    /// Reads `RUNNING,WAITING,SLOTS`.
-    pub fn parse(text: &str) -> Option<Load> {
-        let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
-        let (running, waiting, slots) = (numbers.next()??, numbers.next()??, numbers.next()??);
-        Some(Load { running, waiting, slots })
-    }
-}
-
 /// One incarnation of a backend.
 pub struct Backend {
     pub id: String,
@@ -58,7 +39,6 @@
     idle_limit: Cell<u64>,
     avoid_until: Cell<u64>,
     failures: Cell<u32>,
-    load: Cell<Option<(u64, Load)>>,
     /// When bytes came from it last.
     pub heard: Cell<u64>,
 }
@@ -79,7 +59,6 @@
             idle_limit: Cell::new(IDLE),
             avoid_until: Cell::new(0),
             failures: Cell::new(0),
-            load: Cell::new(None),
             heard: Cell::new(0),
         }
     }
@@ -154,13 +133,4 @@
     pub fn is_avoided(&self, now: u64) -> bool {
         now < self.avoid_until.get()
     }
-
-    pub fn told_load(&self, now: u64, load: Load) {
-        self.load.set(Some((now, load)));
-    }
-
-    /// Whether it told a moment ago that requests wait there.
-    pub fn is_crowded(&self, now: u64) -> bool {
-        self.load.get().is_some_and(|(at, load)| now < at + LOAD_AGE && load.waiting > 0)
-    }
 }
--- a/crates/gaugesaddle/src/edge/dispatch.rs
+++ b/crates/gaugesaddle/src/edge/dispatch.rs
@@ -168,12 +168,8 @@
             true => loads.work(now, load::number(b.identity)),
             false => loads.own_work(load::number(b.identity)),
         };
-        let candidate = |b: &Rc<Backend>| Candidate {
-            identity: b.identity,
-            slots: b.slots,
-            crowded: b.is_crowded(now),
-            backlog: backlog(b),
-        };
+        let candidate =
+            |b: &Rc<Backend>| Candidate { identity: b.identity, slots: b.slots, backlog: backlog(b) };
         let candidates: Vec<Candidate> = backends.iter().map(candidate).collect();
         let proxies = self.fleet.proxies();
         let inflow =
--- a/crates/gaugesaddle/src/edge/headers.rs
+++ b/crates/gaugesaddle/src/edge/headers.rs
@@ -11,7 +11,6 @@
 pub const TOKEN_USAGE: HeaderName = HeaderName::from_static("token-usage");
 pub const PREFIX_HASH: HeaderName = HeaderName::from_static("prefix-hash");
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
-pub const BACKEND_LOAD: HeaderName = HeaderName::from_static("backend-load");
 pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
--- a/crates/gaugesaddle/src/edge/upstream.rs
+++ b/crates/gaugesaddle/src/edge/upstream.rs
@@ -1,9 +1,9 @@
 //! One attempt at one backend.
 
 use super::attempts::Failed;
-use super::backend::{Backend, BackendLink, Load};
+use super::backend::{Backend, BackendLink};
 use super::fleet::Fleet;
-use super::headers::{self, BACKEND_LOAD, KEEP_ALIVE, NOT_EXECUTED, REQUEST_ID};
+use super::headers::{self, KEEP_ALIVE, NOT_EXECUTED, REQUEST_ID};
 use super::keys::KeyInUse;
 use crate::upstream::out_of_descriptors;
 use crate::wire::MayBegin;
@@ -75,7 +75,7 @@
                 // The connection is dropped: what is due for this request may still come on it.
                 return Err(Failed::MayHaveRun);
             }
-            note(backend, now, &head);
+            note(backend, &head);
             classify(backend, now, Answer { head, body, link })
         }
     }
@@ -103,10 +103,7 @@
 }
 
 /// What the head of an answer tells of its backend.
-fn note(backend: &Backend, now: u64, head: &Parts) {
-    if let Some(load) = headers::text(&head.headers, &BACKEND_LOAD).and_then(Load::parse) {
-        backend.told_load(now, load);
-    }
+fn note(backend: &Backend, head: &Parts) {
     let keep_alive = headers::text(&head.headers, &KEEP_ALIVE);
     let seconds = keep_alive.and_then(|text| text.split(',').find_map(|p| p.trim().strip_prefix("timeout=")));
     if let Some(seconds) = seconds.and_then(|s| s.trim().parse().ok()) {
