Let a removed replica campaign while its removal may be uncommitted

Cause: a removed replica that had joined as a learner was the only one, beside the lost leader, with the final state of the membership change. The voters had the joint state, in which its vote was required. It granted none, since its state was newer, and did not campaign, since it was no voter in its own state.

Change: a replica with a disk and a group also campaigns while it does not know that its newest state is committed. It counts only votes of the voters in its state; once its state is committed it transfers the leadership, as a removed leader does already. A live leader's followers refuse its pre-votes.

--- a/crates/gaugesaddle-consensus/src/election.rs
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -71,9 +71,12 @@
 
     /// Whether this replica may campaign. During a membership change a replica of either group may lead (thesis 4.3): a
     /// replica that is being removed may be the only one with the newest state, and the outgoing group may have no
-    /// majority without its vote.
+    /// majority without its vote. The same holds for a removed replica while the state without it is not known to be
+    /// committed: the others may still require its vote, which it grants to no replica with an older state.
     fn may_campaign(&self) -> bool {
-        self.is_voter() || self.state.outgoing.contains(&self.hard_state.id)
+        let is_member = self.is_voter() || self.state.outgoing.contains(&self.hard_state.id);
+        let may_be_required = self.may_vote() && self.committed != self.state.position;
+        is_member || may_be_required
     }
 
     /// Whether this replica may grant votes. It need not be a voter in its own state: a replica that has just been
--- a/crates/gaugesaddle-consensus/src/membership/tests.rs
+++ b/crates/gaugesaddle-consensus/src/membership/tests.rs
@@ -121,3 +121,22 @@
     }
     panic!("no voter leads within 10 s");
 }
+
+/// Guards against a group that never elects a leader: the leader was removing this replica, sent the final state to it
+/// alone, since it had joined as a learner again, and was lost. The replica no longer has a vote of its own, but the
+/// others still need it, and it grants no vote to a replica with an older state.
+#[test]
+fn a_removed_replica_campaigns_while_the_state_without_it_may_be_uncommitted() {
+    let voters = vec![id(1), id(2), id(4)];
+    let position = LogPosition { term: 2, index: 50 };
+    let state = State { position, revision: 1, voters, ..State::default() };
+    let hard_state = HardState { id: id(3), term: 2, voted_for: None };
+    let mut replica = Replica::new(Settings::default(), hard_state, state, 0, 7, Storage::Durable);
+    let mut out = Vec::new();
+    replica.handle(replica.deadline().max(replica.election_deadline), Input::Tick, &mut out);
+    let requested = |output: &Output| match output {
+        Output::Send(to, ReplicaMessage::RequestPreVote { .. }) => Some(*to),
+        _ => None,
+    };
+    assert_eq!(out.iter().filter_map(requested).collect::<Vec<_>>(), [id(1), id(2), id(4)]);
+}
--- a/crates/gaugesaddle-simulation/tests/random_fault_plans.rs
+++ b/crates/gaugesaddle-simulation/tests/random_fault_plans.rs
@@ -65,6 +65,7 @@
         ("nilavu-air-grown", 4_007_231),
         ("nilavu-air-grown", 4_011_562),
         ("nilavu-air-grown", 8_001_161),
+        ("three-zones", 8_001_749),
     ];
     for (name, seed) in plans {
         let deployment = Deployment::named(name).expect("a known deployment");
