Have a stopping proxy follow the control plane until its last stream has gone

Cause: 2.6 s after SIGTERM the proxy aborted the task that pulls registrations and configuration and deregistered, but resumed and retried from the list of that moment for up to 4.9 s more. An acknowledgement means that the control processes know the end of a backend; the proxies must pull it.

Change: the proxy pulls, and remains registered, until no request is active or the grace period is over, and deregisters then within 0.35 s. The list, the keys' proofs and the leader for quotas are thus as new as in operation, and its parts of retry budgets and connections stay counted.

--- /dev/null
+++ b/crates/gaugesaddle-control/tests/stopping_proxy.rs
@@ -0,0 +1,103 @@
+//! Guards, with real processes, against a proxy that was told to stop and sends retries and resumed streams to backends that
+//! have left meanwhile, since it no longer follows the control plane.
+
+use gaugesaddle_testbed::fleet::{call, document, Fleet};
+use gaugesaddle_testbed::scripted::{until, Backend, Reply};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Index of the control process in the fleet.
+const CONTROL: usize = 0;
+/// Index of the proxy in the fleet.
+const EDGE: usize = 1;
+/// `drainMs`: a backend that has left receives no request later than this after the acknowledgement.
+const DRAIN: Duration = Duration::from_secs(2);
+
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Type: text/event-stream\r\n\
+                           Response-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn request(route: &str) -> String {
+    format!(
+        "POST /{route}/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q1\r\nApi-Key: k-free\r\nDeadline-Ms: 7500\r\n\
+         Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+fn answer() -> Reply {
+    Reply::Respond(
+        "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Signature: sig\r\nContent-Length: 2\r\n\r\nok"
+            .to_owned(),
+    )
+}
+
+/// A backend that breaks off its response to the first request for `/route/` once the sender has sent something, after
+/// having sent `begun`. It answers all other requests.
+fn breaking_backend(route: &'static str, begun: &'static str) -> (Backend, Sender<()>) {
+    let (release, released) = channel();
+    let released = Mutex::new(Some(released));
+    let backend = Backend::start(move |message| {
+        let is_broken = message.start.contains(&format!("/{route}/a"));
+        let waiting = if is_broken { released.lock().expect("no thread panicked").take() } else { None };
+        match waiting {
+            Some(released) => {
+                let _ = released.recv();
+                Reply::RespondAndClose(begun.to_owned())
+            }
+            None => answer(),
+        }
+    });
+    (backend, release)
+}
+
+fn register(fleet: &Fleet, id: &str, address: SocketAddr) {
+    until("the backend is registered", || fleet.heartbeat(CONTROL, id, "s", address, "ready") == 200);
+}
+
+fn accepts_connections(fleet: &Fleet) -> bool {
+    TcpStream::connect(fleet.front(EDGE)).is_ok()
+}
+
+/// A request on `route` is being processed by the only other backend when the proxy is told to stop. Then `leaving` drains,
+/// and after the bound of its acknowledgement the other backend breaks off.
+fn assert_nothing_is_sent_to_a_backend_that_left(route: &'static str, begun: &'static str) {
+    let (breaking, release) = breaking_backend(route, begun);
+    let leaving = Backend::start(|_| answer());
+    let mut fleet = Fleet::start(1, 1).expect("fleet starts");
+    until("the configuration is acknowledged", || fleet.put(CONTROL, 0, &document(1).to_string()).0 == 200);
+    register(&fleet, "i-breaking", breaking.address);
+    until("the proxy is ready", || fleet.is_ready(EDGE));
+    let front = fleet.front(EDGE);
+    let client = std::thread::spawn(move || call(front, &request(route)));
+    until("the request is at the backend", || !breaking.requests().is_empty());
+    register(&fleet, "i-leaving", leaving.address);
+    until("the proxy uses both backends", || {
+        call(front, &request("once")).is_ok_and(|answer| answer.status() == 200)
+            && !leaving.requests().is_empty()
+    });
+    fleet.terminate(EDGE).expect("the signal is sent");
+    until("the proxy accepts no more clients", || !accepts_connections(&fleet));
+    until("the drain is acknowledged", || {
+        fleet.heartbeat(CONTROL, "i-leaving", "s", leaving.address, "draining") == 200
+    });
+    let acknowledged = Instant::now();
+    until("the bound of the drain has passed", || acknowledged.elapsed() > DRAIN);
+    let before = leaving.requests().len();
+    release.send(()).expect("the backend waits");
+    let answer = client.join().expect("the client does not panic");
+    until("the process ends", || !fleet.is_running(EDGE));
+    assert_eq!(leaving.requests().len(), before, "{route}: a backend that had left received a request");
+    let is_complete = answer.is_ok_and(|answer| answer.status() == 200 && answer.body == b"ok");
+    assert!(!is_complete, "{route}: there was no backend that could have answered");
+}
+
+#[test]
+fn no_stream_is_resumed_at_a_backend_that_left_while_the_proxy_stops() {
+    assert_nothing_is_sent_to_a_backend_that_left("stream", STREAM_HEAD);
+}
+
+#[test]
+fn no_request_is_retried_at_a_backend_that_left_while_the_proxy_stops() {
+    assert_nothing_is_sent_to_a_backend_that_left("plain", "");
+}
--- a/crates/gaugesaddle-edge/src/run.rs
+++ b/crates/gaugesaddle-edge/src/run.rs
@@ -19,6 +19,8 @@
 const READINESS_PROPAGATION_TIME: Duration = Duration::from_millis(2600);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time limit for announcing at the end of a shutdown that this proxy is leaving. Within the exit margin.
+const DEREGISTRATION_TIMEOUT: Duration = Duration::from_millis(350);
 /// Interval between checks for active requests during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between sweeps of idle connections.
@@ -84,6 +86,10 @@
 }
 
 /// Waits for active requests to complete, within the grace period.
+///
+/// The proxy follows the control plane until then: it still sends retries and resumed streams, which must not reach backends
+/// that have left meanwhile, nor use revoked API keys. It also remains registered, since these requests use its parts of the
+/// retry budgets and of the backends' connections.
 async fn shut_down(state: &Rc<EdgeState>, close: &watch::Sender<bool>, tasks: AbortableTasks) {
     let grace_period = Duration::from_secs_f64(state.boot.bounds.grace_period_s);
     info!("SIGTERM received: shutting down, {} active requests", state.active_requests.get());
@@ -94,10 +100,13 @@
     let _ = close.send(true);
     tokio::time::sleep_until(begun + READINESS_PROPAGATION_TIME.min(grace_period)).await;
     tasks.http_server.abort();
-    tasks.control_client.abort();
-    control_client::deregister(state.clone()).await;
     while state.active_requests.get() > 0 && begun.elapsed() + EXIT_MARGIN < grace_period {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
+    tasks.control_client.abort();
+    let deregistration = control_client::deregister(state.clone());
+    if tokio::time::timeout(DEREGISTRATION_TIMEOUT, deregistration).await.is_err() {
+        info!("deregistration timed out: the lease of this proxy will expire");
+    }
     info!("shutdown complete: {} active requests are abandoned", state.active_requests.get());
 }
