Test that the HTTP proxy follows discovery while it stops

Change: a test, no mend: a request is at one server, SIGTERM, the other server drains, the first one breaks off.

--- a/crates/gaugesaddle/tests/drains.rs
+++ b/crates/gaugesaddle/tests/drains.rs
@@ -6,7 +6,8 @@
 use gaugesaddle_testbed::scripted::*;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The time within which sends to a draining server must stop: 500 ms of the settings, and 50 ms for the protocol.
@@ -250,6 +251,59 @@
     pair.traffic.end();
 }
 
+/// The proxy is told to stop while a request is at one server, the other one drains, and the first one breaks off: a proxy
+/// that no longer follows discovery sends the request to the draining server.
+#[test]
+fn a_drain_published_while_the_proxy_stops_is_applied() {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(Some(released));
+    let is_held = Arc::new(AtomicBool::new(false));
+    let hold = is_held.clone();
+    let broken = Backend::start(move |_| {
+        let holds = hold.load(Ordering::SeqCst);
+        let released = if holds { released.lock().expect("no thread panicked").take() } else { None };
+        match released {
+            Some(released) => {
+                let _ = released.recv();
+                Reply::RespondAndClose(String::new())
+            }
+            None => ok("broken"),
+        }
+    });
+    let leaving = Backend::start(|_| ok("leaving"));
+    let discovery = Discovery::start();
+    let alone = [endpoint("broken", broken.address, "ready", 0)];
+    let mut config = config(discovery.address, &alone);
+    // Only the retry may send the request to the second server.
+    config["settings"]["limits"]["parallel_tries"] = json!(false);
+    let mut proxy = Proxy::start(&config);
+    discovery.publish(true, &alone);
+    // The retry budget is a fraction of the requests.
+    (0..20).for_each(|_| assert_eq!(send_request(&proxy, &request("read", 7000)).status(), 200));
+    is_held.store(true, Ordering::SeqCst);
+    let sent = broken.requests().len();
+    let mut client = Client::open(proxy.address);
+    client.send(&request("read", 7000));
+    until("the request is at the server", || broken.requests().len() > sent);
+    discovery.publish(false, &[endpoint("leaving", leaving.address, "ready", 0)]);
+    until("the proxy uses the second server", || {
+        send_request(&proxy, &request("read", 7000)).status() == 200 && !leaving.requests().is_empty()
+    });
+    proxy.terminate();
+    until("the proxy stops", || proxy.ready() != 200);
+    let published_at = Instant::now();
+    discovery.publish(false, &[endpoint("leaving", leaving.address, "draining", 0)]);
+    until("the grace period of the drain is over", || published_at.elapsed() > GRACE);
+    let before = leaving.requests().len();
+    release.send(()).expect("the server waits");
+    let response = client.read_response();
+    assert!(proxy.exit().success(), "{}", proxy.log());
+    assert_eq!(leaving.requests().len(), before, "the request was sent to the draining server");
+    // The first server is ready and may get the request again.
+    let is_from_leaving = response.is_some_and(|response| response.body == b"leaving");
+    assert!(!is_from_leaving, "the draining server has answered");
+}
+
 /// A list of 100 000 servers exceeds the size limit, and one of 2500 the line limit: both are rejected with the limit
 /// in the log, the previous list stays in use, memory stays within its limit, and the next valid list is applied in
 /// time.
