Wait until the proxy uses all backends in tests that break off a stream

Cause: the tests began once the proxy was ready, and a proxy is ready once it knows one backend. Traced: in all seven failures one backend had got a request and the other none, so that there was no other backend for the resumption.

Change: the tests wait until each backend has been sent a request on another route, which is not counted. What is asserted is as before.

--- a/crates/gaugesaddle-control/tests/traffic.rs
+++ b/crates/gaugesaddle-control/tests/traffic.rs
@@ -2,7 +2,7 @@
 //! executed twice, or is rejected as not executed although it was, and against a stream that loses an event.
 
 use gaugesaddle_testbed::fleet::{call, document, Chunked, Fleet};
-use gaugesaddle_testbed::scripted::{until, Backend, Message, Reply};
+use gaugesaddle_testbed::scripted::{chunk, events, until, Backend, Message, Reply};
 use std::net::SocketAddr;
 
 /// Index of the control process in the fleet.
@@ -26,14 +26,6 @@
     ))
 }
 
-fn events(from: u32, to: u32) -> String {
-    (from..to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Type: text/event-stream\r\n\
                            Transfer-Encoding: chunked\r\nResponse-Signature: ";
 
@@ -206,15 +198,21 @@
             Reply::RespondAndClose(format!("{STREAM_HEAD}{signature}\r\n\r\n{begun}"))
         }
     };
-    let one = Backend::start(move |m| respond(m, "one"));
-    let two = Backend::start(move |m| respond(m, "two"));
+    let is_stream = |message: &Message| message.start.contains("/stream/");
+    let start = |signature: &'static str| {
+        Backend::start(move |m| if is_stream(m) { respond(m, signature) } else { answer("known") })
+    };
+    let (one, two) = (start("one"), start("two"));
     let fleet = fleet_with(1, &[("i-1", one.address), ("i-2", two.address)]);
+    fleet.await_backends(EDGE, &[&one, &two]);
+    let streams = |b: &Backend| b.requests().iter().filter(|m| is_stream(m)).count();
     let mut stream = Chunked::open(fleet.front(EDGE), &request("stream", FREE)).expect("stream starts");
-    let was_first = |b: &Backend| b.requests().iter().any(|m| m.header("last-event-id").is_none());
+    let was_first =
+        |b: &Backend| b.requests().iter().any(|m| is_stream(m) && m.header("last-event-id").is_none());
     let first = if was_first(&one) { "one" } else { "two" };
     assert_eq!(stream.head.header("response-signature"), Some(first));
     assert_eq!(stream.rest().expect("stream is complete"), events(0, 6));
-    assert_eq!(one.requests().len() + two.requests().len(), 2);
+    assert_eq!(streams(&one) + streams(&two), 2);
 }
 
 #[test]
--- a/crates/gaugesaddle-control/tests/truncated_responses.rs
+++ b/crates/gaugesaddle-control/tests/truncated_responses.rs
@@ -2,7 +2,7 @@
 //! backend broke off: bodies without a length, which end with their connection, and streams that are relayed in parts.
 
 use gaugesaddle_testbed::fleet::{call, document, Chunked, Fleet};
-use gaugesaddle_testbed::scripted::{until, Backend, Message, Reply};
+use gaugesaddle_testbed::scripted::{chunk, events, until, Backend, Message, Reply};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -27,8 +27,9 @@
     )
 }
 
-fn events(from: u32, to: u32) -> String {
-    (from..to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
+/// Whether a message is a request on the resumable route.
+fn is_stream(message: &Message) -> bool {
+    message.start.contains("/stream/")
 }
 
 /// The events after `Last-Event-Id`, or all if the request has none.
@@ -38,10 +39,6 @@
     events(last.map_or(0, |id| id + 1), EVENTS)
 }
 
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
 /// A response without a length.
 fn close_delimited(status: &str, content_type: &str, body: &str) -> String {
     format!(
@@ -80,7 +77,9 @@
     let start = || {
         let (is_first, first) = (is_first.clone(), first.clone());
         Backend::start(move |message| {
-            if is_first.swap(false, Ordering::SeqCst) {
+            if !is_stream(message) {
+                Reply::RespondAndClose(close_delimited("200 OK", "text/plain", "known"))
+            } else if is_first.swap(false, Ordering::SeqCst) {
                 first()
             } else {
                 Reply::RespondAndClose(close_delimited_stream(&rest_of_stream(message)))
@@ -89,8 +88,10 @@
     };
     let (one, two) = (start(), start());
     let fleet = fleet_with(&[("i-1", one.address), ("i-2", two.address)]);
+    fleet.await_backends(EDGE, &[&one, &two]);
     let body = chunked_body(&fleet, "stream", "");
-    let requests = [one.requests(), two.requests()].concat();
+    let mut requests = [one.requests(), two.requests()].concat();
+    requests.retain(is_stream);
     let with_id = requests.iter().filter(|message| message.header("last-event-id").is_some()).count();
     (body, (with_id, requests.len() - with_id))
 }
--- a/crates/gaugesaddle-testbed/src/fleet.rs
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -3,7 +3,7 @@
 //! processes and by the demo.
 
 use crate::program;
-use crate::scripted::{read_message, Message};
+use crate::scripted::{read_message, until, Backend, Message};
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
@@ -276,6 +276,20 @@
         self.control_call(at, "GET /Config.Get HTTP/1.1\r\nHost: c\r\n\r\n")
     }
 
+    /// Waits until a proxy sends requests to each of these backends. A proxy is ready once it knows one of them. They must
+    /// answer requests on the route `/plain/`, whose `Request-Id` is `q1`.
+    pub fn await_backends(&self, at: usize, backends: &[&Backend]) {
+        let text = "POST /plain/known HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q1\r\nApi-Key: k-free\r\n\
+                    Content-Length: 0\r\n\r\n";
+        until("the proxy uses all backends", || {
+            let _ = call(self.front(at), text);
+            let is_known = |backend: &&Backend| {
+                backend.requests().iter().any(|message| message.start.contains("/plain/known"))
+            };
+            backends.iter().all(is_known)
+        });
+    }
+
     /// Sends a backend's heartbeat; returns the status of the response.
     pub fn heartbeat(&self, at: usize, id: &str, service: &str, address: SocketAddr, state: &str) -> u16 {
         static SEQUENCE: AtomicU32 = AtomicU32::new(1);
--- a/crates/gaugesaddle-testbed/src/scripted/backend.rs
+++ b/crates/gaugesaddle-testbed/src/scripted/backend.rs
@@ -23,6 +23,16 @@
     Reply::Respond(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// The events of a stream with these IDs, `to` excluded.
+pub fn events(from: u32, to: u32) -> String {
+    (from..to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
+}
+
+/// A chunk of a body with `Transfer-Encoding: chunked`.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 #[derive(Default)]
 struct Seen {
     requests: Mutex<Vec<Message>>,
