--- a/crates/gaugesaddle-consensus/src/departure.rs
+++ b/crates/gaugesaddle-consensus/src/departure.rs
@@ -168,3 +168,6 @@
         self.progress.get(voter).is_some_and(|progress| progress.is_departing)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gaugesaddle-consensus/tests/departure.rs
+++ b/crates/gaugesaddle-consensus/tests/departure.rs
@@ -218,3 +218,38 @@
         assert_eq!(group.check(), Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a voter with a sound disk that is given up within seconds, while another one ends as planned: a machine
+/// crashes and comes back, another one ends meanwhile, and one disk is lost before the first is back.
+#[test]
+fn a_crash_a_planned_end_and_a_lost_disk_in_a_row_leave_a_majority() {
+    for has_successor in [false, true] {
+        for seed in 1..=SEEDS {
+            let mut group = group(1, seed, 4);
+            if has_successor {
+                group.add(5);
+                group.run(4000);
+            }
+            let [crashed, leaving, wiped] = [0, 1, 2].map(|n| 1 + (seed as u32 + n) % 4);
+            group.crash(crashed);
+            group.run(1700);
+            group.begin_departure(leaving);
+            run_until_departed(&mut group, leaving, 1000);
+            remove(&mut group, leaving);
+            group.crash(wiped);
+            group.wipe(wiped);
+            group.run(1000);
+            group.start(crashed, false);
+            group.run(2000);
+            group.start(wiped, false);
+            assert!(
+                commits_change(&mut group),
+                "successor: {has_successor}, seed {seed}: no majority is left"
+            );
+            group.run(3000);
+            let machines: BTreeSet<u32> = group.machines.keys().copied().collect();
+            assert_eq!(group.voting_machines(), machines, "successor: {has_successor}, seed {seed}");
+            assert_eq!(group.check(), Vec::<String>::new(), "successor: {has_successor}, seed {seed}");
+        }
+    }
+}
