Use one enum and one choice of the voter to give up for departures

Cause: on reading the departure once more, LeaveOutcome on the wire and Departure at the host were the same three cases with a mapping between them, "departing, else unresponsive" was searched for twice, and each host derived two answers from the replica's departure.

Change: the message carries Departure, which the consensus crate re-exports; departing_or_unresponsive serves removal and replacement; the hosts ask for the departure itself. 33 lines less; no behaviour changes.

--- a/crates/gaugesaddle-consensus/src/departure.rs
+++ b/crates/gaugesaddle-consensus/src/departure.rs
@@ -17,26 +17,13 @@
 
 use crate::membership::JOIN_INTERVAL_MS;
 use crate::{Output, Replica, Role, Storage};
-use gaugesaddle_protocol::{LeaveOutcome, ReplicaId, ReplicaMessage};
+use gaugesaddle_protocol::{Departure, ReplicaId, ReplicaMessage};
 
 /// Interval between the `Leave` broadcasts of a departing replica.
 const LEAVE_INTERVAL_MS: u64 = 100;
 /// Time after its election for which a leader may not know all learners yet.
 const LEARNER_DISCOVERY_MS: u64 = 2 * JOIN_INTERVAL_MS;
 
-/// How far a departure has proceeded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Departure {
-    /// The leader has not answered, or the removal is not committed yet. If the process ended now, the replica could
-    /// remain a voter.
-    Pending,
-    /// The replica is not a voter, and the state without it is committed.
-    Left,
-    /// The replica remains a voter: the group has no more voters than it needs, and there is no replica to take the
-    /// place. The process may end; the group counts it as unresponsive then.
-    Required,
-}
-
 /// The departure of this replica.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OwnDeparture {
@@ -84,10 +71,10 @@
         }
         if self.role != Role::Leader {
             out.push(Output::Broadcast(ReplicaMessage::Leave { process: self.process }));
-        } else if self.has_transfer_target() {
+        } else if self.transfer_target().is_some() {
             self.transfer_leadership(now, out);
         } else {
-            self.record_leave_outcome(self.leave_outcome(now, self.hard_state.id));
+            self.record_departure(self.departure_of(now, self.hard_state.id));
         }
     }
 
@@ -113,45 +100,40 @@
             progress.is_departing = true;
         }
         self.advance(now, out);
-        let outcome = self.leave_outcome(now, from);
-        out.push(Output::Send(from, ReplicaMessage::LeaveResponse { process, outcome }));
+        let departure = self.departure_of(now, from);
+        out.push(Output::Send(from, ReplicaMessage::LeaveResponse { process, departure }));
     }
 
     /// Handles the leader's answer; one to an earlier process of this machine is ignored.
-    pub(crate) fn handle_leave_response(&mut self, process: u64, outcome: LeaveOutcome) {
+    pub(crate) fn handle_leave_response(&mut self, process: u64, departure: Departure) {
         if process == self.process {
-            self.record_leave_outcome(outcome);
+            self.record_departure(departure);
         }
     }
 
-    fn record_leave_outcome(&mut self, outcome: LeaveOutcome) {
+    fn record_departure(&mut self, departure: Departure) {
         // `Left` is final.
-        let Some(own) = self.own_departure.as_mut().filter(|own| own.status != Departure::Left) else {
-            return;
-        };
-        own.status = match outcome {
-            LeaveOutcome::Left => Departure::Left,
-            LeaveOutcome::Required => Departure::Required,
-            LeaveOutcome::Pending => Departure::Pending,
-        };
+        if let Some(own) = self.own_departure.as_mut().filter(|own| own.status != Departure::Left) {
+            own.status = departure;
+        }
     }
 
-    /// The answer to a replica that leaves. It waits while a learner may take its place, and while another voter does not
+    /// The departure of a replica that leaves. It is pending while a learner may take its place, and while another voter does not
     /// respond: the end of its process could take the majority from the group.
-    fn leave_outcome(&self, now: u64, departing: ReplicaId) -> LeaveOutcome {
+    fn departure_of(&self, now: u64, departing: ReplicaId) -> Departure {
         if !self.is_membership_committed() {
-            return LeaveOutcome::Pending;
+            return Departure::Pending;
         }
         if !self.state.voters.contains(&departing) {
-            return LeaveOutcome::Left;
+            return Departure::Left;
         }
         let may_shrink = self.state.voters.len() > self.settings.min_voters;
         let may_have_successor = now < self.elected_ms + LEARNER_DISCOVERY_MS
             || self.learners.values().any(|learner| learner.durable);
         if may_shrink || may_have_successor || self.is_any_voter_lost(now) {
-            LeaveOutcome::Pending
+            Departure::Pending
         } else {
-            LeaveOutcome::Required
+            Departure::Required
         }
     }
 
--- a/crates/gaugesaddle-consensus/src/election.rs
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -298,13 +298,8 @@
         self.step_down(now, None, out);
     }
 
-    /// Whether there is a voter to which leadership can be transferred.
-    pub(crate) fn has_transfer_target(&self) -> bool {
-        self.transfer_target().is_some()
-    }
-
     /// Of the voters on which the newest state is durable and that do not depart, the one with the most recent contact.
-    fn transfer_target(&self) -> Option<ReplicaId> {
+    pub(crate) fn transfer_target(&self) -> Option<ReplicaId> {
         let newest = self.state.position;
         let is_candidate = |voter: &&ReplicaId| **voter != self.hard_state.id && !self.is_departing(voter);
         let other_voters = self.state.voters.iter().filter(is_candidate);
--- a/crates/gaugesaddle-consensus/src/lib.rs
+++ b/crates/gaugesaddle-consensus/src/lib.rs
@@ -72,7 +72,7 @@
 pub mod settings;
 mod writes;
 
-pub use departure::Departure;
+pub use gaugesaddle_protocol::Departure;
 pub use interface::{Input, NotLeader, Output, Role, Storage, WriteId};
 pub use proposal::{Proposal, ProposalResult, ProposedDocument};
 pub use replica::Replica;
--- a/crates/gaugesaddle-consensus/src/membership.rs
+++ b/crates/gaugesaddle-consensus/src/membership.rs
@@ -92,14 +92,18 @@
         if voters.len() <= self.settings.min_voters {
             return None;
         }
-        let timeout_ms = self.settings.removal_timeout_ms;
-        let departing = voters.iter().position(|voter| self.is_departing(voter));
-        let unresponsive = || voters.iter().position(|voter| self.is_unresponsive(now, voter, timeout_ms));
-        let removed = departing.or_else(unresponsive)?;
+        let removed = self.departing_or_unresponsive(now, self.settings.removal_timeout_ms)?;
         voters.remove(removed);
         Some(voters)
     }
 
+    /// Index of a voter that departs, else of one that has not responded for `timeout_ms`.
+    fn departing_or_unresponsive(&self, now: u64, timeout_ms: u64) -> Option<usize> {
+        let voters = &self.state.voters;
+        let departing = voters.iter().position(|voter| self.is_departing(voter));
+        departing.or_else(|| voters.iter().position(|voter| self.is_unresponsive(now, voter, timeout_ms)))
+    }
+
     /// A learner with a disk on which the newest state is durable.
     fn caught_up_learner(&self) -> Option<ReplicaId> {
         let newest = self.state.position;
@@ -115,11 +119,7 @@
         if let Some(slot) = voters.iter().position(has_same_address) {
             return Some(LearnerPromotion::Replace(slot));
         }
-        if let Some(slot) = voters.iter().position(|voter| self.is_departing(voter)) {
-            return Some(LearnerPromotion::Replace(slot));
-        }
-        let timeout_ms = self.settings.replacement_timeout_ms;
-        if let Some(slot) = voters.iter().position(|voter| self.is_unresponsive(now, voter, timeout_ms)) {
+        if let Some(slot) = self.departing_or_unresponsive(now, self.settings.replacement_timeout_ms) {
             return Some(LearnerPromotion::Replace(slot));
         }
         // If a voter is dead, an additional voter only increases the size of the majority. A new leader therefore adds
--- a/crates/gaugesaddle-consensus/src/replica.rs
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -171,8 +171,8 @@
             ReplicaMessage::TimeoutNow { term } => self.handle_timeout_now(now, from, term, out),
             ReplicaMessage::Join { durable } => self.handle_join(now, from, durable),
             ReplicaMessage::Leave { process } => self.handle_leave(now, from, process, out),
-            ReplicaMessage::LeaveResponse { process, outcome } => {
-                self.handle_leave_response(process, outcome);
+            ReplicaMessage::LeaveResponse { process, departure } => {
+                self.handle_leave_response(process, departure);
             }
         }
     }
--- a/crates/gaugesaddle-control/src/replica_driver.rs
+++ b/crates/gaugesaddle-control/src/replica_driver.rs
@@ -66,13 +66,7 @@
         self.drive(Replica::begin_departure);
     }
 
-    /// Whether the departure that [`CoreHandle::begin_departure`] started has been decided. It also has been if there is
-    /// no replica because the disk has failed.
-    pub fn has_departed(&self) -> bool {
-        self.departure() != Some(Departure::Pending)
-    }
-
-    /// The departure of the replica; `None` without a replica, and before [`CoreHandle::begin_departure`].
+    /// The departure of the replica; `None` if there is no replica because the disk has failed, and before [`CoreHandle::begin_departure`].
     pub fn departure(&self) -> Option<Departure> {
         self.with(|core| core.replica.as_ref().and_then(Replica::departure))
     }
--- a/crates/gaugesaddle-control/src/serve.rs
+++ b/crates/gaugesaddle-control/src/serve.rs
@@ -87,7 +87,8 @@
     let begun = Instant::now();
     let latest_exit = grace_period.saturating_sub(EXIT_MARGIN).max(SHUTDOWN_MIN);
     core.begin_departure();
-    while begun.elapsed() < SHUTDOWN_MIN || (!core.has_departed() && begun.elapsed() < latest_exit) {
+    let is_pending = || core.departure() == Some(Departure::Pending);
+    while begun.elapsed() < SHUTDOWN_MIN || (is_pending() && begun.elapsed() < latest_exit) {
         tokio::select! {
             Some(event) = disk_events.recv() => core.handle_disk_event(event),
             () = tokio::time::sleep(DEPARTURE_CHECK_INTERVAL) => {}
--- a/crates/gaugesaddle-protocol/src/consensus.rs
+++ b/crates/gaugesaddle-protocol/src/consensus.rs
@@ -233,18 +233,20 @@
     LeaveResponse {
         /// The process that sent the request.
         process: u64,
-        /// Whether the replica has left.
-        outcome: LeaveOutcome,
+        /// How far the departure has proceeded.
+        departure: Departure,
     },
 }
 
-/// The leader's answer to a replica that requests to leave the group.
+/// How far the departure of a replica that requests to leave the group has proceeded, according to the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub enum LeaveOutcome {
+pub enum Departure {
     /// The replica is not a voter, and the state without it is committed.
     Left,
-    /// The replica remains a voter: the group has no more voters than it needs, and no learner can take its place.
+    /// The replica remains a voter: the group has no more voters than it needs, and no learner can take its place. The
+    /// process may end; the group counts it as unresponsive then.
     Required,
-    /// The removal is in progress or due.
+    /// The leader has not answered, or the removal is not committed yet. If the process ended now, the replica could
+    /// remain a voter.
     Pending,
 }
--- a/crates/gaugesaddle-protocol/tests/golden_frames.rs
+++ b/crates/gaugesaddle-protocol/tests/golden_frames.rs
@@ -267,13 +267,10 @@
     check("replica take over", ReplicaMessage::TimeoutNow { term: 301 });
     check("replica join", ReplicaMessage::Join { durable: true });
     check("replica leave", ReplicaMessage::Leave { process: 0x0102_0304_0506_0708 });
-    let outcomes = [
-        ("left", LeaveOutcome::Left),
-        ("required", LeaveOutcome::Required),
-        ("pending", LeaveOutcome::Pending),
-    ];
-    for (name, outcome) in outcomes {
-        let response = ReplicaMessage::LeaveResponse { process: 9, outcome };
+    let departures =
+        [("left", Departure::Left), ("required", Departure::Required), ("pending", Departure::Pending)];
+    for (name, departure) in departures {
+        let response = ReplicaMessage::LeaveResponse { process: 9, departure };
         check(&format!("replica leave response, {name}"), response);
     }
 }
--- a/crates/gaugesaddle-simulation/src/control/replica.rs
+++ b/crates/gaugesaddle-simulation/src/control/replica.rs
@@ -52,15 +52,9 @@
         self.execute(now, outputs);
     }
 
-    /// Whether the replica reports that it has left the group.
-    pub fn has_left(&self) -> bool {
-        self.replica.as_ref().and_then(Replica::departure) == Some(Departure::Left)
-    }
-
-    /// Whether the departure has been decided, or there is no replica.
-    pub fn has_departed(&self) -> bool {
-        let departure = self.replica.as_ref().and_then(Replica::departure);
-        departure != Some(Departure::Pending)
+    /// The departure of the replica; `None` without a replica, and before [`ControlProcess::begin_departure`].
+    pub fn departure(&self) -> Option<Departure> {
+        self.replica.as_ref().and_then(Replica::departure)
     }
 
     /// Passes an input to the replica and executes its outputs.
--- a/crates/gaugesaddle-simulation/src/world/processes.rs
+++ b/crates/gaugesaddle-simulation/src/world/processes.rs
@@ -8,6 +8,7 @@
 use crate::proxy::Proxy;
 use crate::trace::TraceEvent;
 use crate::Millis;
+use gaugesaddle_consensus::Departure;
 use gaugesaddle_protocol::ReplicaId;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -120,17 +121,14 @@
         let is_same_process = self.incarnation(Node::Control(ip)) == shutdown.incarnation;
         if is_same_process && self.now < shutdown.begun + SHUTDOWN_MAX_MS {
             self.step_process(ip, ControlProcess::begin_departure);
-            let process = self.machines.get(&ip).and_then(|machine| machine.process.as_ref());
-            if process.is_some_and(|process| !process.has_departed()) {
+            if self.departure(ip) == Some(Departure::Pending) {
                 return self.schedule(self.now + SHUTDOWN_CHECK_MS, Event::CheckShutdown { ip, shutdown });
             }
         }
         match shutdown.disposition {
             MachineDisposition::Removed => {
-                if let Some(machine) = self.machines.get_mut(&ip) {
-                    let process = machine.process.as_ref();
-                    machine.has_left = is_same_process && process.is_some_and(ControlProcess::has_left);
-                }
+                let has_left = is_same_process && self.departure(ip) == Some(Departure::Left);
+                self.machines.entry(ip).and_modify(|machine| machine.has_left = has_left);
                 self.remove_machine(ip);
             }
             MachineDisposition::Retained { down } if is_same_process => {
@@ -141,6 +139,10 @@
         }
     }
 
+    fn departure(&self, ip: u32) -> Option<Departure> {
+        self.machines.get(&ip)?.process.as_ref()?.departure()
+    }
+
     /// Removes a machine permanently; its process, if one runs, is killed.
     pub(super) fn remove_machine(&mut self, ip: u32) {
         self.terminate(ip, Termination::Killed);
