--- a/crates/gaugesaddle-consensus/src/departure/tests.rs
+++ b/crates/gaugesaddle-consensus/src/departure/tests.rs
@@ -32,6 +32,17 @@
     handle(replica, Input::Message { from: id(from), message })
 }
 
+/// The acknowledgement of the first heartbeat and of a state, by the process with this number.
+fn acknowledgement(position: LogPosition, process: u64) -> ReplicaMessage {
+    ReplicaMessage::AppendResponse {
+        term: 1,
+        sequence: 1,
+        matched: position,
+        received: position,
+        clock_reading: ClockReading { process, time_ms: 1 },
+    }
+}
+
 /// The leader of four voters, one of which is enough to lose: replica 1, with a committed state that voters 2 and 3 have
 /// acknowledged. The process of replica 2 has the number 7.
 fn leader() -> Replica {
@@ -48,14 +59,7 @@
     assert_eq!(replica.role, Role::Leader);
     let newest = LogPosition { term: 1, index: 1 };
     for voter in 2..=3 {
-        let clock_reading = ClockReading { process: 5 + u64::from(voter), time_ms: 1 };
-        let response = ReplicaMessage::AppendResponse {
-            term: 1,
-            sequence: 1,
-            matched: newest,
-            received: newest,
-            clock_reading,
-        };
+        let response = acknowledgement(newest, 5 + u64::from(voter));
         receive(&mut replica, voter, response);
     }
     assert!(replica.is_membership_committed());
@@ -83,15 +87,7 @@
     replica.settings.min_voters = 4;
     receive(&mut replica, 2, ReplicaMessage::Leave { process: 7 });
     assert!(replica.is_departing(&id(2)));
-    let newest = replica.state.position;
-    let clock_reading = ClockReading { process: 8, time_ms: 1 };
-    let response = ReplicaMessage::AppendResponse {
-        term: 1,
-        sequence: 1,
-        matched: newest,
-        received: newest,
-        clock_reading,
-    };
+    let response = acknowledgement(replica.state.position, 8);
     receive(&mut replica, 2, response);
     assert!(!replica.is_departing(&id(2)));
 }
--- a/crates/gaugesaddle-consensus/src/membership/tests.rs
+++ b/crates/gaugesaddle-consensus/src/membership/tests.rs
@@ -54,6 +54,19 @@
     assert_eq!(replica.role, Role::Leader, "the only voter lost its leadership");
 }
 
+/// The replicas from which a restarted replica with this state requests pre-votes after its election time-out.
+fn pre_votes_requested_by(ip: u32, state: State) -> Vec<ReplicaId> {
+    let hard_state = HardState { id: id(ip), term: 2, voted_for: None };
+    let mut replica = Replica::new(Settings::default(), hard_state, state, 0, 7, Storage::Durable);
+    let mut out = Vec::new();
+    replica.handle(replica.deadline().max(replica.election_deadline), Input::Tick, &mut out);
+    let requested = |output: &Output| match output {
+        Output::Send(to, ReplicaMessage::RequestPreVote { .. }) => Some(*to),
+        _ => None,
+    };
+    out.iter().filter_map(requested).collect()
+}
+
 /// Guards against a group that never elects a leader: the only replica with the newest state is being removed and does
 /// not campaign, its vote is required for the majority of the outgoing group, and it grants no vote to a replica with
 /// an older state.
@@ -63,15 +76,7 @@
     let outgoing = vec![id(1), id(2), id(4), id(3)];
     let position = LogPosition { term: 2, index: 49 };
     let state = State { position, revision: 1, voters, outgoing, ..State::default() };
-    let hard_state = HardState { id: id(3), term: 2, voted_for: None };
-    let mut replica = Replica::new(Settings::default(), hard_state, state, 0, 7, Storage::Durable);
-    let mut out = Vec::new();
-    replica.handle(replica.deadline().max(replica.election_deadline), Input::Tick, &mut out);
-    let requested = |output: &Output| match output {
-        Output::Send(to, ReplicaMessage::RequestPreVote { .. }) => Some(*to),
-        _ => None,
-    };
-    assert_eq!(out.iter().filter_map(requested).collect::<Vec<_>>(), [id(1), id(2), id(4)]);
+    assert_eq!(pre_votes_requested_by(3, state), [id(1), id(2), id(4)]);
 }
 
 /// The same group after one machine has lost its disk: the other replicas elect a leader and complete the change, and
@@ -130,13 +135,5 @@
     let voters = vec![id(1), id(2), id(4)];
     let position = LogPosition { term: 2, index: 50 };
     let state = State { position, revision: 1, voters, ..State::default() };
-    let hard_state = HardState { id: id(3), term: 2, voted_for: None };
-    let mut replica = Replica::new(Settings::default(), hard_state, state, 0, 7, Storage::Durable);
-    let mut out = Vec::new();
-    replica.handle(replica.deadline().max(replica.election_deadline), Input::Tick, &mut out);
-    let requested = |output: &Output| match output {
-        Output::Send(to, ReplicaMessage::RequestPreVote { .. }) => Some(*to),
-        _ => None,
-    };
-    assert_eq!(out.iter().filter_map(requested).collect::<Vec<_>>(), [id(1), id(2), id(4)]);
+    assert_eq!(pre_votes_requested_by(3, state), [id(1), id(2), id(4)]);
 }
--- a/crates/gaugesaddle-consensus/tests/departure.rs
+++ b/crates/gaugesaddle-consensus/tests/departure.rs
@@ -3,7 +3,7 @@
 
 mod group;
 
-use gaugesaddle_consensus::{Departure, ProposalResult};
+use gaugesaddle_consensus::Departure;
 use group::Group;
 use std::collections::BTreeSet;
 
@@ -16,24 +16,6 @@
 /// learners to announce themselves.
 const RESTART_MS: u64 = 1000;
 
-/// A group of `size` machines, all of them voters, that tolerates the loss of `losses` machines.
-fn group(losses: usize, seed: u64, size: u32) -> Group {
-    let mut group = Group::tolerating(losses, seed, size, size.min(3));
-    group.run_until_leader(5000).expect("a leader should be elected");
-    group.run(3000);
-    assert_eq!(group.voting_machines().len(), size as usize, "seed {seed}");
-    group
-}
-
-/// Whether a leader is elected within 4 s and commits a change within another second.
-fn commits_change(group: &mut Group) -> bool {
-    let Some(leader) = group.run_until_leader(4000) else { return false };
-    let base = group.revision(leader);
-    let id = group.propose(leader, base, base + 1, vec![base as u8]);
-    group.run(1000);
-    matches!(group.calls[&id].ended, Some((_, ProposalResult::Committed)))
-}
-
 /// Runs as long as the process of a departing replica does: for `SHUTDOWN_MS`, and until the departure is decided, but for
 /// at most `limit_ms`.
 fn run_until_departed(group: &mut Group, ip: u32, limit_ms: u64) -> Option<Departure> {
@@ -45,18 +27,13 @@
     group.departure(ip)
 }
 
-fn remove(group: &mut Group, ip: u32) {
-    group.crash(ip);
-    group.machines.remove(&ip);
-}
-
 /// Guards against a core that never has a leader again: a machine ended as planned after its successor had become a
 /// voter, remained a voter for 2 s, and the tolerated number of disks was lost meanwhile.
 #[test]
 fn disks_may_be_lost_right_after_a_planned_end() {
     for (losses, size) in SHAPES {
         for seed in 1..=SEEDS {
-            let mut group = group(losses, seed, size);
+            let mut group = Group::formed(losses, seed, size);
             let successor = size + 1;
             group.add(successor);
             group.run(4000);
@@ -64,7 +41,7 @@
             group.begin_departure(leaving);
             let departure = run_until_departed(&mut group, leaving, SHUTDOWN_MS);
             assert_eq!(departure, Some(Departure::Left), "{size} replicas, seed {seed}");
-            remove(&mut group, leaving);
+            group.remove(leaving);
             let victims: Vec<u32> = group.machines.keys().copied().take(losses).collect();
             for victim in &victims {
                 group.crash(*victim);
@@ -74,7 +51,7 @@
             for victim in victims {
                 group.start(victim, false);
             }
-            assert!(commits_change(&mut group), "{size} replicas, seed {seed}: no majority is left");
+            assert!(group.commits_change(4000), "{size} replicas, seed {seed}: no majority is left");
             group.run(3000);
             let machines: BTreeSet<u32> = group.machines.keys().copied().collect();
             assert_eq!(group.voting_machines(), machines, "{size} replicas, seed {seed}");
@@ -87,7 +64,7 @@
 #[test]
 fn a_replica_that_has_left_stays_removed_until_it_is_started_again() {
     for seed in 1..=SEEDS {
-        let mut group = group(1, seed, 4);
+        let mut group = Group::formed(1, seed, 4);
         let leaving = 1 + seed as u32 % 4;
         group.begin_departure(leaving);
         assert_eq!(
@@ -110,7 +87,7 @@
 #[test]
 fn a_voter_that_the_group_needs_restarts_without_delay_and_keeps_its_place() {
     for seed in 1..=SEEDS {
-        let mut group = group(1, seed, 3);
+        let mut group = Group::formed(1, seed, 3);
         let restarted = 1 + seed as u32 % 3;
         group.begin_departure(restarted);
         assert_eq!(
@@ -133,16 +110,16 @@
 #[test]
 fn a_learner_takes_the_place_of_a_departing_voter() {
     for seed in 1..=SEEDS {
-        let mut group = group(1, seed, 3);
+        let mut group = Group::formed(1, seed, 3);
         let leaving = 1 + seed as u32 % 3;
         group.add(4);
         group.run(5);
         group.begin_departure(leaving);
         let departure = run_until_departed(&mut group, leaving, 2000);
         assert_eq!(departure, Some(Departure::Left), "seed {seed}");
-        remove(&mut group, leaving);
+        group.remove(leaving);
         assert_eq!(group.check(), Vec::<String>::new(), "seed {seed}");
-        assert!(commits_change(&mut group), "seed {seed}");
+        assert!(group.commits_change(4000), "seed {seed}");
         assert!(group.voting_machines().contains(&4), "seed {seed}");
         assert!(!group.voting_machines().contains(&leaving), "seed {seed}");
     }
@@ -154,7 +131,7 @@
 fn replicas_that_depart_together_do_not_block_one_another() {
     for (losses, size) in SHAPES {
         for seed in 1..=SEEDS {
-            let mut group = group(losses, seed, size);
+            let mut group = Group::formed(losses, seed, size);
             for ip in 1..=size {
                 group.begin_departure(ip);
             }
@@ -181,7 +158,7 @@
 #[test]
 fn a_departure_during_a_partition_completes_after_it() {
     for seed in 1..=SEEDS {
-        let mut group = group(2, seed, 6);
+        let mut group = Group::formed(2, seed, 6);
         for a in 1..=3 {
             for b in 4..=6 {
                 group.partitioned.insert((a, b));
@@ -203,7 +180,7 @@
 #[test]
 fn a_departing_voter_waits_while_another_voter_is_lost() {
     for seed in 1..=SEEDS {
-        let mut group = group(1, seed, 3);
+        let mut group = Group::formed(1, seed, 3);
         let leaving = 1 + seed as u32 % 3;
         let lost = 1 + (seed as u32 + 1) % 3;
         group.crash(lost);
@@ -214,7 +191,7 @@
         group.start(lost, false);
         assert_ne!(run_until_departed(&mut group, leaving, 4000), Some(Departure::Pending), "seed {seed}");
         group.crash(leaving);
-        assert!(commits_change(&mut group), "seed {seed}: no majority is left");
+        assert!(group.commits_change(4000), "seed {seed}: no majority is left");
         assert_eq!(group.check(), Vec::<String>::new(), "seed {seed}");
     }
 }
@@ -225,7 +202,7 @@
 fn a_crash_a_planned_end_and_a_lost_disk_in_a_row_leave_a_majority() {
     for has_successor in [false, true] {
         for seed in 1..=SEEDS {
-            let mut group = group(1, seed, 4);
+            let mut group = Group::formed(1, seed, 4);
             if has_successor {
                 group.add(5);
                 group.run(4000);
@@ -235,7 +212,7 @@
             group.run(1700);
             group.begin_departure(leaving);
             run_until_departed(&mut group, leaving, 1000);
-            remove(&mut group, leaving);
+            group.remove(leaving);
             group.crash(wiped);
             group.wipe(wiped);
             group.run(1000);
@@ -243,7 +220,7 @@
             group.run(2000);
             group.start(wiped, false);
             assert!(
-                commits_change(&mut group),
+                group.commits_change(4000),
                 "successor: {has_successor}, seed {seed}: no majority is left"
             );
             group.run(3000);
--- a/crates/gaugesaddle-consensus/tests/group/mod.rs
+++ b/crates/gaugesaddle-consensus/tests/group/mod.rs
@@ -128,6 +128,24 @@
         group
     }
 
+    /// A group of `size` machines, all of them voters, that tolerates the loss of `losses` machines and has a leader.
+    pub fn formed(losses: usize, seed: u64, size: u32) -> Group {
+        let mut group = Group::tolerating(losses, seed, size, size.min(3));
+        group.run_until_leader(5000).expect("a leader should be elected");
+        group.run(3000);
+        assert_eq!(group.voting_machines().len(), size as usize, "seed {seed}");
+        group
+    }
+
+    /// Whether a leader is elected within `within_ms` and commits a change within another second.
+    pub fn commits_change(&mut self, within_ms: u64) -> bool {
+        let Some(leader) = self.run_until_leader(within_ms) else { return false };
+        let base = self.revision(leader);
+        let id = self.propose(leader, base, base + 1, vec![base as u8]);
+        self.run(1000);
+        matches!(self.calls[&id].ended, Some((_, ProposalResult::Committed)))
+    }
+
     pub fn random_below(&mut self, n: u64) -> u64 {
         self.random.next_u64() % n.max(1)
     }
@@ -159,21 +177,19 @@
 
     /// Transfers leadership from a machine, as before a planned shutdown.
     pub fn transfer_leadership(&mut self, ip: u32) {
-        let now = self.now;
-        let Some(replica) = self.machines.get_mut(&ip).and_then(|m| m.replica.as_mut()) else { return };
-        let (id, mut outputs) = (replica.id(), Vec::new());
-        replica.transfer_leadership(now, &mut outputs);
-        for output in outputs {
-            self.apply_output(ip, id, output);
-        }
+        self.drive(ip, Replica::transfer_leadership);
     }
 
     /// Tells a machine's replica to leave the group, as before a planned end.
     pub fn begin_departure(&mut self, ip: u32) {
+        self.drive(ip, Replica::begin_departure);
+    }
+
+    fn drive(&mut self, ip: u32, act: impl FnOnce(&mut Replica, u64, &mut Vec<Output>)) {
         let now = self.now;
         let Some(replica) = self.machines.get_mut(&ip).and_then(|m| m.replica.as_mut()) else { return };
         let (id, mut outputs) = (replica.id(), Vec::new());
-        replica.begin_departure(now, &mut outputs);
+        act(replica, now, &mut outputs);
         for output in outputs {
             self.apply_output(ip, id, output);
         }
@@ -215,6 +231,12 @@
         machine.writes.clear();
     }
 
+    /// Removes a machine for good, without a word.
+    pub fn remove(&mut self, ip: u32) {
+        self.crash(ip);
+        self.machines.remove(&ip);
+    }
+
     /// Erases a machine's disk.
     pub fn wipe(&mut self, ip: u32) {
         if let Some(machine) = self.machines.get_mut(&ip) {
--- a/crates/gaugesaddle-consensus/tests/membership.rs
+++ b/crates/gaugesaddle-consensus/tests/membership.rs
@@ -10,24 +10,6 @@
 
 const SEEDS: u64 = 30;
 
-/// A group of `size` machines, all of them voters, that tolerates the loss of `losses` machines.
-fn group(losses: usize, seed: u64, size: u32) -> Group {
-    let mut group = Group::tolerating(losses, seed, size, size.min(3));
-    group.run_until_leader(5000).expect("a leader should be elected");
-    group.run(3000);
-    assert_eq!(group.voting_machines().len(), size as usize, "seed {seed}");
-    group
-}
-
-/// Whether a leader is elected within `within` milliseconds and commits a change within another second.
-fn commits_change(group: &mut Group, within: u64) -> bool {
-    let Some(leader) = group.run_until_leader(within) else { return false };
-    let base = group.revision(leader);
-    let id = group.propose(leader, base, base + 1, vec![base as u8]);
-    group.run(1000);
-    matches!(group.calls[&id].ended, Some((_, ProposalResult::Committed)))
-}
-
 fn restart_with_empty_disk(group: &mut Group, ip: u32, down_ms: u64) {
     group.crash(ip);
     group.wipe(ip);
@@ -39,7 +21,7 @@
 fn the_number_of_voters_never_decreases_while_a_wiped_disk_is_replaced() {
     for (losses, size) in [(1, 3), (1, 4), (2, 5), (2, 8)] {
         for seed in 1..=SEEDS {
-            let mut group = group(losses, seed, size);
+            let mut group = Group::formed(losses, seed, size);
             let victim = 1 + (seed as u32 % size);
             restart_with_empty_disk(&mut group, victim, 300);
             for _ in 0..4000 {
@@ -63,25 +45,24 @@
 fn every_disk_may_be_lost_in_turn_once_the_previous_one_has_caught_up() {
     for (losses, size) in [(1, 3), (1, 4), (2, 5), (2, 8)] {
         for seed in 1..=SEEDS {
-            let mut group = group(losses, seed, size);
+            let mut group = Group::formed(losses, seed, size);
             // One machine is replaced by another; then each disk is lost in turn, 4 s after the previous one.
             let removed = 1 + (seed as u32 % size);
-            group.crash(removed);
-            group.machines.remove(&removed);
+            group.remove(removed);
             group.run(1000);
             group.add(size + 1);
             group.run(4000);
             let victims: Vec<u32> = group.machines.keys().copied().collect();
             for victim in victims {
                 assert!(
-                    commits_change(&mut group, 4000),
+                    group.commits_change(4000),
                     "{size} replicas, seed {seed}: no change committed before the loss of {victim}"
                 );
                 restart_with_empty_disk(&mut group, victim, 300);
                 group.run(4000);
             }
             assert!(
-                commits_change(&mut group, 4000),
+                group.commits_change(4000),
                 "{size} replicas, seed {seed}: no change committed after the last loss"
             );
             let machines: BTreeSet<u32> = group.machines.keys().copied().collect();
@@ -95,7 +76,7 @@
 fn consecutive_replacements_leave_no_dead_voter() {
     for (losses, size) in [(1, 3), (1, 4), (2, 5), (2, 8)] {
         for seed in 1..=SEEDS {
-            let mut group = group(losses, seed, size);
+            let mut group = Group::formed(losses, seed, size);
             for step in 0..size {
                 // A planned replacement: the new machine starts 1 s before the old one transfers its leadership and
                 // stops.
@@ -103,11 +84,10 @@
                 group.run(1000);
                 group.transfer_leadership(step + 1);
                 group.run(300);
-                group.crash(step + 1);
-                group.machines.remove(&(step + 1));
+                group.remove(step + 1);
                 group.run(4000);
             }
-            assert!(commits_change(&mut group, 4000), "{size} replicas, seed {seed}");
+            assert!(group.commits_change(4000), "{size} replicas, seed {seed}");
             let machines: BTreeSet<u32> = group.machines.keys().copied().collect();
             assert_eq!(group.voting_machines(), machines, "{size} replicas, seed {seed}");
             assert_eq!(group.check(), Vec::<String>::new(), "{size} replicas, seed {seed}");
@@ -120,10 +100,9 @@
 #[test]
 fn a_learner_is_not_added_beside_a_voter_that_has_not_responded() {
     for seed in 1..=SEEDS {
-        let mut group = group(1, seed, 3);
+        let mut group = Group::formed(1, seed, 3);
         let removed = group.leader().expect("a leader should be elected");
-        group.crash(removed);
-        group.machines.remove(&removed);
+        group.remove(removed);
         group.add(4);
         for _ in 0..4000 {
             group.run(1);
@@ -138,7 +117,7 @@
 #[test]
 fn a_voter_removed_during_a_partition_returns_after_it() {
     for seed in 1..=SEEDS {
-        let mut group = group(1, seed, 4);
+        let mut group = Group::formed(1, seed, 4);
         let isolated = group.leader().expect("a leader should be elected");
         let others: Vec<u32> = (1..=4).filter(|ip| *ip != isolated).collect();
         for other in &others {
@@ -147,13 +126,13 @@
         }
         group.run(20_000);
         assert_eq!(group.voting_machines(), others.iter().copied().collect(), "seed {seed}");
-        assert!(commits_change(&mut group, 3000));
+        assert!(group.commits_change(3000));
         group.partitioned.clear();
         group.run(3000);
         assert_eq!(group.voting_machines().len(), 4, "seed {seed}: the reconnected replica is not a voter");
         // The returned voter counts toward the majority, so that another voter may be lost.
         group.crash(others[0]);
-        assert!(commits_change(&mut group, 4000), "seed {seed}");
+        assert!(group.commits_change(4000), "seed {seed}");
         assert_eq!(group.check(), Vec::<String>::new(), "seed {seed}");
     }
 }
@@ -194,7 +173,7 @@
 fn a_leadership_transfer_takes_at_most_60_ms() {
     let mut longest = 0;
     for seed in 1..=100 {
-        let mut group = group(1, seed, 4);
+        let mut group = Group::formed(1, seed, 4);
         let old = group.leader().expect("a leader should be elected");
         group.transfer_leadership(old);
         let started_at = group.now;
@@ -203,7 +182,7 @@
         }
         assert_ne!(group.leader(), Some(old), "seed {seed}");
         longest = longest.max(group.now - started_at);
-        assert!(commits_change(&mut group, 500), "seed {seed}");
+        assert!(group.commits_change(500), "seed {seed}");
         assert_eq!(group.check(), Vec::<String>::new(), "seed {seed}");
     }
     assert!(longest <= 60, "no leader for {longest} ms after a leadership transfer");
@@ -211,7 +190,7 @@
 
 #[test]
 fn a_proposal_older_than_the_accepted_list_is_not_rejected() {
-    let mut group = group(1, 1, 3);
+    let mut group = Group::formed(1, 1, 3);
     let leader = group.leader().expect("a leader should be elected");
     let changes = 520u64;
     for n in 0..changes {
--- a/crates/gaugesaddle-control/tests/stopping_proxy.rs
+++ b/crates/gaugesaddle-control/tests/stopping_proxy.rs
@@ -2,10 +2,9 @@
 //! have left meanwhile, since it no longer follows the control plane.
 
 use gaugesaddle_testbed::fleet::{call, document, Fleet};
-use gaugesaddle_testbed::scripted::{until, Backend, Reply};
+use gaugesaddle_testbed::scripted::{until, Backend, Hold, Reply};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::{channel, Sender};
-use std::sync::Mutex;
+use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
 /// Index of the control process in the fleet.
@@ -32,20 +31,16 @@
     )
 }
 
-/// A backend that breaks off its response to the first request for `/route/` once the sender has sent something, after
-/// having sent `begun`. It answers all other requests.
+/// A backend that holds the first request for `/route/` until it is released, and then sends `begun` and breaks off. It answers
+/// all other requests.
 fn breaking_backend(route: &'static str, begun: &'static str) -> (Backend, Sender<()>) {
-    let (release, released) = channel();
-    let released = Mutex::new(Some(released));
+    let (hold, release) = Hold::new();
     let backend = Backend::start(move |message| {
         let is_broken = message.start.contains(&format!("/{route}/a"));
-        let waiting = if is_broken { released.lock().expect("no thread panicked").take() } else { None };
-        match waiting {
-            Some(released) => {
-                let _ = released.recv();
-                Reply::RespondAndClose(begun.to_owned())
-            }
-            None => answer(),
+        if is_broken && hold.wait_once() {
+            Reply::RespondAndClose(begun.to_owned())
+        } else {
+            answer()
         }
     });
     (backend, release)
@@ -72,10 +67,7 @@
     let client = std::thread::spawn(move || call(front, &request(route)));
     until("the request is at the backend", || !breaking.requests().is_empty());
     register(&fleet, "i-leaving", leaving.address);
-    until("the proxy uses both backends", || {
-        call(front, &request("once")).is_ok_and(|answer| answer.status() == 200)
-            && !leaving.requests().is_empty()
-    });
+    fleet.await_backends(EDGE, &[&leaving]);
     fleet.terminate(EDGE).expect("the signal is sent");
     until("the proxy accepts no more clients", || !accepts_connections(&fleet));
     until("the drain is acknowledged", || {
--- a/crates/gaugesaddle-testbed/src/scripted.rs
+++ b/crates/gaugesaddle-testbed/src/scripted.rs
@@ -11,7 +11,7 @@
 mod discovery;
 mod proxy;
 
-pub use backend::{chunk, events, ok, Backend, Reply, UnacceptingBackend};
+pub use backend::{chunk, events, ok, Backend, Hold, Reply, UnacceptingBackend};
 pub use client::{request, send_request, Client};
 pub use discovery::{endpoint, Discovery};
 pub use proxy::{config, free_address, settings, Proxy};
--- a/crates/gaugesaddle-testbed/src/scripted/backend.rs
+++ b/crates/gaugesaddle-testbed/src/scripted/backend.rs
@@ -3,6 +3,7 @@
 use super::{read_message, Message};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +24,26 @@
     Reply::Respond(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// Holds one request of a backend back until the test releases it.
+pub struct Hold(Mutex<Option<Receiver<()>>>);
+
+impl Hold {
+    /// A hold, and the sender that releases the request.
+    pub fn new() -> (Hold, Sender<()>) {
+        let (release, released) = channel();
+        (Hold(Mutex::new(Some(released))), release)
+    }
+
+    /// Blocks the first caller until the release; returns whether this was the first caller.
+    pub fn wait_once(&self) -> bool {
+        let first = self.0.lock().unwrap().take();
+        if let Some(released) = &first {
+            let _ = released.recv();
+        }
+        first.is_some()
+    }
+}
+
 /// The events of a stream with these IDs, `to` excluded.
 pub fn events(from: u32, to: u32) -> String {
     (from..to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
--- a/crates/gaugesaddle/tests/drains.rs
+++ b/crates/gaugesaddle/tests/drains.rs
@@ -6,8 +6,7 @@
 use gaugesaddle_testbed::scripted::*;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The time within which sends to a draining server must stop: 500 ms of the settings, and 50 ms for the protocol.
@@ -271,19 +270,14 @@
 /// grace period. Returns the number of requests that then reached the draining server; `None` if the proxy had sent the
 /// request there before, as it may while that server is ready.
 fn requests_after_a_drain_while_the_proxy_stops() -> Option<usize> {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(Some(released));
+    let (held, release) = Hold::new();
     let is_held = Arc::new(AtomicBool::new(false));
     let hold = is_held.clone();
     let broken = Backend::start(move |_| {
-        let holds = hold.load(Ordering::SeqCst);
-        let released = if holds { released.lock().expect("no thread panicked").take() } else { None };
-        match released {
-            Some(released) => {
-                let _ = released.recv();
-                Reply::RespondAndClose(String::new())
-            }
-            None => ok("broken"),
+        if hold.load(Ordering::SeqCst) && held.wait_once() {
+            Reply::RespondAndClose(String::new())
+        } else {
+            ok("broken")
         }
     });
     let leaving = Backend::start(|_| ok("leaving"));
