Make all seeds voters of the initial group, those without a disk as witnesses

Cause: only the seeds with a disk were the initial group, one machine here, and the group existed in memory until its first election. No process but those of the first start may create a group, so that none did once that machine was gone, or killed before the first write.

Change: the initial group is all seeds, which every process knows without a message. A seed without a disk is a witness: it votes from memory until the ordinary change of voters has put a machine with a disk in its place, or has removed it. No change is accepted while one votes. A machine with a disk that is no seed may be elected if no seed leads. The initial state is the first write.

Votes need two of three seeds in any case, so that two groups cannot form.

--- a/crates/gaugesaddle-consensus/src/commit.rs
+++ b/crates/gaugesaddle-consensus/src/commit.rs
@@ -10,7 +10,8 @@
     pub(crate) fn handle_propose(
         &mut self, now: u64, request: u64, proposal: Proposal, out: &mut Vec<Output>,
     ) {
-        if self.role != Role::Leader || self.queued_proposals.len() >= MAX_PENDING {
+        let is_full = self.queued_proposals.len() >= MAX_PENDING;
+        if self.role != Role::Leader || is_full || self.witness_index().is_some() {
             out.push(Output::Proposed(request, ProposalResult::Indeterminate));
             return;
         }
--- a/crates/gaugesaddle-consensus/src/departure.rs
+++ b/crates/gaugesaddle-consensus/src/departure.rs
@@ -17,12 +17,12 @@
 
 use crate::membership::JOIN_INTERVAL_MS;
 use crate::{Output, Replica, Role, Storage};
-use gaugesaddle_protocol::{Departure, ReplicaId, ReplicaMessage};
+use gaugesaddle_protocol::{Departure, LogPosition, ReplicaId, ReplicaMessage};
 
 /// Interval between the `Leave` broadcasts of a departing replica.
 const LEAVE_INTERVAL_MS: u64 = 100;
 /// Time after its election for which a leader may not know all learners yet.
-const LEARNER_DISCOVERY_MS: u64 = 2 * JOIN_INTERVAL_MS;
+pub(crate) const LEARNER_DISCOVERY_MS: u64 = 2 * JOIN_INTERVAL_MS;
 
 /// The departure of this replica.
 #[derive(Clone, Copy, Debug)]
@@ -50,8 +50,10 @@
     /// The departure of this replica; `None` before [`Replica::begin_departure`].
     pub fn departure(&self) -> Option<Departure> {
         let own = self.own_departure?;
-        // A replica that has received no state cannot have become a voter, and there may be no leader to answer it.
-        let has_joined = !self.state.voters.is_empty();
+        // A replica outside the initial group that has received no state cannot have become a voter, and there may be no
+        // leader to answer it.
+        let has_received_state = self.state.position != LogPosition::default();
+        let has_joined = has_received_state || self.is_voter();
         Some(if has_joined { own.status } else { Departure::Left })
     }
 
--- a/crates/gaugesaddle-consensus/src/election.rs
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -72,8 +72,13 @@
     /// Whether this replica may campaign. During a membership change a replica of either group may lead (thesis 4.3): a
     /// replica that is being removed may be the only one with the newest state, and the outgoing group may have no
     /// majority without its vote. The same holds for a removed replica while the state without it is not known to be
-    /// committed: the others may still require its vote, which it grants to no replica with an older state.
+    /// committed: the others may still require its vote, which it grants to no replica with an older state. And a replica
+    /// outside the initial group may lead it, since the seeds with a disk may be lost.
     fn may_campaign(&self) -> bool {
+        // A witness that is started once more by mistake does not know that there is a group already.
+        if self.has_initial_state() {
+            return self.storage == Storage::Durable;
+        }
         let is_member = self.is_voter() || self.state.outgoing.contains(&self.hard_state.id);
         let may_be_required = self.may_vote() && self.committed != self.state.position;
         is_member || may_be_required
@@ -84,7 +89,7 @@
     /// candidate counts only votes of the voters in its own state. A replica with an empty disk has a new identity and
     /// belongs to no group.
     fn may_vote(&self) -> bool {
-        self.storage == Storage::Durable && !self.state.voters.is_empty()
+        self.storage != Storage::Diskless && !self.state.voters.is_empty()
     }
 
     pub(crate) fn handle_pre_vote_request(
@@ -119,7 +124,8 @@
     pub(crate) fn handle_timeout_now(&mut self, now: u64, from: ReplicaId, term: u64, out: &mut Vec<Output>) {
         let is_from_leader =
             term == self.hard_state.term && self.leader == Some(from) && self.role == Role::Follower;
-        if is_from_leader && self.is_voter() && !self.is_disk_stalled(now) {
+        let may_lead = self.is_voter() && self.storage == Storage::Durable;
+        if is_from_leader && may_lead && !self.is_disk_stalled(now) {
             self.become_candidate(now, CampaignKind::LeadershipTransfer, out);
         }
     }
@@ -298,10 +304,11 @@
         self.step_down(now, None, out);
     }
 
-    /// Of the voters on which the newest state is durable and that do not depart, the one with the most recent contact.
+    /// Of the voters on which the newest state is durable and that remain voters, the one with the most recent contact.
     pub(crate) fn transfer_target(&self) -> Option<ReplicaId> {
         let newest = self.state.position;
-        let is_candidate = |voter: &&ReplicaId| **voter != self.hard_state.id && !self.is_departing(voter);
+        let remains = |voter: &ReplicaId| !self.is_departing(voter) && !self.is_witness(voter);
+        let is_candidate = |voter: &&ReplicaId| **voter != self.hard_state.id && remains(voter);
         let other_voters = self.state.voters.iter().filter(is_candidate);
         let up_to_date = other_voters.filter_map(|voter| {
             let progress = self.progress.get(voter)?;
--- a/crates/gaugesaddle-consensus/src/interface.rs
+++ b/crates/gaugesaddle-consensus/src/interface.rs
@@ -86,4 +86,7 @@
     Durable,
     /// No disk: the replica never votes and remains a learner.
     Diskless,
+    /// No disk, but a voter of the initial group: the replica votes from memory. A replica with a disk takes its place,
+    /// and it becomes a learner (see [`Replica::bootstrap`](crate::Replica::bootstrap)).
+    Witness,
 }
--- a/crates/gaugesaddle-consensus/src/lib.rs
+++ b/crates/gaugesaddle-consensus/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! - [`Replica`] is the state machine. It handles an [`Input`] with the monotonic time of its occurrence and appends
 //!   the [`Output`]s that its host must execute. [`Role`] documents the transitions.
+//! - [`FirstStart`] describes a process at the first start of a fleet; [`Replica::bootstrap`] derives the initial group from it.
 //! - [`Proposal`] is a proposed change of the configuration, [`ProposalResult`] its outcome; [`change`] builds
 //!   proposals from operators' requests.
 //! - [`disk_format`] encodes the records that [`Output::Persist`] writes. The host owns the disk, the sockets, the
@@ -54,6 +55,7 @@
 //! Tables are bounded by the number of replicas ([`settings::MAX_VOTERS`], [`settings::MAX_LEARNERS`]), queues by
 //! [`settings::MAX_PENDING`], accepted changes by [`settings::MAX_ACCEPTED`].
 
+mod bootstrap;
 pub mod change;
 mod commit;
 mod departure;
@@ -72,6 +74,7 @@
 pub mod settings;
 mod writes;
 
+pub use bootstrap::{FirstStart, INITIAL_INCARNATION};
 pub use gaugesaddle_protocol::Departure;
 pub use interface::{Input, NotLeader, Output, Role, Storage, WriteId};
 pub use proposal::{Proposal, ProposalResult, ProposedDocument};
--- a/crates/gaugesaddle-consensus/src/membership.rs
+++ b/crates/gaugesaddle-consensus/src/membership.rs
@@ -14,7 +14,8 @@
 //! A replica that is being removed may be elected during the change; it leads until the group without it is committed.
 //!
 //! A learner replaces the voter with the same address (whose disk was lost), else a [departing](crate::departure) voter,
-//! else an unresponsive voter (whose machine may have been replaced); otherwise it is added. A voter is replaced only once
+//! else an unresponsive voter (whose machine may have been replaced), else a [witness](crate::bootstrap); otherwise it is
+//! added. A voter is replaced only once
 //! its successor has the newest state, so that a replacement does not reduce the number of voters that have the state, and
 //! a second loss is tolerated like the first. A departing voter is removed at once if enough voters remain: otherwise its
 //! end would count as a loss beside the one that the remaining voters tolerate.
@@ -45,6 +46,7 @@
     }
 
     pub(crate) fn handle_join(&mut self, now: u64, from: ReplicaId, durable: bool) {
+        self.record_disk(from.ip, durable);
         let is_voter = self.state.voters.contains(&from);
         if self.role != Role::Leader || is_voter || self.learners.len() >= MAX_LEARNERS {
             return;
@@ -63,15 +65,31 @@
         if !self.state.outgoing.is_empty() {
             self.replace_state(now, |state| state.outgoing.clear(), out);
         } else if !self.is_voter() {
-            // A leader outside the group has led only to complete the change that removed it (thesis 4.2.2).
+            self.enter_or_leave_group(now, out);
+        } else if self.storage == Storage::Witness && self.transfer_target().is_some() {
             self.transfer_leadership(now, out);
         } else if let Some(voters) = self.next_voters(now) {
-            self.learners.retain(|learner, _| !voters.contains(learner));
-            let change = |state: &mut State| state.outgoing = std::mem::replace(&mut state.voters, voters);
-            self.replace_state(now, change, out);
+            self.change_voters(now, voters, out);
         }
     }
 
+    /// The next step of a leader outside the group: it takes the place of a witness, or has led only to complete the change
+    /// that removed it (thesis 4.2.2).
+    fn enter_or_leave_group(&mut self, now: u64, out: &mut Vec<Output>) {
+        let Some(witness) = self.witness_index().filter(|_| self.storage == Storage::Durable) else {
+            return self.transfer_leadership(now, out);
+        };
+        let mut voters = self.state.voters.clone();
+        voters[witness] = self.hard_state.id;
+        self.change_voters(now, voters, out);
+    }
+
+    fn change_voters(&mut self, now: u64, voters: Vec<ReplicaId>, out: &mut Vec<Output>) {
+        self.learners.retain(|learner, _| !voters.contains(learner));
+        let change = |state: &mut State| state.outgoing = std::mem::replace(&mut state.voters, voters);
+        self.replace_state(now, change, out);
+    }
+
     /// Drops the progress of replicas that no longer receive heartbeats: former voters, and learners that have been
     /// dropped.
     fn prune_progress(&mut self) {
@@ -89,14 +107,17 @@
             }
             return Some(voters);
         }
-        if voters.len() <= self.settings.min_voters {
-            return None;
-        }
-        let removed = self.departing_or_unresponsive(now, self.settings.removal_timeout_ms)?;
-        voters.remove(removed);
+        voters.remove(self.removable_voter(now)?);
         Some(voters)
     }
 
+    /// Index of a voter to remove without a replacement.
+    fn removable_voter(&self, now: u64) -> Option<usize> {
+        let may_shrink = self.state.voters.len() > self.settings.min_voters;
+        let unneeded = || self.departing_or_unresponsive(now, self.settings.removal_timeout_ms);
+        may_shrink.then(unneeded).flatten().or_else(|| self.expired_witness_index(now))
+    }
+
     /// Index of a voter that departs, else of one that has not responded for `timeout_ms`.
     fn departing_or_unresponsive(&self, now: u64, timeout_ms: u64) -> Option<usize> {
         let voters = &self.state.voters;
@@ -122,6 +143,9 @@
         if let Some(slot) = self.departing_or_unresponsive(now, self.settings.replacement_timeout_ms) {
             return Some(LearnerPromotion::Replace(slot));
         }
+        if let Some(slot) = self.witness_index() {
+            return Some(LearnerPromotion::Replace(slot));
+        }
         // If a voter is dead, an additional voter only increases the size of the majority. A new leader therefore adds
         // no voter until all voters have responded; a voter that does not respond is replaced after its time-out.
         let may_add = voters.len() < MAX_VOTERS && self.have_all_voters_responded();
--- a/crates/gaugesaddle-consensus/src/replica.rs
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -21,6 +21,8 @@
 pub struct Replica {
     pub(crate) settings: Settings,
     pub(crate) storage: Storage,
+    /// Time of the creation.
+    pub(crate) started_ms: u64,
     /// Identifies this process in its clock readings.
     pub(crate) process: u64,
     /// State of the pseudo-random generator; never 0.
@@ -59,6 +61,8 @@
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
     pub(crate) heartbeat_deadline: u64,
     pub(crate) join_deadline: u64,
+    /// Machines that have reported that they have no disk.
+    pub(crate) diskless_machines: BTreeSet<u32>,
     /// `None` unless this replica leaves the group.
     pub(crate) own_departure: Option<OwnDeparture>,
 
@@ -87,6 +91,7 @@
         let mut replica = Replica {
             settings,
             storage,
+            started_ms: now,
             process: random,
             random: random | 1,
             hard_state,
@@ -110,6 +115,7 @@
             sent_heartbeats: VecDeque::new(),
             heartbeat_deadline: 0,
             join_deadline: now,
+            diskless_machines: BTreeSet::new(),
             own_departure: None,
             next_write: 1,
             pending_writes: VecDeque::new(),
@@ -203,11 +209,6 @@
         other_deadlines.fold(role_deadline, u64::min)
     }
 
-    /// Whether this replica has never voted and never received a state.
-    pub fn is_pristine(&self) -> bool {
-        self.hard_state.term == 0 && self.state == State::default()
-    }
-
     /// This replica's identity.
     pub fn id(&self) -> ReplicaId {
         self.hard_state.id
@@ -272,9 +273,10 @@
     }
 
     /// Whether this replica broadcasts `Join`: it is not a voter, or it has no leader and may have been removed from
-    /// the group in the meantime. A departing replica does not join again.
+    /// the group in the meantime. A witness always does, so that the leader knows that it has no disk. A departing replica does
+    /// not join again.
     fn needs_to_join(&self) -> bool {
-        let may_be_removed = !self.is_voter() || self.leader.is_none();
+        let may_be_removed = !self.is_voter() || self.leader.is_none() || self.storage == Storage::Witness;
         self.role != Role::Leader && self.own_departure.is_none() && may_be_removed
     }
 
--- a/crates/gaugesaddle-consensus/tests/group/mod.rs
+++ b/crates/gaugesaddle-consensus/tests/group/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use gaugesaddle_consensus::{
-    Departure, Input, Output, Proposal, ProposalResult, Replica, Role, Settings, Storage, WriteId,
+    Departure, FirstStart, Input, Output, Proposal, ProposalResult, Replica, Role, Settings, Storage, WriteId,
 };
 use gaugesaddle_protocol::{HardState, LogPosition, ReplicaId, ReplicaMessage, State};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
@@ -27,6 +27,7 @@
 
 pub struct Machine {
     pub replica: Option<Replica>,
+    pub has_disk: bool,
     pub disk: Disk,
     writes: Vec<PendingWrite>,
     pub disk_delay_ms: u64,
@@ -39,6 +40,7 @@
     fn default() -> Machine {
         Machine {
             replica: None,
+            has_disk: true,
             disk: Disk::default(),
             writes: Vec::new(),
             disk_delay_ms: 3,
@@ -47,6 +49,13 @@
     }
 }
 
+impl Machine {
+    /// A machine with an empty disk, or without one, and no running process.
+    pub fn new(has_disk: bool) -> Machine {
+        Machine { has_disk, ..Machine::default() }
+    }
+}
+
 struct InFlight {
     arrives_at: u64,
     order: u64,
@@ -89,7 +98,7 @@
     /// Revision and document that were reported as committed at each position.
     pub committed: BTreeMap<LogPosition, (u64, Vec<u8>)>,
     pub violations: Vec<String>,
-    bootstrap_voters: Vec<ReplicaId>,
+    seeds: Vec<u32>,
     settings: Settings,
 }
 
@@ -101,10 +110,18 @@
 
     /// A group that tolerates the loss of `losses` machines.
     pub fn tolerating(losses: usize, seed: u64, size: u32, bootstrap_voters: u32) -> Group {
+        let mut group = Group::without_processes(losses, seed, (1..=bootstrap_voters).collect());
+        for ip in 1..=size {
+            group.machines.insert(ip, Machine::default());
+            group.start(ip, true);
+        }
+        group
+    }
+
+    /// A group that tolerates the loss of `losses` machines, of which none has been started yet.
+    pub fn without_processes(losses: usize, seed: u64, seeds: Vec<u32>) -> Group {
         let settings = Settings { min_voters: 2 * losses + 1, ..Settings::default() };
-        let bootstrap_voters: Vec<ReplicaId> =
-            (1..=bootstrap_voters).map(|ip| ReplicaId { ip, incarnation: 0 }).collect();
-        let mut group = Group {
+        Group {
             now: 1000,
             random: Pcg64Mcg::seed_from_u64(seed),
             machines: BTreeMap::new(),
@@ -118,14 +135,9 @@
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             violations: Vec::new(),
-            bootstrap_voters,
+            seeds,
             settings,
-        };
-        for ip in 1..=size {
-            group.machines.insert(ip, Machine::default());
-            group.start(ip, true);
         }
-        group
     }
 
     /// A group of `size` machines, all of them voters, that tolerates the loss of `losses` machines and has a leader.
@@ -150,23 +162,28 @@
         self.random.next_u64() % n.max(1)
     }
 
-    /// Starts a machine's process from the contents of its disk.
+    /// Starts a machine's process from the contents of its disk; `bootstrap`: if the disk is empty, this is the first start
+    /// of the whole fleet.
     pub fn start(&mut self, ip: u32, bootstrap: bool) {
-        let seed = self.random.next_u64();
-        let (now, bootstrap_voters, settings) = (self.now, self.bootstrap_voters.clone(), self.settings);
+        let random = self.random.next_u64();
+        let (now, settings) = (self.now, self.settings);
         let Some(machine) = self.machines.get_mut(&ip) else { return };
-        let bootstrap = bootstrap && bootstrap_voters.iter().any(|f| f.ip == ip);
-        let incarnation = if bootstrap { 0 } else { seed | 1 };
-        let hard_state = machine.disk.hard_state.unwrap_or(HardState {
-            id: ReplicaId { ip, incarnation },
-            term: 0,
-            voted_for: None,
-        });
-        let initial =
-            if bootstrap { State { voters: bootstrap_voters, ..State::default() } } else { State::default() };
-        let state = machine.disk.state.clone().unwrap_or(initial);
         machine.writes.clear();
-        machine.replica = Some(Replica::new(settings, hard_state, state, now, seed, Storage::Durable));
+        let id = ReplicaId { ip, incarnation: random | 1 };
+        let stored = machine.disk.hard_state;
+        if bootstrap && stored.is_none() {
+            let start = FirstStart { id, has_disk: machine.has_disk, seeds: &self.seeds };
+            let mut outputs = Vec::new();
+            let replica = Replica::bootstrap(settings, start, now, random, &mut outputs);
+            let id = replica.id();
+            machine.replica = Some(replica);
+            outputs.into_iter().for_each(|output| self.apply_output(ip, id, output));
+            return;
+        }
+        let storage = if machine.has_disk { Storage::Durable } else { Storage::Diskless };
+        let hard_state = stored.unwrap_or(HardState { id, term: 0, voted_for: None });
+        let state = machine.disk.state.clone().unwrap_or_default();
+        machine.replica = Some(Replica::new(settings, hard_state, state, now, random, storage));
     }
 
     /// Adds a machine with an empty disk and starts its process.
@@ -303,6 +320,9 @@
                     self.send(id, ReplicaId { ip: other, incarnation: 0 }, message.clone());
                 }
             }
+            Output::Persist { write_id, .. } if self.machines.get(&ip).is_some_and(|m| !m.has_disk) => {
+                self.input(ip, Input::Persisted(write_id));
+            }
             Output::Persist { write_id, hard_state, state } => {
                 let now = self.now;
                 if let Some(machine) = self.machines.get_mut(&ip) {
--- a/crates/gaugesaddle-control/src/catalog_updates.rs
+++ b/crates/gaugesaddle-control/src/catalog_updates.rs
@@ -90,7 +90,7 @@
         PeerMessage::Hello {
             ip: u32::from(self.boot.ip),
             has_disk: self.has_disk,
-            bootstrap_node: self.bootstrap.bootstrap_node(),
+            bootstrap_node: None,
             origin: self.catalog_replica.origin(),
             members: self.members(now),
         }
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -1,9 +1,8 @@
 //! The state of the process: a single value that owns all state machines and that tasks borrow briefly.
 //!
 //! Other modules extend [`Core`] and [`CoreHandle`] by concern: [`crate::replica_driver`] (consensus and
-//! disk), [`crate::bootstrap_driver`], [`crate::catalog_updates`], [`crate::quota`], [`crate::status`].
+//! disk), [`crate::bootstrap`], [`crate::catalog_updates`], [`crate::quota`], [`crate::status`].
 
-use crate::bootstrap::Bootstrap;
 use crate::disk::DiskWrite;
 use crate::peer_queues::PeerQueues;
 use crate::random::random_u64;
@@ -25,13 +24,6 @@
 /// Duration of a backend's lease, in heartbeat intervals.
 const LEASE_HEARTBEATS: f64 = 3.5;
 
-/// Settings of the replica. A deployment that tolerates `f` lost machines needs `2f + 1` voters.
-fn replica_settings(boot: &BootSettings) -> Settings {
-    let defaults = Settings::default();
-    let voters = 2 * boot.tolerance.machines as usize + 1;
-    Settings { min_voters: defaults.min_voters.max(voters), ..defaults }
-}
-
 /// A request of a task to the replica, awaiting its response.
 pub enum PendingRequest {
     /// A proposed configuration.
@@ -49,7 +41,8 @@
     /// The consensus replica; `None` until the disk is open, and after it failed.
     pub replica: Option<Replica>,
     pub has_disk: bool,
-    pub bootstrap: Bootstrap,
+    /// Whether this process may create the replica of the first start: nothing has been written to its disk yet.
+    pub may_bootstrap: bool,
     /// Start of the process, in ms of `clock`.
     pub started_ms: u64,
     pub catalog_replica: CatalogReplica,
@@ -72,9 +65,16 @@
 }
 
 impl Core {
+    /// Settings of the replica. A deployment that tolerates `f` lost machines needs `2f + 1` voters.
+    pub fn replica_settings(&self) -> Settings {
+        let defaults = Settings::default();
+        let voters = 2 * self.boot.tolerance.machines as usize + 1;
+        Settings { min_voters: defaults.min_voters.max(voters), ..defaults }
+    }
+
     /// Creates the replica from the records on its disk. Without a disk it is a learner, which never votes.
     pub fn create_replica(&mut self, hard_state: HardState, state: State) {
-        let settings = replica_settings(&self.boot);
+        let settings = self.replica_settings();
         let now = self.clock.now();
         let storage = if self.has_disk { Storage::Durable } else { Storage::Diskless };
         self.replica = Some(Replica::new(settings, hard_state, state, now, random_u64(), storage));
@@ -95,12 +95,11 @@
     pub fn new(boot: BootSettings, disk: Option<mpsc::Sender<DiskWrite>>, peers: PeerQueues) -> CoreHandle {
         let has_disk = disk.is_some();
         let ip = u32::from(boot.ip);
-        let seeds = boot.seeds.iter().map(|seed| u32::from(*seed.ip())).collect();
         let clock = Clock::default();
         let backend_lease_ms = (boot.heartbeat_ms as f64 * LEASE_HEARTBEATS) as u64;
         let core = Core {
             has_disk,
-            bootstrap: Bootstrap::new(ip, has_disk, seeds, boot.bootstrap),
+            may_bootstrap: boot.bootstrap,
             started_ms: clock.now(),
             clock,
             catalog_replica: CatalogReplica::new(clock.now(), Origin(random_u64()), backend_lease_ms),
--- a/crates/gaugesaddle-control/src/lib.rs
+++ b/crates/gaugesaddle-control/src/lib.rs
@@ -13,25 +13,14 @@
 //!
 //! | state | owner | extended by |
 //! | --- | --- | --- |
-//! | consensus: [`Replica`](gaugesaddle_consensus::Replica) | `core` | `replica_driver` |
-//! | cluster bootstrap: [`bootstrap::Bootstrap`] | `core` | `bootstrap_driver` |
-//! | catalog: [`CatalogReplica`](gaugesaddle_catalog::CatalogReplica) | `core` | `catalog_updates`, `registrations` |
+//! | consensus: [`Replica`](gaugesaddle_consensus::Replica) | `core` | `replica_driver`, `bootstrap` (first start) |
+//! //! | catalog: [`CatalogReplica`](gaugesaddle_catalog::CatalogReplica) | `core` | `catalog_updates`, `registrations` |
 //! | tokens: [`TokenAllocator`](gaugesaddle_quota::TokenAllocator) | `core` | `quota` |
 //! | loads: [`LoadAggregator`](gaugesaddle_load_report::LoadAggregator) | `core` | `load_reports` |
 //!
 //! `change_handler` implements the server side of a configuration change, [`operator_client`] the client side for the
 //! command line.
 //!
-//! ```rust
-//! use gaugesaddle_control::bootstrap::Bootstrap;
-//!
-//! // Machine 1 has a disk, the seeds are machines 1 and 2, and the fleet starts for the first time.
-//! let mut bootstrap = Bootstrap::new(1, true, vec![1, 2], true);
-//! assert_eq!(bootstrap.initial_voters(), None);
-//! bootstrap.record_report(2, true, None);
-//! assert_eq!(bootstrap.initial_voters(), Some(vec![1, 2]));
-//! ```
-//!
 //! # Guarantees
 //!
 //! - A change that is acknowledged (status 200) is durable on a majority of the voters' disks.
@@ -44,8 +33,7 @@
 //! 64 peers with 256 queued messages each; a configuration or patch of 8 MiB; a heartbeat of 4 KiB; 32 writes to the
 //! disk per sync. Connections are limited by the process's file descriptors only.
 
-pub mod bootstrap;
-mod bootstrap_driver;
+mod bootstrap;
 mod catalog_updates;
 mod change_handler;
 pub mod cli;
--- a/crates/gaugesaddle-control/src/peer_connections.rs
+++ b/crates/gaugesaddle-control/src/peer_connections.rs
@@ -61,7 +61,7 @@
 ///
 /// The link failed, or the peer sent a malformed or unexpected message.
 pub async fn receive(core: CoreHandle, mut link: Link) -> Result<(), LinkError> {
-    let PeerMessage::Hello { ip, has_disk, bootstrap_node, origin, members } = link.receive().await? else {
+    let PeerMessage::Hello { ip, origin, members, .. } = link.receive().await? else {
         return Err(LinkError::Frame(FrameError::Unexpected));
     };
     core.with(|c| {
@@ -71,7 +71,6 @@
         let compare = c.compare(false);
         c.peers.send(ip, compare);
     });
-    core.record_bootstrap_report(ip, has_disk, bootstrap_node);
     connect_new_peers(&core);
     loop {
         let message = link.receive().await?;
@@ -89,9 +88,6 @@
 
 fn handle_message(core: &CoreHandle, ip: u32, message: PeerMessage) {
     match message {
-        PeerMessage::Hello { has_disk, bootstrap_node, .. } => {
-            core.record_bootstrap_report(ip, has_disk, bootstrap_node);
-        }
         PeerMessage::Replica { from, to, message } => {
             let own_id = core.with(|c| c.replica.as_ref().map(gaugesaddle_consensus::Replica::id));
             if to.is_none() || to == own_id {
--- a/crates/gaugesaddle-control/src/replica_driver.rs
+++ b/crates/gaugesaddle-control/src/replica_driver.rs
@@ -3,24 +3,43 @@
 use crate::core::{Core, CoreHandle, PendingRequest};
 use crate::disk::{DiskEvent, DiskWrite};
 use gaugesaddle_consensus::{Departure, Input, NotLeader, Output, Proposal, ProposalResult, Replica};
-use gaugesaddle_protocol::{Configuration, HardState, PeerMessage, ReplicaId, State};
+use gaugesaddle_protocol::{Configuration, HardState, PeerMessage, State};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 
 impl CoreHandle {
-    /// Starts the replica of a process without a disk as a learner, which receives every state and never votes.
-    pub fn start_as_learner(&self) {
-        self.with(|core| {
-            let hard_state = HardState { id: core.id, term: 0, voted_for: None };
-            core.create_replica(hard_state, State::default());
+    /// Starts the replica of a process without a disk: a learner, which receives every state and never votes, or at the first
+    /// start of a seed a witness.
+    pub fn start_without_disk(&self) {
+        self.create_replica(None, None);
+    }
+
+    /// Creates the replica from the records on its disk, or that of the first start.
+    fn create_replica(&self, hard_state: Option<HardState>, state: Option<Box<State>>) {
+        let outputs = self.with(|core| {
+            let Some(hard_state) = hard_state else {
+                if core.may_bootstrap {
+                    return core.bootstrap_replica();
+                }
+                core.create_replica(HardState { id: core.id, term: 0, voted_for: None }, State::default());
+                return Vec::new();
+            };
+            core.id = hard_state.id;
+            core.create_replica(hard_state, state.map(|state| *state).unwrap_or_default());
+            Vec::new()
         });
+        self.execute(outputs);
+        self.deadline_changed.notify_one();
     }
 
     /// Handles an event of the disk thread.
     pub fn handle_disk_event(&self, event: DiskEvent) {
         match event {
             DiskEvent::Opened { hard_state, state } => self.handle_disk_opened(hard_state, state),
-            DiskEvent::Persisted(write_id) => self.step(Input::Persisted(write_id)),
+            DiskEvent::Persisted(write_id) => {
+                self.with(|core| core.may_bootstrap = false);
+                self.step(Input::Persisted(write_id));
+            }
             DiskEvent::Failed(error) => {
                 warn!("disk failed; replica stopped until the disk is reopened: {error}");
                 let pending = self.with(|core| {
@@ -34,26 +53,15 @@
     }
 
     fn handle_disk_opened(&self, hard_state: Option<HardState>, state: Option<Box<State>>) {
-        self.with(|core| {
-            let is_first_start = core.boot.bootstrap && hard_state.is_none();
-            core.id = match &hard_state {
-                Some(hard_state) => hard_state.id,
-                // The initial voters address one another with incarnation 0.
-                None if is_first_start => ReplicaId { incarnation: 0, ..core.id },
-                None => core.id,
-            };
-            let id = core.id;
-            let hard_state = hard_state.unwrap_or(HardState { id, term: 0, voted_for: None });
-            let state = state.map(|state| *state).unwrap_or_default();
-            let voters = state.voters.len();
-            info!(
-                "disk opened: replica {id}, term {}, {:?}, {voters} voters",
-                hard_state.term, state.position
-            );
-            core.create_replica(hard_state, state);
-            core.bootstrap_if_due();
-        });
-        self.deadline_changed.notify_one();
+        match (&hard_state, &state) {
+            (Some(HardState { id, term, .. }), state) => {
+                let position = state.as_ref().map(|state| state.position).unwrap_or_default();
+                let voters = state.as_ref().map_or(0, |state| state.voters.len());
+                info!("disk opened: replica {id}, term {term}, {position:?}, {voters} voters");
+            }
+            (None, _) => info!("disk opened: it is empty"),
+        }
+        self.create_replica(hard_state, state);
     }
 
     /// Passes an input to the replica and executes the resulting outputs.
--- a/crates/gaugesaddle-control/src/serve.rs
+++ b/crates/gaugesaddle-control/src/serve.rs
@@ -55,7 +55,7 @@
     );
     let core = CoreHandle::new(boot, disk, peers);
     if !has_disk {
-        core.start_as_learner();
+        core.start_without_disk();
     }
     let request_listener = listen(peer_address).wrap_err_with(|| format!("listening on {peer_address}"))?;
     let http_listener = listen(control).wrap_err_with(|| format!("listening on {control}"))?;
--- a/crates/gaugesaddle-control/tests/planned_end.rs
+++ b/crates/gaugesaddle-control/tests/planned_end.rs
@@ -3,35 +3,20 @@
 
 use gaugesaddle_testbed::fleet::{document, Fleet};
 use gaugesaddle_testbed::scripted::until;
-use serde_json::Value;
-use std::process::Command;
 
 /// Machines of the fleet, all with a disk. The loss of one is tolerated, so that three voters are enough.
 const MACHINES: u8 = 4;
 
-fn status(fleet: &Fleet, at: usize) -> Value {
-    let output = Command::new(env!("CARGO_BIN_EXE_gaugesaddle-control"))
-        .args(["status", "--json", "--at", &fleet.internal(at).to_string()])
-        .env_remove("GAUGESADDLE_BOOT")
-        .output()
-        .expect("the program runs");
-    serde_json::from_slice(&output.stdout).unwrap_or_default()
-}
-
-fn voters(fleet: &Fleet, at: usize) -> usize {
-    status(fleet, at)["voters"].as_array().map_or(0, Vec::len)
-}
-
 /// A fleet whose machines all vote and whose configuration has revision 1.
 fn fleet() -> Fleet {
     let fleet = Fleet::start(MACHINES, 0).expect("fleet starts");
     until("the configuration is acknowledged", || fleet.put(0, 0, &document(1).to_string()).0 == 200);
-    until("all machines vote", || (0..fleet.len()).all(|at| voters(&fleet, at) == fleet.len()));
+    until("all machines vote", || (0..fleet.len()).all(|at| fleet.voters(at).len() == fleet.len()));
     fleet
 }
 
 fn find(fleet: &Fleet, is_leader: bool) -> usize {
-    let role = |at: usize| status(fleet, at)["role"] == "leader";
+    let role = |at: usize| fleet.status(at)["role"] == "leader";
     (0..fleet.len()).find(|at| role(*at) == is_leader).expect("the fleet has a leader and followers")
 }
 
@@ -46,7 +31,7 @@
         fleet.put(running, 1, &document(2).to_string()).0 == 200
     });
     fleet.start_process(lost).expect("the process starts");
-    until("the machine votes again", || voters(&fleet, lost) == fleet.len() - 1);
+    until("the machine votes again", || fleet.voters(lost).len() == fleet.len() - 1);
     assert_eq!(fleet.get(running).1, document(2).to_string());
 }
 
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -167,13 +167,13 @@
 /// A message from one control process to another. Messages are one-way: none has a matching reply.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum PeerMessage {
-    /// Identifies the sender: the first message on a connection, repeated when the bootstrap node becomes known.
+    /// Identifies the sender: the first message on a connection.
     Hello {
         /// IPv4 address of the sender's machine.
         ip: u32,
         /// Whether the sender stores the configuration on a disk.
         has_disk: bool,
-        /// The machine that the lowest seed nominated to bootstrap the cluster, if no seed has a disk.
+        /// `None`, and ignored: versions before the bootstrap by witnesses nominated a machine here.
         bootstrap_node: Option<u32>,
         /// The origin under which the sender numbers its changes.
         origin: crate::Origin,
--- a/crates/gaugesaddle-simulation/src/control.rs
+++ b/crates/gaugesaddle-simulation/src/control.rs
@@ -123,8 +123,8 @@
     pub disk: Disk,
     /// Whether the machine has a disk.
     pub has_disk: bool,
-    /// The initial voters, at the first start of the fleet.
-    pub initial_voters: Option<Vec<ReplicaId>>,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// Addresses of control machines in the boot file.
     pub seeds: Vec<u32>,
     /// Timing and bounds of the replica.
@@ -151,7 +151,7 @@
             queued_writes: VecDeque::new(),
             active_writes: Vec::new(),
             reopen_disk_at: None,
-            known_peers: options.seeds.into_iter().filter(|ip| *ip != options.ip).collect(),
+            known_peers: options.seeds.iter().copied().filter(|ip| *ip != options.ip).collect(),
             peer_incarnations: BTreeMap::new(),
             pending: BTreeMap::new(),
             forwarded: BTreeMap::new(),
@@ -164,7 +164,7 @@
             effects: Effects::default(),
             has_changes: false,
         };
-        process.open_disk(now, options.initial_voters);
+        process.open_disk(now, &options.seeds, options.is_first_start);
         process
     }
 
@@ -196,7 +196,7 @@
     pub fn tick(&mut self, now: Millis) {
         if self.reopen_disk_at.is_some_and(|at| now >= at) {
             self.reopen_disk_at = None;
-            self.open_disk(now, None);
+            self.open_disk(now, &[], false);
         }
         let clock = self.clock(now);
         if self.replica.as_ref().is_some_and(|replica| replica.deadline() <= clock) {
--- a/crates/gaugesaddle-simulation/src/control/replica.rs
+++ b/crates/gaugesaddle-simulation/src/control/replica.rs
@@ -4,12 +4,11 @@
 use crate::packet::Answer;
 use crate::Millis;
 use gaugesaddle_consensus::{
-    disk_format, Departure, Input, NotLeader, Output, ProposalResult, Replica, Role, Storage, WriteId,
+    disk_format, Departure, FirstStart, Input, NotLeader, Output, ProposalResult, Replica, Role, Storage,
+    WriteId,
 };
 use gaugesaddle_log::{LogError, Ring};
-use gaugesaddle_protocol::{
-    ChangeReply, Configuration, HardState, PeerMessage, ReplicaId, ReplicaMessage, State,
-};
+use gaugesaddle_protocol::{ChangeReply, Configuration, HardState, PeerMessage, ReplicaId, ReplicaMessage};
 use rand_pcg::rand_core::RngCore;
 
 /// Delay after which a failed disk is reopened.
@@ -21,24 +20,27 @@
 
 impl ControlProcess {
     /// Opens the disk, if there is one, and creates the replica from its records.
-    pub(super) fn open_disk(&mut self, now: Millis, initial_voters: Option<Vec<ReplicaId>>) {
-        let random_id = ReplicaId { ip: self.ip, incarnation: self.random.next_u64() | 1 };
+    pub(super) fn open_disk(&mut self, now: Millis, seeds: &[u32], is_first_start: bool) {
+        let id = ReplicaId { ip: self.ip, incarnation: self.random.next_u64() | 1 };
         let (hard_state, state) = if self.has_disk {
             let Ok(ring) = Ring::open(self.disk.clone()) else { return };
-            let (hard_state, state) = disk_format::decode_slots(ring.slots()).unwrap_or((None, None));
+            let records = disk_format::decode_slots(ring.slots()).unwrap_or((None, None));
             self.ring = Some(ring);
-            let initial_id = ReplicaId { ip: self.ip, incarnation: 0 };
-            let is_first_start = hard_state.is_none();
-            match initial_voters.filter(|voters| voters.contains(&initial_id) && is_first_start) {
-                Some(voters) => (new_hard_state(initial_id), State { voters, ..State::default() }),
-                None => (hard_state.unwrap_or(new_hard_state(random_id)), state.unwrap_or_default()),
-            }
+            records
         } else {
-            (new_hard_state(random_id), State::default())
+            (None, None)
         };
         let random = self.random.next_u64();
         let clock = self.clock(now);
+        if is_first_start && hard_state.is_none() {
+            let start = FirstStart { id, has_disk: self.has_disk, seeds };
+            let mut outputs = Vec::new();
+            self.replica = Some(Replica::bootstrap(self.settings, start, clock, random, &mut outputs));
+            return self.execute(now, outputs);
+        }
         let storage = if self.has_disk { Storage::Durable } else { Storage::Diskless };
+        let hard_state = hard_state.unwrap_or(new_hard_state(id));
+        let state = state.unwrap_or_default();
         self.replica = Some(Replica::new(self.settings, hard_state, state, clock, random, storage));
     }
 
--- a/crates/gaugesaddle-simulation/src/lib.rs
+++ b/crates/gaugesaddle-simulation/src/lib.rs
@@ -33,8 +33,8 @@
 //!
 //! # Limits
 //!
-//! Not simulated: the cluster bootstrap at the first start (the initial voters are given), quotas, and connections to
-//! backends. Links preserve the order of messages, as TCP does. A run has about 40 faults at most and takes about 0.1 s
+//! Not simulated: faults during the bootstrap (`gaugesaddle-consensus/tests/bootstrap.rs` injects them), seeds without a
+//! disk, quotas, and connections to backends. Links preserve the order of messages, as TCP does. A run has about 40 faults at most and takes about 0.1 s
 //! of CPU time.
 
 pub mod backend;
--- a/crates/gaugesaddle-simulation/src/world/processes.rs
+++ b/crates/gaugesaddle-simulation/src/world/processes.rs
@@ -9,7 +9,6 @@
 use crate::trace::TraceEvent;
 use crate::Millis;
 use gaugesaddle_consensus::Departure;
-use gaugesaddle_protocol::ReplicaId;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -47,7 +46,6 @@
     pub(super) fn start_process(&mut self, ip: u32) {
         // Drawn even if the process does not start: the run of a seed depends on the number of draws.
         let random = Pcg64Mcg::seed_from_u64(self.random.next_u64());
-        let initial_voters: Vec<ReplicaId> = (1..=SEEDS).map(|ip| ReplicaId { ip, incarnation: 0 }).collect();
         let seeds = self.seeds();
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&ip) else { return };
@@ -63,7 +61,7 @@
             incarnation: machine.incarnation,
             disk: machine.disk.clone(),
             has_disk: machine.has_disk,
-            initial_voters: is_first_start.then_some(initial_voters),
+            is_first_start,
             seeds,
             settings: self.settings,
             random,
--- a/crates/gaugesaddle-testbed/src/fleet.rs
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -31,6 +31,7 @@
 /// A machine and its process.
 struct Node {
     role: Role,
+    has_disk: bool,
     ip: Ipv4Addr,
     bootstrap: bool,
     child: Option<Child>,
@@ -80,6 +81,19 @@
     /// # Errors
     /// A process cannot be started.
     pub fn start_with(controls: u8, edges: u8, inherit_stderr: bool, settings: &str) -> io::Result<Fleet> {
+        Fleet::start_machines(&vec![true; controls.into()], edges, inherit_stderr, settings)
+    }
+
+    /// Starts a control process for each entry of `disks`, which tells whether its machine has a disk, and no proxies. The first
+    /// three machines are the seeds.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub fn start_controls(disks: &[bool]) -> io::Result<Fleet> {
+        Fleet::start_machines(disks, 0, false, "")
+    }
+
+    fn start_machines(disks: &[bool], edges: u8, inherit_stderr: bool, settings: &str) -> io::Result<Fleet> {
         let (pid, number) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
         let folder = std::env::temp_dir().join(format!("gaugesaddle-fleet-{pid}-{number}"));
         std::fs::create_dir_all(&folder)?;
@@ -87,10 +101,11 @@
         let third = ((pid / 5000 + number * 5) % 250) as u8;
         let settings = settings.to_owned();
         let mut fleet = Fleet { folder, port, nodes: Vec::new(), inherit_stderr, settings };
-        for machine in 0..controls + edges {
-            let role = if machine < controls { Role::Control } else { Role::Edge };
-            let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, third, 1 + machine);
-            fleet.nodes.push(Node { role, ip, bootstrap: true, child: None });
+        let controls = disks.iter().map(|has_disk| (Role::Control, *has_disk));
+        let edges = (0..edges).map(|_| (Role::Edge, false));
+        for (machine, (role, has_disk)) in (1..).zip(controls.chain(edges)) {
+            let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, third, machine);
+            fleet.nodes.push(Node { role, has_disk, ip, bootstrap: true, child: None });
         }
         for at in 0..fleet.nodes.len() {
             fleet.start_process(at)?;
@@ -115,12 +130,11 @@
     }
 
     fn boot_file(&self, at: usize) -> String {
-        let Node { role, ip, bootstrap, .. } = &self.nodes[at];
+        let Node { role, has_disk, ip, bootstrap, .. } = &self.nodes[at];
         let port = self.port;
-        let (serves, disk, folder) = match role {
-            Role::Control => ("control", 64, self.data_folder(at).display().to_string()),
-            Role::Edge => ("edge", 0, String::new()),
-        };
+        let serves = if *role == Role::Control { "control" } else { "edge" };
+        let (disk, folder) =
+            if *has_disk { (64, self.data_folder(at).display().to_string()) } else { (0, String::new()) };
         let lines = [
             format!("nodeName=node-{at}\nrole={serves}\nserves={serves}\nip={ip}\nzone=z{at}\nregion=r"),
             format!("bind.control={ip}:{}\nbind.front={ip}:{}", port + CONTROL_PORT, port + FRONT_PORT),
@@ -128,7 +142,7 @@
             format!("ephemeralPorts={},{}", port + FREE_PORTS, port + FREE_PORTS + 3),
             format!("seeds={}\nbootstrap={bootstrap}\nheartbeatMs=1200", self.seeds()),
             format!("limits.memoryMb=260\nlimits.maxFds=900\nlimits.diskMb={disk}\ndataDir={folder}"),
-            format!("faultTolerance.machines={}", self.controls().saturating_sub(1) / 2),
+            format!("faultTolerance.machines={}", self.disks().saturating_sub(1) / 2),
             "bounds.gracePeriodS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10".to_owned(),
             "bounds.budgetSlack=50\nbounds.quotaWindowS=8\nbounds.quotaSlack=0\n".to_owned(),
             self.settings.clone(),
@@ -136,8 +150,8 @@
         lines.join("\n")
     }
 
-    fn controls(&self) -> usize {
-        self.nodes.iter().filter(|n| n.role == Role::Control).count()
+    fn disks(&self) -> usize {
+        self.nodes.iter().filter(|node| node.has_disk).count()
     }
 
     fn data_folder(&self, at: usize) -> PathBuf {
@@ -241,6 +255,19 @@
         self.address(at, FREE_PORTS)
     }
 
+    /// The status of a control process, as the command `status --json` prints it; null if it does not answer.
+    pub fn status(&self, at: usize) -> Value {
+        let arguments = ["status", "--json", "--at", &self.internal(at).to_string()];
+        let output =
+            Command::new(program::path(CONTROL.0)).args(arguments).env_remove("GAUGESADDLE_BOOT").output();
+        output.ok().and_then(|output| serde_json::from_slice(&output.stdout).ok()).unwrap_or_default()
+    }
+
+    /// The voters in the newest state of a control process; empty if it does not answer.
+    pub fn voters(&self, at: usize) -> Vec<String> {
+        serde_json::from_value(self.status(at)["voters"].take()).unwrap_or_default()
+    }
+
     /// The folder of the fleet's files, removed with the fleet.
     pub fn folder(&self) -> &std::path::Path {
         &self.folder
