Count the replacement and the lost disk of a successor separately in the simulation

Its trace: machine 1 is being replaced by 9 as planned; 9, a voter by then, loses its disk; 8 loses its disk; 1 is removed though a loss of power had ended its departure. Three of nine voters are gone for good, where two losses are tolerated: the replacement of 1 and the lost disk of 9 were one entry of one machine, so that the second overwrote the first.

Change: each has an entry of its own. Nothing else is allowed or checked in another way.

--- a/crates/gaugesaddle-simulation/src/world.rs
+++ b/crates/gaugesaddle-simulation/src/world.rs
@@ -86,6 +86,8 @@
     /// After the loss of the disk: the disk counts as lost until this time at least, and until the machine's replica
     /// votes again.
     disk_lost_until: Option<Millis>,
+    /// The replacement of `predecessor` by this machine counts as a lost disk until this time at least; `None` if it is over.
+    replacement_until: Option<Millis>,
     /// Identity of the replica on the disk; `None` before the first replica and after the loss of the disk.
     replica: Option<ReplicaId>,
     /// The machine that this one replaces.
@@ -113,6 +115,7 @@
             disk_full_until: 0,
             lost_until: 0,
             disk_lost_until: None,
+            replacement_until: None,
             replica: None,
             predecessor: None,
             is_replaced: false,
--- a/crates/gaugesaddle-simulation/src/world/faults.rs
+++ b/crates/gaugesaddle-simulation/src/world/faults.rs
@@ -227,7 +227,7 @@
             let until = now + start_delay + CATCH_UP_MS;
             world.machines.entry(old).and_modify(|machine| machine.is_replaced = true);
             world.machines.entry(new).and_modify(|machine| {
-                machine.disk_lost_until = Some(until);
+                machine.replacement_until = Some(until);
                 machine.predecessor = Some(old);
             });
             if is_planned {
--- a/crates/gaugesaddle-simulation/src/world/losses.rs
+++ b/crates/gaugesaddle-simulation/src/world/losses.rs
@@ -65,8 +65,9 @@
     /// It must if two numbers are below [`Deployment::max_lost_machines`](crate::Deployment::max_lost_machines): the
     /// lost disks whose machines do not vote again yet, and the voters whose disk is lost. Voters are those of the
     /// membership that was last known to be committed. A replacement counts as a lost disk until the replaced machine is
-    /// removed and its successor votes. A removed machine whose replica reported that it had left does not count, whether
-    /// or not it is still a voter.
+    /// removed and its successor votes; if the successor's disk is lost meanwhile, that is another one, since the replaced
+    /// machine goes nevertheless. A removed machine whose replica reported that it had left does not count, whether or not it
+    /// is still a voter.
     pub(super) fn may_lose_disk(&mut self) -> bool {
         self.update_voters();
         let voters = self.voters.clone();
@@ -81,13 +82,13 @@
             self.machines.iter().filter(|(_, machine)| machine.is_removed).map(|(ip, _)| *ip).collect();
         let mut lost_disks = 0;
         for machine in self.machines.values_mut() {
-            let Some(until) = machine.disk_lost_until else { continue };
             let votes_again = machine.replica.is_some_and(|id| voters.contains(&id));
-            let is_replacement_over = machine.predecessor.is_none_or(|old| removed.contains(&old));
-            if has_all_voters && self.now >= until && votes_again && is_replacement_over {
-                machine.disk_lost_until = None;
-            } else {
-                lost_disks += 1;
+            let is_predecessor_removed = machine.predecessor.is_none_or(|old| removed.contains(&old));
+            let is_over = has_all_voters && votes_again && is_predecessor_removed;
+            let now = self.now;
+            for counted_until in [&mut machine.disk_lost_until, &mut machine.replacement_until] {
+                counted_until.take_if(|until| is_over && now >= *until);
+                lost_disks += u32::from(counted_until.is_some());
             }
         }
         lost_voters.max(lost_disks) < self.deployment.max_lost_machines
