Relay a silent stream until another backend has its next event

Cause: a resumable stream that was silent for 1.5 s was dropped before another backend had answered. With the retry budget used up, no eligible backend, a refusal or a break-off of the next one nothing was left.

Change: a takeover runs beside the silent response (takeover.rs); whichever sends the next event first is relayed, the other one is cancelled, and a failed takeover leaves the silent response as it is. Attempts are counted when they begin, so that a cancelled one counts.

--- a/crates/gaugesaddle-edge/src/backend.rs
+++ b/crates/gaugesaddle-edge/src/backend.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// A connection to a backend.
 pub type BackendConnection = Connection<Full<Bytes>, CountedPermit>;
@@ -50,6 +51,8 @@
     idle_timeout_ms: Cell<u64>,
     avoided_until_ms: Cell<u64>,
     consecutive_failures: Cell<u32>,
+    /// When the backend last sent a part of a response; `None` before the first.
+    last_sent: Cell<Option<Instant>>,
 }
 
 impl Backend {
@@ -68,9 +71,20 @@
             idle_timeout_ms: Cell::new(DEFAULT_IDLE_MS),
             avoided_until_ms: Cell::new(0),
             consecutive_failures: Cell::new(0),
+            last_sent: Cell::new(None),
         }
     }
 
+    /// Records that the backend has sent a part of a response at `now`.
+    pub fn record_data(&self, now: Instant) {
+        self.last_sent.set(Some(now));
+    }
+
+    /// When the backend last sent a part of any response; `None` before the first.
+    pub fn last_sent(&self) -> Option<Instant> {
+        self.last_sent.get()
+    }
+
     /// Stops new requests to the backend and closes its idle connections; called when it announces that it is leaving.
     pub fn close(&self) {
         self.accepts_requests.set(false);
--- a/crates/gaugesaddle-edge/src/body_tracker.rs
+++ b/crates/gaugesaddle-edge/src/body_tracker.rs
@@ -66,10 +66,10 @@
         self.last_event_id.as_deref()
     }
 
-    /// Continues with the body of another backend, which begins with a complete event: an incomplete one is discarded.
-    pub fn resume(&mut self, framing: BodyFraming) {
-        self.framing = framing;
-        self.content = Content::ResumableEvents(EventScanner::default());
+    /// Tracks the body of another backend, which begins with a complete event behind the last one that the client has.
+    pub fn resumed(&self, framing: BodyFraming) -> BodyTracker {
+        let content = Content::ResumableEvents(EventScanner::default());
+        BodyTracker { framing, content, last_event_id: self.last_event_id.clone() }
     }
 
     /// Adds received bytes; returns the bytes that can be forwarded now.
--- a/crates/gaugesaddle-edge/src/body_tracker/tests.rs
+++ b/crates/gaugesaddle-edge/src/body_tracker/tests.rs
@@ -94,9 +94,9 @@
 /// The incomplete event of the first backend is discarded, and the response may end with no event left.
 #[test]
 fn a_resumed_stream_continues_after_the_last_complete_event() {
-    let mut tracker = stream(RESUMABLE, "id: 1\ndata: x\n\nid: 2\nda");
+    let tracker = stream(RESUMABLE, "id: 1\ndata: x\n\nid: 2\nda");
     assert_eq!(tracker.last_event_id(), Some("1"));
-    tracker.resume(BodyFraming::CloseDelimited);
+    let mut tracker = tracker.resumed(BodyFraming::CloseDelimited);
     assert!(tracker.is_complete(), "the client has all events that there are");
     let forwarded = tracker.push(Bytes::from_static(b"id: 2\ndata: y\n\n"));
     assert_eq!(forwarded, "id: 2\ndata: y\n\n");
@@ -106,8 +106,8 @@
 
 #[test]
 fn a_resumed_stream_without_any_event_is_incomplete() {
-    let mut tracker = stream(RESUMABLE, "id: 1\nda");
-    tracker.resume(BodyFraming::CloseDelimited);
+    let tracker = stream(RESUMABLE, "id: 1\nda");
+    let tracker = tracker.resumed(BodyFraming::CloseDelimited);
     assert_eq!(tracker.last_event_id(), None);
     assert!(!tracker.is_complete());
 }
--- a/crates/gaugesaddle-edge/src/dispatch.rs
+++ b/crates/gaugesaddle-edge/src/dispatch.rs
@@ -18,6 +18,7 @@
 use hyper::http::request::Parts;
 use hyper::Request;
 use rand_core::RngCore;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -37,12 +38,62 @@
     key: Option<ApiKeyGuard>,
     head: Parts,
     body: Bytes,
-    /// Hashes of the IDs of the backends that were attempted.
-    attempted: Vec<u64>,
-    retry: RetryState,
+    attempts: Attempts,
     _active: CountedPermit,
 }
 
+/// The attempts of a request so far.
+struct Attempts {
+    /// Hashes of the IDs of the backends that were attempted.
+    backends: RefCell<Vec<u64>>,
+    retry: Cell<RetryState>,
+}
+
+impl Attempts {
+    fn new(retry: RetryState) -> Attempts {
+        Attempts { backends: RefCell::default(), retry: Cell::new(retry) }
+    }
+
+    fn include(&self, backend: u64) -> bool {
+        self.backends.borrow().contains(&backend)
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut RetryState) -> T) -> T {
+        let mut retry = self.retry.get();
+        let result = change(&mut retry);
+        self.retry.set(retry);
+        result
+    }
+
+    /// Begins an attempt at a backend.
+    fn begin(&self, backend: u64) -> PendingAttempt<'_> {
+        self.backends.borrow_mut().push(backend);
+        PendingAttempt { attempts: self, is_complete: false }
+    }
+}
+
+/// An attempt whose outcome is not known. If it is dropped before, it was cancelled and may have been executed.
+struct PendingAttempt<'a> {
+    attempts: &'a Attempts,
+    is_complete: bool,
+}
+
+impl PendingAttempt<'_> {
+    /// Records the outcome.
+    fn complete<T>(mut self, record: impl FnOnce(&mut RetryState) -> T) -> T {
+        self.is_complete = true;
+        self.attempts.update(record)
+    }
+}
+
+impl Drop for PendingAttempt<'_> {
+    fn drop(&mut self) {
+        if !self.is_complete {
+            self.attempts.update(RetryState::record_cancelled);
+        }
+    }
+}
+
 /// A backend's response whose head has been received, with the data to record when its body begins.
 pub struct StartedResponse {
     pub response: UpstreamResponse,
@@ -76,7 +127,7 @@
         set_system_headers(&mut head, &admitted);
         record_arrival(&state, &admitted, &service_name);
         Ok(Dispatch {
-            retry: RetryState::new(admitted.route),
+            attempts: Attempts::new(RetryState::new(admitted.route)),
             route: admitted.route.clone(),
             prompt: admitted.prompt,
             deadline: admitted.deadline,
@@ -88,7 +139,6 @@
             key,
             head,
             body,
-            attempted: Vec::new(),
         })
     }
 
@@ -96,7 +146,7 @@
     ///
     /// # Errors
     /// The rejection for the client if no backend responds.
-    pub async fn first_response(&mut self) -> Result<StartedResponse, Rejection> {
+    pub async fn first_response(&self) -> Result<StartedResponse, Rejection> {
         self.send(None).await
     }
 
@@ -104,25 +154,26 @@
     ///
     /// # Errors
     /// As [`Dispatch::first_response`].
-    pub async fn resume_after(&mut self, last_event: Option<&str>) -> Result<StartedResponse, Rejection> {
+    pub async fn resume_after(&self, last_event: Option<&str>) -> Result<StartedResponse, Rejection> {
         self.send(last_event).await
     }
 
-    async fn send(&mut self, resume_after: Option<&str>) -> Result<StartedResponse, Rejection> {
+    async fn send(&self, resume_after: Option<&str>) -> Result<StartedResponse, Rejection> {
         loop {
             self.check_attempt_allowed()?;
             let Some((backend, choice)) = self.choose_backend() else {
-                return Err(self.retry.no_backend());
+                return Err(self.attempts.retry.get().no_backend());
             };
             let in_flight = backend.begin_request();
             let work = Some(WorkInFlight::begin(&self.state, backend.identity, choice.work_tokens));
             let sent_at = Instant::now();
             let request = self.request_for(&backend, resume_after);
+            let pending = self.attempts.begin(backend.identity);
             let result = send_attempt(&self.state, &backend, request, self.deadline, self.key.clone()).await;
-            self.attempted.push(backend.identity);
             match result {
                 Ok(response) => {
-                    self.retry.record_response();
+                    pending.complete(RetryState::record_response);
+                    backend.record_data(Instant::now());
                     if response.head.status.is_server_error() {
                         self.record_failure(&backend);
                     }
@@ -131,7 +182,7 @@
                 Err(failure) => {
                     drop(work);
                     self.record_failure(&backend);
-                    self.retry.record_failure(failure)?;
+                    pending.complete(|retry| retry.record_failure(failure))?;
                 }
             }
         }
@@ -139,14 +190,15 @@
 
     /// Checks the deadline, the API key and the retry budget before an attempt.
     fn check_attempt_allowed(&self) -> Result<(), Rejection> {
+        let retry = self.attempts.retry.get();
         if Instant::now() >= self.deadline {
-            return Err(self.retry.deadline_passed());
+            return Err(retry.deadline_passed());
         }
         if self.key.as_ref().is_some_and(|key| !key.may_send()) {
-            return Err(self.retry.key_unproven());
+            return Err(retry.key_unproven());
         }
-        if self.retry.is_retry() && !self.state.take_retry(&self.service_name) {
-            return Err(self.retry.no_backend());
+        if retry.is_retry() && !self.state.take_retry(&self.service_name) {
+            return Err(retry.no_backend());
         }
         Ok(())
     }
@@ -173,8 +225,8 @@
     }
 
     /// Records that a stream was interrupted. Returns whether it may be resumed at another backend.
-    pub fn record_broken_stream(&mut self) -> bool {
-        self.retry.record_broken_stream()
+    pub fn record_broken_stream(&self) -> bool {
+        self.attempts.update(RetryState::record_broken_stream)
     }
 
     /// Selects a backend that was not attempted yet, a healthy one if there is any.
@@ -209,7 +261,7 @@
         let settings = &self.state.chooser_settings;
         let max_connections = self.state.max_connections(&self.table, self.service);
         let mut backends = self.state.backends(&self.service_name);
-        backends.retain(|backend| !self.attempted.contains(&backend.identity));
+        backends.retain(|backend| !self.attempts.include(backend.identity));
         backends.retain(|backend| {
             backend.open_sockets() < max_connections || backend.in_flight() < backend.open_sockets()
         });
--- a/crates/gaugesaddle-edge/src/http_server.rs
+++ b/crates/gaugesaddle-edge/src/http_server.rs
@@ -99,7 +99,7 @@
     let body = read_body(&state, &table, body, admitted.deadline).await?;
     admission::take_quota(&state, &head, &admitted).await?;
     let last_event_id = headers::text(&head.headers, &LAST_EVENT_ID).map(str::to_owned);
-    let mut dispatch = Dispatch::new(state.clone(), table.clone(), admitted, head, body)?;
+    let dispatch = Dispatch::new(state.clone(), table.clone(), admitted, head, body)?;
     let started = dispatch.first_response().await?;
     forward(started, dispatch, last_event_id).await
 }
--- a/crates/gaugesaddle-edge/src/lib.rs
+++ b/crates/gaugesaddle-edge/src/lib.rs
@@ -58,6 +58,8 @@
 mod retry;
 mod run;
 mod service_statistics;
+mod silence;
 mod state;
+mod takeover;
 
 pub use run::run;
--- a/crates/gaugesaddle-edge/src/retry.rs
+++ b/crates/gaugesaddle-edge/src/retry.rs
@@ -61,6 +61,12 @@
         self.sent += 1;
     }
 
+    /// Records that an attempt was cancelled before its outcome was known.
+    pub fn record_cancelled(&mut self) {
+        self.sent += 1;
+        self.may_have_run = true;
+    }
+
     /// Records that a backend's stream was interrupted. Returns whether it may be resumed at another backend.
     pub fn record_broken_stream(&mut self) -> bool {
         self.may_have_run = true;
--- a/crates/gaugesaddle-testbed/src/scripted/backend.rs
+++ b/crates/gaugesaddle-testbed/src/scripted/backend.rs
@@ -15,6 +15,8 @@
     RespondAndClose(String),
     /// Writes this text and resets the connection.
     RespondAndReset(String),
+    /// Writes the first text, blocks until the hold is released, writes the second text and closes the connection.
+    RespondAfterHold(String, Arc<Hold>, String),
     /// Sends no response; the connection stays open.
     NoResponse,
 }
@@ -99,6 +101,13 @@
                     let _ = stream.shutdown(std::net::Shutdown::Both);
                     break;
                 }
+                Reply::RespondAfterHold(begun, hold, rest) => {
+                    let _ = stream.write_all(begun.as_bytes());
+                    hold.wait_once();
+                    let _ = stream.write_all(rest.as_bytes());
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                    break;
+                }
                 Reply::RespondAndReset(text) => {
                     let _ = stream.write_all(text.as_bytes());
                     let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
