Count every byte of a request body that is held

Cause: the limit counted announced lengths while the bodies were read. A body in chunks announces none, and one that was kept for another attempt no longer counted.

Change: each byte counts while it is held (request_body.rs), a body is released once no further attempt is permitted, and what would go over half of the memory, for bodies over 64 KiB over three quarters of that, gets 503 before more is read.

--- a/crates/gaugesaddle-edge/src/dispatch.rs
+++ b/crates/gaugesaddle-edge/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::headers::{self, API_KEY, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT};
 use crate::load_reporter::{self, WorkInFlight};
 use crate::rejection::Rejection;
+use crate::request_body::RequestBody;
 use crate::retry::RetryState;
 use crate::state::EdgeState;
 use bytes::Bytes;
@@ -37,7 +38,8 @@
     prompt: Prompt,
     key: Option<ApiKeyGuard>,
     head: Parts,
-    body: Bytes,
+    /// `None` once no further attempt is permitted.
+    body: RefCell<Option<RequestBody>>,
     attempts: Attempts,
     _active: CountedPermit,
 }
@@ -119,7 +121,7 @@
     /// [`Rejection::Unavailable`] if the route has no service.
     pub fn new(
         state: Rc<EdgeState>, table: Rc<RoutingTable>, admitted: AdmittedRequest, mut head: Parts,
-        body: Bytes,
+        body: RequestBody,
     ) -> Result<Dispatch, Rejection> {
         let service = pick_service(&state, admitted.route).ok_or(Rejection::Unavailable)?;
         let key = ApiKeyGuard::new(&state, headers::text(&head.headers, &API_KEY), admitted.tenant);
@@ -138,7 +140,7 @@
             service_name,
             key,
             head,
-            body,
+            body: RefCell::new(Some(body)),
         })
     }
 
@@ -224,6 +226,13 @@
         });
     }
 
+    /// Releases the body unless the stream may be resumed at another backend. `is_resumable`: as far as its content permits it.
+    pub fn release_body(&self, is_resumable: bool) {
+        if !is_resumable || !self.attempts.retry.get().may_resume() {
+            self.body.take();
+        }
+    }
+
     /// Records that a stream was interrupted. Returns whether it may be resumed at another backend.
     pub fn record_broken_stream(&self) -> bool {
         self.attempts.update(RetryState::record_broken_stream)
@@ -305,7 +314,8 @@
     }
 
     fn request_for(&self, backend: &Backend, resume_after: Option<&str>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let body = self.body.borrow().as_ref().map(RequestBody::bytes).unwrap_or_default();
+        let mut request = Request::new(Full::new(body));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
--- a/crates/gaugesaddle-edge/src/http_server.rs
+++ b/crates/gaugesaddle-edge/src/http_server.rs
@@ -7,13 +7,13 @@
 use crate::headers::{self, LAST_EVENT_ID};
 use crate::rejection::Rejection;
 use crate::relay::Relay;
+use crate::request_body::RequestBody;
 use crate::response_body::{rejection_response, ResponseBody};
 use crate::state::EdgeState;
 use bytes::{Bytes, BytesMut};
-use gaugesaddle_config::{RouteKind, RoutingTable};
+use gaugesaddle_config::RouteKind;
 use gaugesaddle_http_connection::{strip_connection_headers, BUFFERED_BODY_BYTES};
 use gaugesaddle_transport::accept;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -36,8 +36,6 @@
 const RESERVED_DESCRIPTORS: u64 = 250;
 /// Minimum limit on client connections, regardless of the number of file descriptors.
 const MIN_CLIENT_CONNECTIONS: usize = 16;
-/// Limit on the announced lengths of the request bodies that are being read, as a fraction of the memory.
-const BODY_MEMORY_FRACTION: f64 = 0.25;
 
 /// Accepts client connections until the task is aborted; shuts open connections down gracefully once `closing` is true.
 pub async fn serve(state: Rc<EdgeState>, listener: TcpListener, closing: watch::Receiver<bool>) {
@@ -96,7 +94,8 @@
     let table = state.routing_table().ok_or(Rejection::NotConfigured)?;
     let (head, body) = request.into_parts();
     let admitted = admission::identify(&table, &head, arrived)?;
-    let body = read_body(&state, &table, body, admitted.deadline).await?;
+    let max_body_bytes = table.limits.max_body_bytes as usize;
+    let body = RequestBody::read(&state.body_memory, body, max_body_bytes, admitted.deadline).await?;
     admission::take_quota(&state, &head, &admitted).await?;
     let last_event_id = headers::text(&head.headers, &LAST_EVENT_ID).map(str::to_owned);
     let dispatch = Dispatch::new(state.clone(), table.clone(), admitted, head, body)?;
@@ -104,46 +103,6 @@
     forward(started, dispatch, last_event_id).await
 }
 
-/// The announced length of a request body, counted in [`EdgeState::buffered_bytes`] while the body is being read.
-struct BufferedBytes<'a> {
-    state: &'a EdgeState,
-    bytes: usize,
-}
-
-impl<'a> BufferedBytes<'a> {
-    fn count(state: &'a EdgeState, bytes: usize) -> BufferedBytes<'a> {
-        state.buffered_bytes.set(state.buffered_bytes.get() + bytes);
-        BufferedBytes { state, bytes }
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        let buffered = &self.state.buffered_bytes;
-        buffered.set(buffered.get().saturating_sub(self.bytes));
-    }
-}
-
-async fn read_body(
-    state: &EdgeState, table: &RoutingTable, body: Incoming, deadline: Instant,
-) -> Result<Bytes, Rejection> {
-    let max_bytes = table.limits.max_body_bytes as usize;
-    let memory_limit = (state.boot.limits.memory_mb as f64 * 1e6 * BODY_MEMORY_FRACTION) as usize;
-    let announced_bytes = body.size_hint().lower() as usize;
-    if announced_bytes > max_bytes {
-        return Err(Rejection::BodyTooLarge);
-    }
-    if state.buffered_bytes.get() + announced_bytes > memory_limit {
-        return Err(Rejection::Unavailable);
-    }
-    let _counted = BufferedBytes::count(state, announced_bytes);
-    match tokio::time::timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Rejection::BodyIncomplete),
-    }
-}
-
 /// Forwards a backend's response to the client: buffered if it is short and not a stream, otherwise relayed.
 async fn forward(
     mut started: StartedResponse, dispatch: Dispatch, last_event_id: Option<String>,
@@ -158,6 +117,7 @@
         matches!(dispatch.route.kind, RouteKind::Streaming { .. }) && upstream.head.status.is_success();
     let is_short = upstream.body.size_hint().upper().is_some_and(|n| n <= BUFFERED_BODY_BYTES as u64);
     *response.body_mut() = if is_short && !is_stream {
+        dispatch.release_body(false);
         ResponseBody::Buffered(Some(read_response(started, &dispatch).await?))
     } else {
         ResponseBody::Relayed(Box::new(Relay::new(started, dispatch, tracker)))
--- a/crates/gaugesaddle-edge/src/lib.rs
+++ b/crates/gaugesaddle-edge/src/lib.rs
@@ -35,7 +35,7 @@
 //! valid.
 //!
 //! **Bounds.** A fraction of the file descriptors limits client connections, and a fraction of the memory limits the
-//! request bodies being read. A service's `maxConnections` limits the connections to each backend. The configuration and
+//! request bodies that are held. A service's `maxConnections` limits the connections to each backend. The configuration and
 //! the catalog limit the number of table entries. All tasks run on one thread.
 
 mod admission;
@@ -54,6 +54,7 @@
 mod readiness;
 mod rejection;
 mod relay;
+mod request_body;
 mod response_body;
 mod retry;
 mod run;
--- a/crates/gaugesaddle-edge/src/relay.rs
+++ b/crates/gaugesaddle-edge/src/relay.rs
@@ -54,6 +54,7 @@
     /// Relays a response whose body `tracker` tracks.
     pub fn new(started: StartedResponse, dispatch: Dispatch, tracker: BodyTracker) -> Relay {
         use hyper::body::Body;
+        dispatch.release_body(tracker.is_resumable());
         let content_length =
             if tracker.is_resumable() { None } else { started.response.body.size_hint().exact() };
         let mut relay = Relay {
@@ -203,6 +204,7 @@
         self.tracker = successor.tracker;
         self.current = Some(Box::new(successor.started));
         self.silence_recorded = false;
+        self.dispatch.release_body(self.tracker.is_resumable());
         self.restart_silence_timer();
     }
 
--- a/crates/gaugesaddle-edge/src/retry.rs
+++ b/crates/gaugesaddle-edge/src/retry.rs
@@ -70,6 +70,11 @@
     /// Records that a backend's stream was interrupted. Returns whether it may be resumed at another backend.
     pub fn record_broken_stream(&mut self) -> bool {
         self.may_have_run = true;
+        self.may_resume()
+    }
+
+    /// Whether an interrupted stream may be resumed at another backend.
+    pub fn may_resume(&self) -> bool {
         self.idempotent && self.sent < self.max_attempts
     }
 
--- a/crates/gaugesaddle-edge/src/state.rs
+++ b/crates/gaugesaddle-edge/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::backend_set::BackendSet;
+use crate::request_body::BodyMemory;
 use crate::service_statistics::ServiceStatistics;
 use gaugesaddle_config::{BootSettings, OperatorConfig, RoutingTable, ServiceIndex};
 use gaugesaddle_distribution::Follower;
@@ -38,8 +39,8 @@
     pub terminating: Cell<bool>,
     /// Number of requests that are dispatched or whose responses are being relayed.
     pub active_requests: Rc<Cell<usize>>,
-    /// Sum of the announced lengths of the request bodies that are being read.
-    pub buffered_bytes: Cell<usize>,
+    /// The memory for request bodies.
+    pub body_memory: Rc<BodyMemory>,
     /// Tokens leased from the leader, by tenant.
     pub allowance: RefCell<TokenAllowance>,
     /// Notifies requests that wait for tokens.
@@ -81,7 +82,7 @@
             clock,
             terminating: Cell::new(false),
             active_requests: Rc::default(),
-            buffered_bytes: Cell::new(0),
+            body_memory: Rc::new(BodyMemory::new(boot.limits.memory_mb)),
             allowance: RefCell::default(),
             tokens_granted: Notify::new(),
             tokens_needed: Notify::new(),
