Count requests as active from their head until their response is sent

Cause: from 2.6 s after the signal the process ended as soon as no request was active, and a request counted from its dispatch only: not while its body was read, nor while it waited for tokens.

Change: a request counts from its head until its response has been sent, and on a closing connection until that has ended, since a part of the response may still be in the buffer (active_request.rs). 0.8 s before the end of the grace period requests that wait for tokens get 429.

By reading, the HTTP proxy waits until its connections are closed, so that it needs no mend; no test was added.

--- a/crates/gaugesaddle-control/tests/stopping_proxy.rs
+++ b/crates/gaugesaddle-control/tests/stopping_proxy.rs
@@ -1,9 +1,10 @@
 //! Guards, with real processes, against a proxy that was told to stop and sends retries and resumed streams to backends that
-//! have left meanwhile, since it no longer follows the control plane.
+//! have left meanwhile, since it no longer follows the control plane, and against requests that it has read and leaves without an
+//! answer.
 
 use gaugesaddle_testbed::fleet::{document, Chunked, Fleet};
-use gaugesaddle_testbed::scripted::{until, Backend, Hold, Reply};
-use std::io;
+use gaugesaddle_testbed::scripted::{read_message, until, Backend, Hold, Reply};
+use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
@@ -100,3 +101,55 @@
 fn no_request_is_retried_at_a_backend_that_left_while_the_proxy_stops() {
     assert_nothing_is_sent_to_a_backend_that_left("plain", "");
 }
+
+/// A grace period that leaves little time after clients no longer come.
+const SHORT_GRACE_PERIOD: &str = "bounds.gracePeriodS=4\n";
+
+/// A proxy with one backend. A request of the tenant of `k-scarce` costs more tokens than the tenant can have, and waits for them
+/// for longer than the grace period.
+fn fleet_with_scarce_tokens(backend: &Backend) -> Fleet {
+    let mut document = document(1);
+    document["routes"][0]["targetLatencyMs"] = 30_000.into();
+    let scarce = serde_json::json!({"name": "scarce", "apiKeys": ["k-scarce"], "priority": 1, "unit": "tokens",
+        "plainTokens": 500, "ratePerS": 10, "burst": 100});
+    document["tenants"].as_array_mut().expect("tenants are a list").push(scarce);
+    let fleet = Fleet::start_with(1, 1, false, SHORT_GRACE_PERIOD).expect("fleet starts");
+    until("the configuration is acknowledged", || fleet.put(CONTROL, 0, &document.to_string()).0 == 200);
+    register(&fleet, "i-1", backend.address);
+    until("the proxy is ready", || fleet.is_ready(EDGE));
+    fleet
+}
+
+/// Opens a connection, and waits until the proxy has accepted it: it answers later calls only then.
+fn connect(fleet: &Fleet) -> TcpStream {
+    let stream = TcpStream::connect(fleet.front(EDGE)).expect("the proxy accepts connections");
+    await_events(fleet);
+    stream
+}
+
+/// Waits until the proxy, which has a single thread, has handled what was sent to it before.
+fn await_events(fleet: &Fleet) {
+    for _ in 0..3 {
+        fleet.is_ready(EDGE);
+    }
+}
+
+/// The status of the response on a connection; `None` if it ends without one.
+fn status(stream: TcpStream) -> Option<u16> {
+    read_message(&mut BufReader::new(stream)).map(|response| response.status())
+}
+
+/// A request that was read whole and waits for tokens did not count as active: the process ended without an answer to it.
+#[test]
+fn a_request_that_waits_for_tokens_is_answered_before_the_process_ends() {
+    let backend = Backend::start(|_| answer());
+    let mut fleet = fleet_with_scarce_tokens(&backend);
+    let scarce = request("plain").replace("k-free", "k-scarce");
+    let mut waiting = connect(&fleet);
+    waiting.write_all(scarce.as_bytes()).expect("the request is sent");
+    await_events(&fleet);
+    fleet.terminate(EDGE).expect("the signal is sent");
+    assert_eq!(status(waiting), Some(429));
+    until("the process ends", || !fleet.is_running(EDGE));
+    assert!(backend.requests().is_empty(), "the rejected request was executed");
+}
--- a/crates/gaugesaddle-edge/src/admission.rs
+++ b/crates/gaugesaddle-edge/src/admission.rs
@@ -72,7 +72,7 @@
 /// to grant more.
 ///
 /// # Errors
-/// [`Rejection::OverQuota`].
+/// [`Rejection::OverQuota`], at the end of a shutdown at once.
 pub async fn take_quota(
     state: &EdgeState, head: &Parts, request: &AdmittedRequest<'_>,
 ) -> Result<(), Rejection> {
@@ -93,7 +93,7 @@
             drop(deficit);
             return Ok(());
         }
-        if !in_time {
+        if !in_time || state.token_wait_is_over.get() {
             return Err(Rejection::OverQuota);
         }
     }
--- a/crates/gaugesaddle-edge/src/dispatch.rs
+++ b/crates/gaugesaddle-edge/src/dispatch.rs
@@ -41,7 +41,6 @@
     /// `None` once no further attempt is permitted.
     body: RefCell<Option<RequestBody>>,
     attempts: Attempts,
-    _active: CountedPermit,
 }
 
 /// The attempts of a request so far.
@@ -133,7 +132,6 @@
             route: admitted.route.clone(),
             prompt: admitted.prompt,
             deadline: admitted.deadline,
-            _active: CountedPermit::acquire(&state.active_requests),
             state,
             table,
             service,
--- a/crates/gaugesaddle-edge/src/http_server.rs
+++ b/crates/gaugesaddle-edge/src/http_server.rs
@@ -1,5 +1,6 @@
 //! Client connections, and the processing of a request from its arrival to its response.
 
+use crate::active_request::ConnectionActivity;
 use crate::admission;
 use crate::body_tracker::BodyTracker;
 use crate::client_stream::{ClientStream, CloseDelimitedResponse};
@@ -8,7 +9,7 @@
 use crate::rejection::Rejection;
 use crate::relay::Relay;
 use crate::request_body::RequestBody;
-use crate::response_body::{rejection_response, ResponseBody};
+use crate::response_body::{rejection_response, CountedBody, ResponseBody};
 use crate::state::EdgeState;
 use bytes::{Bytes, BytesMut};
 use gaugesaddle_config::RouteKind;
@@ -60,12 +61,15 @@
         .routing_table()
         .map_or(DEFAULT_IDLE_TIMEOUT, |table| Duration::from_secs_f64(table.limits.idle_timeout_ms / 1000.0));
     let close_delimited = CloseDelimitedResponse::default();
+    let activity = ConnectionActivity::new(&state.active_requests);
+    let connection_activity = activity.clone();
     let stream = ClientStream::new(stream, close_delimited.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, close_delimited) = (state.clone(), close_delimited.clone());
+        let active = connection_activity.begin();
         async move {
             let version = request.version();
-            let response = respond(state, request).await;
+            let response = respond(state, request).await.map(|body| CountedBody::new(body, active));
             if version == Version::HTTP_10 && response.size_hint().exact().is_none() {
                 close_delimited.begin();
             }
@@ -78,7 +82,10 @@
     // Errors are ignored: they affect only this connection's client.
     tokio::select! {
         _ = serving.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => serving.as_mut().graceful_shutdown(),
+        _ = closing.wait_for(|closing| *closing) => {
+            activity.close();
+            serving.as_mut().graceful_shutdown();
+        }
     }
     let _ = serving.await;
 }
--- a/crates/gaugesaddle-edge/src/lib.rs
+++ b/crates/gaugesaddle-edge/src/lib.rs
@@ -38,6 +38,7 @@
 //! request bodies that are held. A service's `maxConnections` limits the connections to each backend. The configuration and
 //! the catalog limit the number of table entries. All tasks run on one thread.
 
+mod active_request;
 mod admission;
 mod api_key;
 mod attempt;
--- a/crates/gaugesaddle-edge/src/response_body.rs
+++ b/crates/gaugesaddle-edge/src/response_body.rs
@@ -1,5 +1,6 @@
 //! The body of a response to a client: buffered bytes, or a relayed stream.
 
+use crate::active_request::ActiveRequest;
 use crate::rejection::Rejection;
 use crate::relay::{BrokenResponse, Relay};
 use bytes::Bytes;
@@ -58,6 +59,38 @@
     }
 }
 
+/// A body whose request is in progress until it is dropped, which the server does once the body has been sent.
+pub struct CountedBody {
+    body: ResponseBody,
+    _active: ActiveRequest,
+}
+
+impl CountedBody {
+    /// Counts the request of `body`.
+    pub fn new(body: ResponseBody, active: ActiveRequest) -> CountedBody {
+        CountedBody { body, _active: active }
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BrokenResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenResponse>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The response to a request that this proxy rejects.
 pub fn rejection_response(rejection: Rejection) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::empty());
--- a/crates/gaugesaddle-edge/src/run.rs
+++ b/crates/gaugesaddle-edge/src/run.rs
@@ -21,6 +21,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Time limit for announcing at the end of a shutdown that this proxy is leaving. Within the exit margin.
 const DEREGISTRATION_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time before the exit at which requests that still wait for tokens are rejected.
+const REJECTION_MARGIN: Duration = Duration::from_millis(300);
 /// Interval between checks for active requests during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between sweeps of idle connections.
@@ -101,6 +103,9 @@
     tokio::time::sleep_until(begun + READINESS_PROPAGATION_TIME.min(grace_period)).await;
     tasks.http_server.abort();
     while state.active_requests.get() > 0 && begun.elapsed() + EXIT_MARGIN < grace_period {
+        if begun.elapsed() + EXIT_MARGIN + REJECTION_MARGIN >= grace_period {
+            state.end_token_wait();
+        }
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     tasks.control_client.abort();
--- a/crates/gaugesaddle-edge/src/state.rs
+++ b/crates/gaugesaddle-edge/src/state.rs
@@ -37,7 +37,9 @@
     pub follower: RefCell<Follower>,
     /// Whether SIGTERM was received.
     pub terminating: Cell<bool>,
-    /// Number of requests that are dispatched or whose responses are being relayed.
+    /// Whether requests no longer wait for tokens, since the process is about to end.
+    pub token_wait_is_over: Cell<bool>,
+    /// Number of client connections with a request in progress.
     pub active_requests: Rc<Cell<usize>>,
     /// The memory for request bodies.
     pub body_memory: Rc<BodyMemory>,
@@ -81,6 +83,7 @@
             follower: RefCell::new(follower),
             clock,
             terminating: Cell::new(false),
+            token_wait_is_over: Cell::new(false),
             active_requests: Rc::default(),
             body_memory: Rc::new(BodyMemory::new(boot.limits.memory_mb)),
             allowance: RefCell::default(),
@@ -97,6 +100,12 @@
         }
     }
 
+    /// Has all requests that wait for tokens rejected, now and later.
+    pub fn end_token_wait(&self) {
+        self.token_wait_is_over.set(true);
+        self.tokens_granted.notify_waiters();
+    }
+
     /// The time of the monotonic clock, in milliseconds.
     pub fn now(&self) -> u64 {
         self.clock.now()
