Serve clients that connect while the platform still sends them

Cause: a connection that is accepted after the signal was told at once to close after its current request. It had none, and an idle connection closes immediately.

Change: the server has phases. While it drains, a connection without a request closes after its first one; when clients no longer come, at once.

--- a/crates/gaugesaddle-control/tests/stopping_proxy.rs
+++ b/crates/gaugesaddle-control/tests/stopping_proxy.rs
@@ -153,3 +153,15 @@
     until("the process ends", || !fleet.is_running(EDGE));
     assert!(backend.requests().is_empty(), "the rejected request was executed");
 }
+
+/// The platform sends clients for some time after the SIGTERM. Their connections were closed as idle ones before their request.
+#[test]
+fn a_client_that_connects_right_after_the_signal_is_served() {
+    let backend = Backend::start(|_| answer());
+    let mut fleet = fleet_with_scarce_tokens(&backend);
+    fleet.terminate(EDGE).expect("the signal is sent");
+    until("the proxy is not ready", || !fleet.is_ready(EDGE));
+    let mut late = connect(&fleet);
+    late.write_all(request("plain").as_bytes()).expect("the request is sent");
+    assert_eq!(status(late), Some(200));
+}
--- a/crates/gaugesaddle-edge/src/active_request.rs
+++ b/crates/gaugesaddle-edge/src/active_request.rs
@@ -13,6 +13,7 @@
 use gaugesaddle_http_connection::CountedPermit;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// The request in progress on a client connection.
 #[derive(Clone)]
@@ -23,6 +24,8 @@
     active: Rc<Cell<usize>>,
     permit: RefCell<Option<CountedPermit>>,
     has_served: Cell<bool>,
+    /// Notified of the first request.
+    first_request: Notify,
     is_closing: Cell<bool>,
 }
 
@@ -33,6 +36,7 @@
             active: active.clone(),
             permit: RefCell::default(),
             has_served: Cell::new(false),
+            first_request: Notify::new(),
             is_closing: Cell::new(false),
         }))
     }
@@ -40,10 +44,18 @@
     /// Begins a request, which is in progress until the result is dropped.
     pub fn begin(&self) -> ActiveRequest {
         self.0.has_served.set(true);
+        self.0.first_request.notify_one();
         self.count();
         ActiveRequest(self.clone())
     }
 
+    /// Waits until the connection has had its first request.
+    pub async fn first_request(&self) {
+        if !self.0.has_served.get() {
+            self.0.first_request.notified().await;
+        }
+    }
+
     /// Records that the connection closes after its current request.
     pub fn close(&self) {
         self.0.is_closing.set(true);
--- a/crates/gaugesaddle-edge/src/http_server.rs
+++ b/crates/gaugesaddle-edge/src/http_server.rs
@@ -38,8 +38,19 @@
 /// Minimum limit on client connections, regardless of the number of file descriptors.
 const MIN_CLIENT_CONNECTIONS: usize = 16;
 
-/// Accepts client connections until the task is aborted; shuts open connections down gracefully once `closing` is true.
-pub async fn serve(state: Rc<EdgeState>, listener: TcpListener, closing: watch::Receiver<bool>) {
+/// The phases of the server's life, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerPhase {
+    Serving,
+    /// Clients may still connect. Connections close after their current request, idle ones at once, and new ones after their first
+    /// request.
+    Draining,
+    /// Clients no longer connect; connections without a request close.
+    Closing,
+}
+
+/// Accepts client connections until the task is aborted, and closes them as `phase` requires.
+pub async fn serve(state: Rc<EdgeState>, listener: TcpListener, phase: watch::Receiver<ServerPhase>) {
     let descriptors = state.boot.limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS) as f64;
     let max_connections = (descriptors * CLIENT_DESCRIPTOR_FRACTION) as usize;
     let permits = Arc::new(Semaphore::new(max_connections.max(MIN_CLIENT_CONNECTIONS)));
@@ -47,15 +58,15 @@
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let (stream, _) = accept(&listener).await;
         let state = state.clone();
-        let closing = closing.clone();
+        let phase = phase.clone();
         tokio::task::spawn_local(async move {
             let _permit = permit;
-            serve_connection(state, stream, closing).await;
+            serve_connection(state, stream, phase).await;
         });
     }
 }
 
-async fn serve_connection(state: Rc<EdgeState>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+async fn serve_connection(state: Rc<EdgeState>, stream: TcpStream, phase: watch::Receiver<ServerPhase>) {
     let _ = stream.set_nodelay(true);
     let idle_timeout = state
         .routing_table()
@@ -82,7 +93,7 @@
     // Errors are ignored: they affect only this connection's client.
     tokio::select! {
         _ = serving.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => {
+        () = wait_to_close(phase, &activity) => {
             activity.close();
             serving.as_mut().graceful_shutdown();
         }
@@ -90,6 +101,17 @@
     let _ = serving.await;
 }
 
+/// Waits until a connection is to be closed after its current request. One that has had no request yet is not closed while
+/// clients may connect: its request may be on the way.
+async fn wait_to_close(mut phase: watch::Receiver<ServerPhase>, activity: &ConnectionActivity) {
+    // Errors, which mean that the process ends, close the connection, too.
+    let _ = phase.wait_for(|phase| *phase >= ServerPhase::Draining).await;
+    tokio::select! {
+        () = activity.first_request() => {}
+        _ = phase.wait_for(|phase| *phase >= ServerPhase::Closing) => {}
+    }
+}
+
 async fn respond(state: Rc<EdgeState>, request: Request<Incoming>) -> Response<ResponseBody> {
     handle(state, request).await.unwrap_or_else(rejection_response)
 }
--- a/crates/gaugesaddle-edge/src/run.rs
+++ b/crates/gaugesaddle-edge/src/run.rs
@@ -1,5 +1,6 @@
 //! Startup, operation and shutdown of the process.
 
+use crate::http_server::ServerPhase;
 use crate::state::EdgeState;
 use crate::{control_client, http_server, load_reporter, quota_client, readiness};
 use eyre::{eyre, Result, WrapErr};
@@ -57,7 +58,7 @@
     let listener = listen(front_address).wrap_err_with(|| format!("listening at {front_address}"))?;
     let state = Rc::new(EdgeState::new(boot, chooser_settings));
     info!("proxy {} listens at {front_address}", state.proxy_id);
-    let (close, closing) = watch::channel(false);
+    let (phase, phase_changes) = watch::channel(ServerPhase::Serving);
     let readiness_state = state.clone();
     tokio::task::spawn_local(async move {
         if let Err(e) = readiness::serve(readiness_state, ready_address).await {
@@ -69,9 +70,9 @@
     if chooser_settings.shared_load || chooser_settings.shared_health {
         tokio::task::spawn_local(load_reporter::run(state.clone()));
     }
-    let http_server = tokio::task::spawn_local(http_server::serve(state.clone(), listener, closing));
+    let http_server = tokio::task::spawn_local(http_server::serve(state.clone(), listener, phase_changes));
     wait_for_sigterm(&state).await?;
-    shut_down(&state, &close, AbortableTasks { control_client, http_server }).await;
+    shut_down(&state, &phase, AbortableTasks { control_client, http_server }).await;
     Ok(())
 }
 
@@ -92,16 +93,16 @@
 /// The proxy follows the control plane until then: it still sends retries and resumed streams, which must not reach backends
 /// that have left meanwhile, nor use revoked API keys. It also remains registered, since these requests use its parts of the
 /// retry budgets and of the backends' connections.
-async fn shut_down(state: &Rc<EdgeState>, close: &watch::Sender<bool>, tasks: AbortableTasks) {
+async fn shut_down(state: &Rc<EdgeState>, phase: &watch::Sender<ServerPhase>, tasks: AbortableTasks) {
     let grace_period = Duration::from_secs_f64(state.boot.bounds.grace_period_s);
     info!("SIGTERM received: shutting down, {} active requests", state.active_requests.get());
     state.terminating.set(true);
     let begun = Instant::now();
-    // Open connections are closed after their current request. New ones are accepted until the platform has observed that
-    // this proxy is not ready.
-    let _ = close.send(true);
+    // New connections are accepted until the platform has observed that this proxy is not ready.
+    let _ = phase.send(ServerPhase::Draining);
     tokio::time::sleep_until(begun + READINESS_PROPAGATION_TIME.min(grace_period)).await;
     tasks.http_server.abort();
+    let _ = phase.send(ServerPhase::Closing);
     while state.active_requests.get() > 0 && begun.elapsed() + EXIT_MARGIN < grace_period {
         if begun.elapsed() + EXIT_MARGIN + REJECTION_MARGIN >= grace_period {
             state.end_token_wait();
