Acknowledge the end of a backend only when the proxies know it

Cause: at the deadline of 600 ms an end was acknowledged if a majority of control processes had it, in memory alone. The process that the proxies followed was frozen, so that no proxy knew the end, and the killed processes forgot it.

Change: at the deadline the call is answered 503 unless all responsive processes and their proxies have the end. The test of the deadline expected the acknowledgement that was the fault, and expects the rejection now: stricter.

--- a/crates/gaugesaddle-catalog/src/acknowledgement.rs
+++ b/crates/gaugesaddle-catalog/src/acknowledgement.rs
@@ -24,15 +24,16 @@
 ///                 +-- not fresh -----------------------------------------> Reject
 ///                 +-- the backend is ready ------------------------------> Acknowledge
 ///  Wait, decide --+-- leaves, status Full -------------------------------> Acknowledge
-///   ^             +-- leaves, deadline reached, status Majority ---------> Acknowledge
-///   |             +-- leaves, deadline reached, status Minority ---------> Reject
+///   ^             +-- leaves, deadline reached --------------------------> Reject
 ///   +-------------+-- otherwise
 /// ```
 ///
 /// A backend stops a fixed time after its acknowledgement; by then every proxy must have stopped sending to it. The
-/// call is therefore acknowledged only after the change is replicated: to all responsive processes and a majority at
-/// least, or at the deadline to a majority. The process must also be in contact with a majority when it answers: if it
-/// was partitioned in the meantime, it may have replicated the change only within its own side of the partition.
+/// call is therefore acknowledged only after the change is replicated to all responsive processes, a majority at least,
+/// and to the proxies that pull from them: the control processes have it in memory alone, which all of them may lose at
+/// once. A peer or proxy that does not respond delays the acknowledgement until it no longer counts as responsive. The
+/// process must also be in contact with a majority when it answers: if it was partitioned in the meantime, it may have
+/// replicated the change only within its own side of the partition.
 #[derive(Clone, Debug)]
 pub struct Acknowledgement {
     id: String,
@@ -71,8 +72,9 @@
         let is_due = now >= self.deadline_ms;
         match status {
             ReplicationStatus::Full => AcknowledgementDecision::Acknowledge,
-            ReplicationStatus::Majority if is_due => AcknowledgementDecision::Acknowledge,
-            ReplicationStatus::Minority if is_due => AcknowledgementDecision::Reject,
+            ReplicationStatus::Majority | ReplicationStatus::Minority if is_due => {
+                AcknowledgementDecision::Reject
+            }
             ReplicationStatus::Majority | ReplicationStatus::Minority => AcknowledgementDecision::Wait,
         }
     }
--- a/crates/gaugesaddle-catalog/tests/catalog_replica.rs
+++ b/crates/gaugesaddle-catalog/tests/catalog_replica.rs
@@ -100,8 +100,8 @@
     );
     assert_eq!(
         decide(&replicas, waiting.deadline(), true),
-        AcknowledgementDecision::Acknowledge,
-        "a majority has the change at the deadline"
+        AcknowledgementDecision::Reject,
+        "a responsive peer, and the proxies that pull from it, do not have the change at the deadline"
     );
     assert_eq!(
         decide(&replicas, waiting.deadline(), false),
--- a/crates/gaugesaddle-control/src/lib.rs
+++ b/crates/gaugesaddle-control/src/lib.rs
@@ -24,7 +24,8 @@
 //! # Guarantees
 //!
 //! - A change that is acknowledged (status 200) is durable on a majority of the voters' disks.
-//! - An acknowledged drain or deregistration is replicated to at least a majority of the control processes.
+//! - An acknowledged drain or deregistration is known to all responsive control processes, a majority at least, and to the
+//!   proxies that pull from them.
 //! - Malformed input closes its connection or is answered with an error; it does not stop the process.
 //! - A disk error stops the replica but not the process, which tries to reopen the disk every 300 ms.
 //!
