--- a/crates/gaugesaddle-consensus/src/bootstrap.rs
+++ b/crates/gaugesaddle-consensus/src/bootstrap.rs
@@ -1,8 +1,8 @@
 //! Bootstrap: the first group of voters, at the first start of all processes.
 //!
-//! All processes are configured with the same seeds, and each derives the same initial group from them without a message: every
-//! seed is a voter with [`INITIAL_INCARNATION`]. The loss of a minority of the seeds at any moment after that is a loss like
-//! any later one. A seed without a disk cannot remain a voter; it is a *witness*:
+//! All processes are configured with the same seeds, and each derives the same initial group from them without a
+//! message: every seed is a voter with [`INITIAL_INCARNATION`]. The loss of a minority of the seeds at any moment after
+//! that is a loss like any later one. A seed without a disk cannot remain a voter; it is a *witness*:
 //!
 //! ```text
 //!  seed with a disk            voter, may lead
@@ -11,10 +11,11 @@
 //!  other machine without       learner
 //! ```
 //!
-//! A witness campaigns only if it has a newer state than the initial one, which may be on witnesses alone, and transfers the
-//! leadership to a voter with a disk. A leader replaces witnesses by learners with a disk, and removes those for which there is none. It accepts no change of the
-//! configuration while a witness is a voter: a witness that restarts has forgotten its votes and is another replica, so
-//! that the change could be lost with fewer disks than the deployment tolerates.
+//! A witness campaigns only if it has a newer state than the initial one, which may be on witnesses alone, and
+//! transfers the leadership to a voter with a disk. A leader replaces witnesses by learners with a disk, and removes
+//! those for which there is none. It accepts no change of the configuration while a witness is a voter: a witness that
+//! restarts has forgotten its votes and is another replica, so that the change could be lost with fewer disks than the
+//! deployment tolerates.
 //!
 //! The initial state is written to the disk before anything else, so that a process that restarts during the bootstrap
 //! continues it.
@@ -28,8 +29,8 @@
 pub const INITIAL_INCARNATION: u64 = 0;
 /// Time for which a machine that is no seed waits for a seed to be elected before it campaigns.
 const NON_SEED_ELECTION_DELAY_MS: u64 = 1000;
-/// Time after an election for which a witness that no learner can replace remains a voter, since machines with a disk may still
-/// be starting.
+/// Time after an election for which a witness that no learner can replace remains a voter, since machines with a disk
+/// may still be starting.
 const WITNESS_RETENTION_MS: u64 = 3000;
 
 /// A process that starts for the first time, together with all others.
@@ -55,11 +56,11 @@
 }
 
 impl Replica {
-    /// Creates the replica of a process that starts for the first time. Later starts use [`Replica::new`] with the records of the
-    /// disk, or with an empty state and a new identity.
+    /// Creates the replica of a process that starts for the first time. Later starts use [`Replica::new`] with the
+    /// records of the disk, or with an empty state and a new identity.
     ///
-    /// The seeds must be those of all other processes, and a machine must not start for the first time twice unless nothing was
-    /// written to its disk: its replica could vote twice in one term.
+    /// The seeds must be those of all other processes, and a machine must not start for the first time twice unless
+    /// nothing was written to its disk: its replica could vote twice in one term.
     pub fn bootstrap(
         settings: Settings, start: FirstStart, now: u64, random: u64, out: &mut Vec<Output>,
     ) -> Replica {
@@ -83,8 +84,8 @@
         replica
     }
 
-    /// Whether a voter may be a witness, so that a change of the configuration could be acknowledged from memory. A process that
-    /// has just started does not know yet which machines have no disk.
+    /// Whether a voter may be a witness, so that a change of the configuration could be acknowledged from memory. A
+    /// process that has just started does not know yet which machines have no disk.
     pub fn may_have_witness(&self, now: u64) -> bool {
         let is_initial = |voter: &ReplicaId| voter.incarnation == INITIAL_INCARNATION;
         let is_unknown = now < self.started_ms + LEARNER_DISCOVERY_MS
--- a/crates/gaugesaddle-consensus/src/departure.rs
+++ b/crates/gaugesaddle-consensus/src/departure.rs
@@ -1,8 +1,9 @@
 //! Planned departure: a replica whose process is about to end leaves the group first.
 //!
-//! A voter that ends without leaving remains a voter until the leader removes it. Meanwhile it increases the size of the
-//! majority, so that the loss of another voter may leave the group without one for good. A departing replica therefore
-//! broadcasts `Leave` until the leader answers, and its process continues to vote and to acknowledge states meanwhile:
+//! A voter that ends without leaving remains a voter until the leader removes it. Meanwhile it increases the size of
+//! the majority, so that the loss of another voter may leave the group without one for good. A departing replica
+//! therefore broadcasts `Leave` until the leader answers, and its process continues to vote and to acknowledge states
+//! meanwhile:
 //!
 //! ```text
 //!                 begin_departure             removal committed
@@ -50,8 +51,8 @@
     /// The departure of this replica; `None` before [`Replica::begin_departure`].
     pub fn departure(&self) -> Option<Departure> {
         let own = self.own_departure?;
-        // A replica outside the initial group that has received no state cannot have become a voter, and there may be no
-        // leader to answer it.
+        // A replica outside the initial group that has received no state cannot have become a voter, and there may be
+        // no leader to answer it.
         let has_received_state = self.state.position != LogPosition::default();
         let has_joined = has_received_state || self.is_voter();
         Some(if has_joined { own.status } else { Departure::Left })
@@ -120,8 +121,8 @@
         }
     }
 
-    /// The departure of a replica that leaves. It is pending while a learner may take its place, and while another voter does not
-    /// respond: the end of its process could take the majority from the group.
+    /// The departure of a replica that leaves. It is pending while a learner may take its place, and while another
+    /// voter does not respond: the end of its process could take the majority from the group.
     fn departure_of(&self, now: u64, departing: ReplicaId) -> Departure {
         if !self.is_membership_committed() {
             return Departure::Pending;
--- a/crates/gaugesaddle-consensus/src/election.rs
+++ b/crates/gaugesaddle-consensus/src/election.rs
@@ -72,8 +72,8 @@
     /// Whether this replica may campaign. During a membership change a replica of either group may lead (thesis 4.3): a
     /// replica that is being removed may be the only one with the newest state, and the outgoing group may have no
     /// majority without its vote. The same holds for a removed replica while the state without it is not known to be
-    /// committed: the others may still require its vote, which it grants to no replica with an older state. And a replica
-    /// outside the initial group may lead it, since the seeds with a disk may be lost.
+    /// committed: the others may still require its vote, which it grants to no replica with an older state. And a
+    /// replica outside the initial group may lead it, since the seeds with a disk may be lost.
     fn may_campaign(&self) -> bool {
         // A witness that is started once more by mistake does not know that there is a group already.
         if self.has_initial_state() {
--- a/crates/gaugesaddle-consensus/src/lib.rs
+++ b/crates/gaugesaddle-consensus/src/lib.rs
@@ -1,4 +1,5 @@
-//! Raft for the operator's configuration: election, replication, membership changes and linearizable reads, without I/O.
+//! Raft for the operator's configuration: election, replication, membership changes and linearizable reads, without
+//! I/O.
 //!
 //! The replicated [`State`](gaugesaddle_protocol::State) is one value that each change replaces, so the log is one
 //! entry long, and a state is sent as a delta against the state that the receiver has. Raft's rules for the last log
@@ -47,8 +48,8 @@
 //! - A replica that [is fresh](Replica::is_fresh) has every state that was committed one lease ago, regardless of
 //!   message delays and of how long the process was suspended.
 //!
-//! Votes and acknowledgements are sent only after [`Input::Persisted`] of the write that contains them. The host may lose
-//! and reorder messages.
+//! Votes and acknowledgements are sent only after [`Input::Persisted`] of the write that contains them. The host may
+//! lose and reorder messages.
 //!
 //! # Bounds
 //!
--- a/crates/gaugesaddle-consensus/src/membership.rs
+++ b/crates/gaugesaddle-consensus/src/membership.rs
@@ -13,12 +13,12 @@
 //!
 //! A replica that is being removed may be elected during the change; it leads until the group without it is committed.
 //!
-//! A learner replaces the voter with the same address (whose disk was lost), else a [departing](crate::departure) voter,
-//! else an unresponsive voter (whose machine may have been replaced), else a [witness](crate::bootstrap); otherwise it is
-//! added. A voter is replaced only once
-//! its successor has the newest state, so that a replacement does not reduce the number of voters that have the state, and
-//! a second loss is tolerated like the first. A departing voter is removed at once if enough voters remain: otherwise its
-//! end would count as a loss beside the one that the remaining voters tolerate.
+//! A learner replaces the voter with the same address (whose disk was lost), else a [departing](crate::departure)
+//! voter, else an unresponsive voter (whose machine may have been replaced), else a [witness](crate::bootstrap);
+//! otherwise it is added. A voter is replaced only once its successor has the newest state, so that a replacement does
+//! not reduce the number of voters that have the state, and a second loss is tolerated like the first. A departing
+//! voter is removed at once if enough voters remain: otherwise its end would count as a loss beside the one that the
+//! remaining voters tolerate.
 
 use crate::progress::Learner;
 use crate::settings::{MAX_LEARNERS, MAX_VOTERS};
@@ -73,8 +73,8 @@
         }
     }
 
-    /// The next step of a leader outside the group: it takes the place of a witness, or has led only to complete the change
-    /// that removed it (thesis 4.2.2).
+    /// The next step of a leader outside the group: it takes the place of a witness, or has led only to complete the
+    /// change that removed it (thesis 4.2.2).
     fn enter_or_leave_group(&mut self, now: u64, out: &mut Vec<Output>) {
         let Some(witness) = self.witness_index().filter(|_| self.storage == Storage::Durable) else {
             return self.transfer_leadership(now, out);
--- a/crates/gaugesaddle-consensus/src/replica.rs
+++ b/crates/gaugesaddle-consensus/src/replica.rs
@@ -273,8 +273,8 @@
     }
 
     /// Whether this replica broadcasts `Join`: it is not a voter, or it has no leader and may have been removed from
-    /// the group in the meantime. A witness always does, so that the leader knows that it has no disk. A departing replica does
-    /// not join again.
+    /// the group in the meantime. A witness always does, so that the leader knows that it has no disk. A departing
+    /// replica does not join again.
     fn needs_to_join(&self) -> bool {
         let may_be_removed = !self.is_voter() || self.leader.is_none() || self.storage == Storage::Witness;
         self.role != Role::Leader && self.own_departure.is_none() && may_be_removed
--- a/crates/gaugesaddle-consensus/tests/bootstrap.rs
+++ b/crates/gaugesaddle-consensus/tests/bootstrap.rs
@@ -1,5 +1,5 @@
-//! Checks that a fleet that starts for the first time forms one group of voters, whatever is lost, killed, started late or
-//! partitioned meanwhile within the tolerated losses, and that no change is acknowledged from memory.
+//! Checks that a fleet that starts for the first time forms one group of voters, whatever is lost, killed, started late
+//! or partitioned meanwhile within the tolerated losses, and that no change is acknowledged from memory.
 
 mod group;
 
@@ -189,7 +189,8 @@
                 is_refused || !has_witness,
                 "seed {seed}: the leader {leader} takes changes in {voters:?}"
             );
-            // The reports of the machines without a disk have arrived, so that the replica itself refuses the change, too.
+            // The reports of the machines without a disk have arrived, so that the replica itself refuses the change,
+            // too.
             if has_witness && now > 2500 {
                 let id = fleet.group.propose(leader, 0, 1, vec![1]);
                 let result = fleet.group.calls[&id].ended.clone().map(|(_, result)| result);
@@ -199,8 +200,8 @@
     }
 }
 
-/// Guards against a second group, and the loss of what the first one has acknowledged, if the platform says once more that this
-/// is the first start: the seeds without a disk are a majority of the initial group.
+/// Guards against a second group, and the loss of what the first one has acknowledged, if the platform says once more
+/// that this is the first start: the seeds without a disk are a majority of the initial group.
 #[test]
 fn a_repeated_first_start_of_seeds_without_disks_forms_no_second_group() {
     for seed in 1..=100 {
--- a/crates/gaugesaddle-control/src/bootstrap.rs
+++ b/crates/gaugesaddle-control/src/bootstrap.rs
@@ -1,4 +1,5 @@
-//! The first start of the process: creates its replica, and delays changes of the configuration until enough disks vote.
+//! The first start of the process: creates its replica, and delays changes of the configuration until enough disks
+//! vote.
 
 use crate::core::Core;
 use crate::random::random_u64;
--- a/crates/gaugesaddle-control/src/replica_driver.rs
+++ b/crates/gaugesaddle-control/src/replica_driver.rs
@@ -8,8 +8,8 @@
 use tokio::sync::oneshot;
 
 impl CoreHandle {
-    /// Starts the replica of a process without a disk: a learner, which receives every state and never votes, or at the first
-    /// start of a seed a witness.
+    /// Starts the replica of a process without a disk: a learner, which receives every state and never votes, or at the
+    /// first start of a seed a witness.
     pub fn start_without_disk(&self) {
         self.create_replica(None, None);
     }
@@ -74,7 +74,8 @@
         self.drive(Replica::begin_departure);
     }
 
-    /// The departure of the replica; `None` if there is no replica because the disk has failed, and before [`CoreHandle::begin_departure`].
+    /// The departure of the replica; `None` if there is no replica because the disk has failed, and before
+    /// [`CoreHandle::begin_departure`].
     pub fn departure(&self) -> Option<Departure> {
         self.with(|core| core.replica.as_ref().and_then(Replica::departure))
     }
