Set the silence timer of a relayed stream when it fires, not for each part of a body

Cause: on reading the change once more, the relay reset its timer and read the clock twice for each part of every response; before the takeover only resumable streams did. This is the data plane's hottest path. Change: a part records its time; the timer is set anew by it when it fires, as it already did for a backend that sends other responses. One reading of the clock a part. When a takeover begins is as before.

--- a/crates/gaugesaddle-edge/src/relay.rs
+++ b/crates/gaugesaddle-edge/src/relay.rs
@@ -113,12 +113,15 @@
     /// Processes received bytes of the current response.
     fn accept(&mut self, bytes: Bytes) -> Step {
         self.record_first_bytes();
+        self.silent_since = Instant::now();
         if let Some(current) = &self.current {
-            current.backend.record_data(Instant::now());
+            current.backend.record_data(self.silent_since);
         }
         let forwarded = self.tracker.push(bytes);
         self.silence_recorded = false;
-        if self.takeover.is_none() {
+        // A timer that waits for a silence is set anew by `silent_since` when it fires, not for each part of a body.
+        let awaits_deadline = self.timer.deadline() >= self.dispatch.deadline;
+        if self.takeover.is_none() && awaits_deadline && self.tracker.is_resumable() {
             self.restart_silence_timer();
         }
         if forwarded.is_empty() {
