Show which proxies lack the newest configuration, and why they change process

No decision changes. The new call and reply are variants at the end; the recorded frames of all others are unchanged, and a process of an earlier build is shown without this part.

--- a/crates/gaugesaddle-control/src/catalog_updates.rs
+++ b/crates/gaugesaddle-control/src/catalog_updates.rs
@@ -1,6 +1,7 @@
 //! Updates of the catalog: recorded at this process, replicated to the peers and announced to waiting proxies.
 
 use crate::core::{Core, CoreHandle};
+use gaugesaddle_distribution::Completion;
 use gaugesaddle_protocol::{CatalogDelta, PeerMessage, Pull, Registration};
 use spdlog::info;
 
@@ -32,6 +33,7 @@
             for (ip, message) in core.catalog_replica.record_pull(now, pull) {
                 core.peers.send(ip, message);
             }
+            core.record_progress(now, pull);
         });
         self.record(pull.proxy.clone());
     }
@@ -69,6 +71,17 @@
 }
 
 impl Core {
+    /// Records which configuration a proxy has, and logs when the newest one is in force at all proxies of this process.
+    fn record_progress(&mut self, now: u64, pull: &Pull) {
+        let id = &pull.proxy.id;
+        if pull.proxy.lifecycle.is_leaving() {
+            self.distribution_progress.remove(id);
+        } else if let Some(done) = self.distribution_progress.record_pull(now, id, pull.position) {
+            let Completion { revision, proxies, duration_ms } = done;
+            info!("configuration revision {revision} is in force at all {proxies} proxies after {duration_ms} ms");
+        }
+    }
+
     /// Addresses of the machines that run a control process, including this one.
     pub fn members(&self, now: u64) -> Vec<u32> {
         let mut members = self.catalog_replica.peers().alive(now);
--- a/crates/gaugesaddle-control/src/cli.rs
+++ b/crates/gaugesaddle-control/src/cli.rs
@@ -225,8 +225,15 @@
     let mut last_error = None;
     for address in addresses(arguments) {
         match operator_client::status(address) {
-            Ok(report) if arguments.get_flag("json") => println!("{}", operator_client::report_json(&report)),
-            Ok(report) => println!("{address}\n{}\n", operator_client::report_text(&report)),
+            Ok(report) => {
+                // A process of an earlier build closes the connection instead of replying.
+                let distribution = operator_client::distribution(address).ok();
+                if arguments.get_flag("json") {
+                    println!("{}", operator_client::status_json(&report, distribution.as_ref()));
+                } else {
+                    println!("{address}\n{}\n", operator_client::status_text(&report, distribution.as_ref()));
+                }
+            }
             Err(e) => last_error = Some(e),
         }
     }
--- a/crates/gaugesaddle-control/src/core.rs
+++ b/crates/gaugesaddle-control/src/core.rs
@@ -9,7 +9,7 @@
 use gaugesaddle_catalog::CatalogReplica;
 use gaugesaddle_config::BootSettings;
 use gaugesaddle_consensus::{NotLeader, ProposalResult, Replica, Settings, Storage};
-use gaugesaddle_distribution::Distributor;
+use gaugesaddle_distribution::{DistributionProgress, Distributor};
 use gaugesaddle_load_report::LoadAggregator;
 use gaugesaddle_protocol::{Configuration, HardState, Origin, ReplicaId, State};
 use gaugesaddle_quota::TokenAllocator;
@@ -51,6 +51,8 @@
     pub allocator_term: u64,
     pub peers: PeerQueues,
     pub distributor: Distributor,
+    /// Which proxies of this process have the newest configuration.
+    pub distribution_progress: DistributionProgress,
     /// Load of the backends as reported by the proxies.
     pub loads: LoadAggregator,
     /// Counts the messages of other processes that could not be decoded.
@@ -109,6 +111,7 @@
             allocator_term: 0,
             peers,
             distributor: Distributor::default(),
+            distribution_progress: DistributionProgress::default(),
             loads: LoadAggregator::default(),
             malformed_messages: MalformedMessages::default(),
             load_reported: Rc::default(),
--- a/crates/gaugesaddle-control/src/operator_client.rs
+++ b/crates/gaugesaddle-control/src/operator_client.rs
@@ -7,9 +7,9 @@
 use cyper::Client;
 use eyre::{bail, eyre, Result, WrapErr};
 use gaugesaddle_config::{ConfigPatch, OperatorConfig};
-use gaugesaddle_protocol::{Reply, Request, StatusReport};
+use gaugesaddle_protocol::{DistributionReport, Reply, Request, StatusReport};
 use gaugesaddle_transport::Caller;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::net::SocketAddrV4;
 use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
@@ -210,26 +210,45 @@
 ///
 /// The process cannot be reached, or does not reply within a time-out.
 pub fn status(address: SocketAddrV4) -> Result<StatusReport> {
+    match call_process(address, &Request::Status)? {
+        Reply::Status(report) => Ok(*report),
+        _ => bail!("{address} gave an unexpected reply to a status request"),
+    }
+}
+
+/// Reads from a control process, at its internal address, which of its proxies have the newest configuration.
+///
+/// # Errors
+///
+/// The process cannot be reached, does not reply within a time-out, or is of a build without this call.
+pub fn distribution(address: SocketAddrV4) -> Result<DistributionReport> {
+    match call_process(address, &Request::Distribution)? {
+        Reply::Distribution(report) => Ok(*report),
+        _ => bail!("{address} gave an unexpected reply to a distribution request"),
+    }
+}
+
+fn call_process(address: SocketAddrV4, request: &Request) -> Result<Reply> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut caller =
             Caller::open(address, CALL_TIMEOUT).await.wrap_err_with(|| format!("calling {address}"))?;
-        match caller.call(&Request::Status, CALL_TIMEOUT).await? {
-            Reply::Status(report) => Ok(*report),
-            _ => bail!("{address} gave an unexpected reply to a status request"),
-        }
+        Ok(caller.call(request, CALL_TIMEOUT).await?)
     })
 }
 
 /// Formats a report as one JSON document, for scripts.
 pub fn report_json(report: &StatusReport) -> String {
+    report_value(report).to_string()
+}
+
+fn report_value(report: &StatusReport) -> Value {
     json!({
         "replica": report.replica, "role": report.role, "term": report.term, "leader": report.leader,
         "voters": report.voters, "index": report.index, "revision": report.revision, "fresh": report.fresh,
         "disk": report.disk, "peersAlive": report.peers_alive, "backends": report.backends,
         "backendsLeaving": report.backends_leaving, "proxies": report.proxies,
     })
-    .to_string()
 }
 
 /// Formats a report as text, for a terminal.
@@ -246,3 +265,36 @@
     ]
     .join("\n")
 }
+
+/// Formats the status of a process as one JSON document; the distribution is under the key `distribution`.
+pub fn status_json(report: &StatusReport, distribution: Option<&DistributionReport>) -> String {
+    let mut value = report_value(report);
+    if let Some(distribution) = distribution {
+        value["distribution"] = json!({
+            "revision": distribution.revision, "ageMs": distribution.age_ms, "proxies": distribution.proxies,
+            "outdatedProxies": distribution.outdated_proxies, "oldestPullMs": distribution.oldest_pull_ms,
+            "sentBytes": distribution.sent_bytes, "outdated": distribution.outdated,
+        });
+    }
+    value.to_string()
+}
+
+/// Formats the status of a process as text.
+pub fn status_text(report: &StatusReport, distribution: Option<&DistributionReport>) -> String {
+    let mut lines = vec![report_text(report)];
+    if let Some(distribution) = distribution {
+        let outdated = distribution.outdated_proxies;
+        lines.push(format!(
+            "pulling    {} proxies, the last pull of each {} ms ago at most; {outdated} lack revision {}",
+            distribution.proxies, distribution.oldest_pull_ms, distribution.revision
+        ));
+        lines.push(format!(
+            "sent       {} bytes of that revision, committed {} ms ago",
+            distribution.sent_bytes, distribution.age_ms
+        ));
+        if outdated > 0 {
+            lines.push(format!("outdated   {}", distribution.outdated.join(" ")));
+        }
+    }
+    lines.join("\n")
+}
--- a/crates/gaugesaddle-control/src/replica_driver.rs
+++ b/crates/gaugesaddle-control/src/replica_driver.rs
@@ -152,6 +152,9 @@
             if !core.distributor.apply(newest) {
                 return;
             }
+            let Configuration { position, revision, ref document } = *newest;
+            info!("configuration revision {revision} is committed at {position:?}, {} bytes", document.len());
+            core.distribution_progress.record_newest(core.clock.now(), position, revision);
             // Only the leader allocates tokens, and a new leader creates its own allocator.
             if core.is_leading() {
                 core.configure_allocator();
--- a/crates/gaugesaddle-control/src/request_server.rs
+++ b/crates/gaugesaddle-control/src/request_server.rs
@@ -52,11 +52,18 @@
         ConnectionPreface::Requests => loop {
             let request = link.receive_within(IDLE_TIMEOUT).await?;
             let reply = answer(&core, request).await;
-            link.send(&reply, SEND_TIMEOUT).await?;
+            let sent_bytes = link.send(&reply, SEND_TIMEOUT).await?;
+            if has_configuration(&reply) {
+                core.with(|c| c.distribution_progress.record_sent(sent_bytes));
+            }
         },
     }
 }
 
+fn has_configuration(reply: &Reply) -> bool {
+    matches!(reply, Reply::Pull(reply) if reply.configuration.is_some())
+}
+
 async fn answer(core: &CoreHandle, request: Request) -> Reply {
     match request {
         Request::Pull(pull) => Reply::Pull(Box::new(answer_pull(core, *pull).await)),
@@ -74,6 +81,9 @@
             Err(NotLeader) => Reply::Unavailable,
         },
         Request::Status => Reply::Status(Box::new(core.with(|c| c.status_report()))),
+        Request::Distribution => {
+            Reply::Distribution(Box::new(core.with(|c| c.distribution_progress.report(c.clock.now()))))
+        }
     }
 }
 
--- a/crates/gaugesaddle-distribution/src/follower.rs
+++ b/crates/gaugesaddle-distribution/src/follower.rs
@@ -95,6 +95,12 @@
         self.proven_ms.is_some_and(|at| now < at + bound_ms)
     }
 
+    /// Time since the configuration was known to be the newest one acknowledged, in milliseconds; `None` before the
+    /// first proof. The configuration may still be that one.
+    pub fn proof_age_ms(&self, now: u64) -> Option<u64> {
+        self.proven_ms.map(|at| now.saturating_sub(at))
+    }
+
     /// Address of the leader's machine, where it is known.
     pub fn leader(&self) -> Option<u32> {
         self.leader
--- a/crates/gaugesaddle-distribution/src/lib.rs
+++ b/crates/gaugesaddle-distribution/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`Distributor`]: at a control process. It owns the configuration in force and the versions before it; the catalog
 //!   belongs to a [`CatalogReplica`](gaugesaddle_catalog::CatalogReplica) that is passed in.
+//! - [`DistributionProgress`]: at a control process. It owns the position of each proxy that pulls from it.
 //! - [`Follower`]: at a proxy (not a Raft follower). It owns the configuration applied last, a
 //!   [`Catalog`](gaugesaddle_catalog::Catalog) and the [`Members`].
 //! - [`Members`]: the control processes known to a proxy, and the order in which it calls them.
@@ -51,7 +52,9 @@
 mod distributor;
 mod follower;
 mod members;
+mod progress;
 
 pub use distributor::{Distributor, ReplicaStatus, MAX_VERSIONS, MAX_VERSION_BYTES};
 pub use follower::{Applied, Follower, FOLLOWER_LEASE_MS};
 pub use members::{Members, FAILED_MEMBER_BACKOFF_MS, MEMBER_RETENTION_MS};
+pub use progress::{Completion, DistributionProgress};
--- a/crates/gaugesaddle-edge/src/control_client.rs
+++ b/crates/gaugesaddle-edge/src/control_client.rs
@@ -5,7 +5,7 @@
 use gaugesaddle_config::BootSettings;
 use gaugesaddle_protocol::{Lifecycle, Reply, Request};
 use gaugesaddle_transport::{Caller, LinkError};
-use spdlog::{debug, info, warn};
+use spdlog::{info, warn};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,7 +31,7 @@
         if let Some(ip) = chosen {
             if let Err(e) = follow(&state, ip).await {
                 log_malformed(&state, ip, &e);
-                debug!("pull from control process {} failed: {:#}", Ipv4Addr::from(ip), eyre::Report::new(e));
+                log_abandoned(&state, ip, e);
             }
             state.follower.borrow_mut().record_failure(state.now(), ip);
         }
@@ -39,6 +39,17 @@
     }
 }
 
+/// Logs that this proxy abandons a control process, with the configuration in force and the age of its proof.
+fn log_abandoned(state: &EdgeState, ip: u32, error: LinkError) {
+    let revision = state.routing_table().map_or(0, |table| table.revision);
+    let proof = match state.follower.borrow().proof_age_ms(state.now()) {
+        Some(age_ms) => format!("proven current {age_ms} ms ago"),
+        None => "not proven current".to_owned(),
+    };
+    let reason = eyre::Report::new(error);
+    info!("abandoning control process {}: {reason:#}; revision {revision}, {proof}", Ipv4Addr::from(ip));
+}
+
 /// Logs a reply that cannot be decoded, at most once per minute and process: the address is served by an incompatible build
 /// or by another protocol.
 fn log_malformed(state: &EdgeState, ip: u32, error: &LinkError) {
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -137,6 +137,8 @@
     Read,
     /// From an operator: the status of this process.
     Status,
+    /// From an operator: which proxies of this process have the newest configuration.
+    Distribution,
 }
 
 /// The reply to a [`Request`].
@@ -162,6 +164,8 @@
     Status(Box<StatusReport>),
     /// The process is not the leader, or cannot answer the request.
     Unavailable,
+    /// Reply to [`Request::Distribution`].
+    Distribution(Box<DistributionReport>),
 }
 
 /// A message from one control process to another. Messages are one-way: none has a matching reply.
@@ -244,6 +248,25 @@
     pub proxies: u64,
 }
 
+/// How far a control process has distributed its newest configuration to the proxies that pull from it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct DistributionReport {
+    /// Revision of the newest configuration; 0 before the first.
+    pub revision: u64,
+    /// Time since the process learned of its commitment, in milliseconds.
+    pub age_ms: u64,
+    /// Number of proxies that pull from the process.
+    pub proxies: u64,
+    /// Number of them that lack the newest configuration.
+    pub outdated_proxies: u64,
+    /// Time since the oldest of their last pulls, in milliseconds.
+    pub oldest_pull_ms: u64,
+    /// Bytes of the replies that contained the newest configuration.
+    pub sent_bytes: u64,
+    /// Identities of proxies that lack it, a limited number of them.
+    pub outdated: Vec<String>,
+}
+
 /// The first message on a connection to a control process, which selects the messages that follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ConnectionPreface {
--- a/crates/gaugesaddle-protocol/tests/golden_frames.rs
+++ b/crates/gaugesaddle-protocol/tests/golden_frames.rs
@@ -173,6 +173,7 @@
     frames.check("request order patch", change(ChangeBody::Patch(b"{\"revision\":12}".to_vec())));
     frames.check("request read", Request::Read);
     frames.check("request status", Request::Status);
+    frames.check("request distribution", Request::Distribution);
 }
 
 fn replies(frames: &mut Frames) {
@@ -221,6 +222,18 @@
         })),
     );
     frames.check("reply unavailable", Reply::Unavailable);
+    frames.check(
+        "reply distribution",
+        Reply::Distribution(Box::new(DistributionReport {
+            revision: 12,
+            age_ms: 900,
+            proxies: 25,
+            outdated_proxies: 1,
+            oldest_pull_ms: 400,
+            sent_bytes: 70_000,
+            outdated: vec!["edge-1#5".to_owned()],
+        })),
+    );
 }
 
 fn replica_messages(frames: &mut Frames) {
--- a/crates/gaugesaddle-transport/src/link.rs
+++ b/crates/gaugesaddle-transport/src/link.rs
@@ -90,13 +90,16 @@
         Link { stream }
     }
 
-    /// Sends one message.
+    /// Sends one message; returns the length of its frame in bytes.
     ///
     /// # Errors
     /// Where it cannot be encoded, or not be written within `timeout`. The link must not be used afterwards.
-    pub async fn send<T: Encode<Binary>>(&mut self, message: &T, timeout: Duration) -> Result<(), LinkError> {
+    pub async fn send<T: Encode<Binary>>(
+        &mut self, message: &T, timeout: Duration,
+    ) -> Result<usize, LinkError> {
         let frame = frame::encode(message)?;
-        with_timeout(timeout, Operation::Send, self.stream.write_all(&frame)).await
+        with_timeout(timeout, Operation::Send, self.stream.write_all(&frame)).await?;
+        Ok(frame.len())
     }
 
     /// Receives one message, without a time-out for its header.
