--- a/crates/gaugesaddle-config/src/operator.rs
+++ b/crates/gaugesaddle-config/src/operator.rs
@@ -4,7 +4,7 @@
 //! Keys are part of the operators' interface: a field that is renamed here keeps its key by `rename`.
 
 use crate::finding::{Finding, Findings};
-use schematic::{Config, ConfigLoader};
+use schematic::{Config, ConfigLoader, PartialConfig};
 use serde::de::IgnoredAny;
 use std::collections::{HashMap, HashSet};
 
@@ -144,13 +144,10 @@
     pub fn parse(document: &[u8]) -> Result<OperatorConfig, Findings> {
         let text = std::str::from_utf8(document)
             .map_err(|e| Findings::single(format!("byte {}", e.valid_up_to()), "UTF-8 text"))?;
-        // The loader alone would also accept comments, and trailing text after the document.
-        serde_json::from_str::<IgnoredAny>(text)
-            .map_err(|e| Findings::single(format!("line {}, column {}", e.line(), e.column()), "JSON"))?;
-        let schema_violation = |e: schematic::ConfigError| Findings::single("document", e.to_full_string());
-        let mut loader = ConfigLoader::<OperatorConfig>::new();
-        loader.code(text, DOCUMENT_NAME).map_err(schema_violation)?;
-        let config = loader.load().map_err(schema_violation)?.config;
+        let config = match OperatorConfig::parse_valid(text) {
+            Some(config) => config,
+            None => OperatorConfig::load(text)?,
+        };
         let findings = config.validate();
         if findings.is_empty() {
             Ok(config)
@@ -159,6 +156,25 @@
         }
     }
 
+    /// The configuration in a document that matches the schema, else `None`. It is several times as fast as
+    /// [`OperatorConfig::load`], which clones the document for each of its layers; every proxy parses each change.
+    fn parse_valid(text: &str) -> Option<OperatorConfig> {
+        let partial: PartialOperatorConfig = serde_json::from_str(text).ok()?;
+        let complete = partial.finalize(&()).ok()?;
+        Some(OperatorConfig::from_partial(complete))
+    }
+
+    /// Loads a document with the place of the first error.
+    fn load(text: &str) -> Result<OperatorConfig, Findings> {
+        // The loader alone would also accept comments, and trailing text after the document.
+        serde_json::from_str::<IgnoredAny>(text)
+            .map_err(|e| Findings::single(format!("line {}, column {}", e.line(), e.column()), "JSON"))?;
+        let schema_violation = |e: schematic::ConfigError| Findings::single("document", e.to_full_string());
+        let mut loader = ConfigLoader::<OperatorConfig>::new();
+        loader.code(text, DOCUMENT_NAME).map_err(schema_violation)?;
+        Ok(loader.load().map_err(schema_violation)?.config)
+    }
+
     /// Likely mistakes in a valid configuration. An unknown route type is accepted, since a document may be written for
     /// a newer build; requests of such a route are executed at most once.
     pub fn warnings(&self) -> Vec<Finding> {
--- a/crates/gaugesaddle-config/tests/documents.rs
+++ b/crates/gaugesaddle-config/tests/documents.rs
@@ -214,3 +214,22 @@
                     treated as non_idempotent";
     assert_eq!(warnings[0], expected);
 }
+
+/// Guards against a directly parsed document that lacks a default or differs otherwise from what the schema's loader makes.
+#[test]
+fn directly_parsed_document_equals_the_loaded_one() {
+    let documents = [
+        r#"{"revision": 7}"#,
+        r#"{"revision": 8, "routes": [{"name": "r", "hostname": "h", "pathPrefix": "/a/", "timeoutMs": 10,
+            "trafficSplit": [{"service": "s", "weight": 2}], "unknown": {"x": [1]}}],
+            "services": [{"name": "s"}], "limits": {"maxBodyBytes": 5},
+            "tenants": [{"name": "t", "apiKeys": ["k"], "unit": "tokens"}, {"name": "u", "apiKeys": []}]}"#,
+    ];
+    for document in documents {
+        let mut loader = schematic::ConfigLoader::<OperatorConfig>::new();
+        loader.code(document, "configuration.json").expect("the document is JSON");
+        let loaded = loader.load().expect("the document matches the schema").config;
+        let parsed = OperatorConfig::parse(document.as_bytes()).expect("the document is valid");
+        assert_eq!(format!("{parsed:?}"), format!("{loaded:?}"));
+    }
+}
