--- a/crates/gaugesaddle-control/src/catalog_updates.rs
+++ b/crates/gaugesaddle-control/src/catalog_updates.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{Core, CoreHandle};
 use gaugesaddle_distribution::Completion;
-use gaugesaddle_protocol::{CatalogDelta, PeerMessage, Pull, Registration};
+use gaugesaddle_protocol::{CatalogDelta, PeerMessage, Pull, Registration, FEATURE_COMPRESSION};
 use spdlog::info;
 
 impl CoreHandle {
@@ -103,7 +103,7 @@
         PeerMessage::Hello {
             ip: u32::from(self.boot.ip),
             has_disk: self.has_disk,
-            bootstrap_node: None,
+            features: Some(FEATURE_COMPRESSION),
             origin: self.catalog_replica.origin(),
             members: self.members(now),
         }
--- a/crates/gaugesaddle-control/src/peer_connections.rs
+++ b/crates/gaugesaddle-control/src/peer_connections.rs
@@ -10,7 +10,7 @@
 use gaugesaddle_protocol::{ConnectionPreface, PeerMessage};
 use gaugesaddle_transport::{connect, Link, LinkError};
 use spdlog::debug;
-use std::net::SocketAddrV4;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -30,10 +30,10 @@
 
 /// Sends the messages queued for a peer, and reconnects after each error, until the process ends.
 async fn send_queued(core: CoreHandle, ip: u32, mut messages: mpsc::Receiver<PeerMessage>) {
-    let address = core.with(|c| c.boot.control_process_address(ip));
     loop {
-        if let Err(e) = connect_and_send(&core, address, &mut messages).await {
-            debug!("connection to peer {address} failed, reconnecting: {:#}", eyre::Report::new(e));
+        if let Err(e) = connect_and_send(&core, ip, &mut messages).await {
+            let peer = Ipv4Addr::from(ip);
+            debug!("connection to peer {peer} failed, reconnecting: {:#}", eyre::Report::new(e));
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
         // Queued messages are outdated: the state machines send newer ones.
@@ -42,14 +42,16 @@
 }
 
 async fn connect_and_send(
-    core: &CoreHandle, address: SocketAddrV4, messages: &mut mpsc::Receiver<PeerMessage>,
+    core: &CoreHandle, ip: u32, messages: &mut mpsc::Receiver<PeerMessage>,
 ) -> Result<(), LinkError> {
+    let address = core.with(|c| c.boot.control_process_address(ip));
     let mut link = Link::new(connect(address, CONNECT_TIMEOUT).await?);
     link.send(&ConnectionPreface::Peer, SEND_TIMEOUT).await?;
     let (hello, compare) = core.with(|c| (c.hello(), c.compare(true)));
     link.send(&hello, SEND_TIMEOUT).await?;
     link.send(&compare, SEND_TIMEOUT).await?;
     while let Some(message) = messages.recv().await {
+        link.set_compression(core.with(|c| c.peers.compression_of(ip)));
         link.send(&message, SEND_TIMEOUT).await?;
     }
     Ok(())
@@ -61,11 +63,12 @@
 ///
 /// The link failed, or the peer sent a malformed or unexpected message.
 pub async fn receive(core: CoreHandle, mut link: Link) -> Result<(), LinkError> {
-    let PeerMessage::Hello { ip, origin, members, .. } = link.receive().await? else {
+    let PeerMessage::Hello { ip, origin, members, features, .. } = link.receive().await? else {
         return Err(LinkError::Frame(FrameError::Unexpected));
     };
     core.with(|c| {
         c.add_peers(members.into_iter().chain([ip]));
+        c.peers.set_features(ip, features.unwrap_or_default());
         c.catalog_replica.register_peer(ip, origin);
         // Deltas that the peer pushed while it was disconnected are lost; this summary has it push the missing changes.
         let compare = c.compare(false);
--- a/crates/gaugesaddle-control/src/peer_queues.rs
+++ b/crates/gaugesaddle-control/src/peer_queues.rs
@@ -1,6 +1,7 @@
 //! Outgoing message queues, one for each other control process.
 
-use gaugesaddle_protocol::PeerMessage;
+use gaugesaddle_protocol::frame::Compression;
+use gaugesaddle_protocol::{PeerMessage, FEATURE_COMPRESSION};
 use std::collections::BTreeMap;
 use tokio::sync::mpsc;
 
@@ -24,6 +25,8 @@
 #[derive(Default)]
 pub struct PeerQueues {
     queues: BTreeMap<u32, mpsc::Sender<PeerMessage>>,
+    /// Features of those peers that have announced any.
+    features: BTreeMap<u32, u32>,
     unconnected: Vec<UnconnectedPeer>,
 }
 
@@ -38,6 +41,23 @@
         self.unconnected.push(UnconnectedPeer { ip, messages });
     }
 
+    /// Records the features that a peer announces; ignored for a machine that is no peer.
+    pub fn set_features(&mut self, ip: u32, features: u32) {
+        if self.queues.contains_key(&ip) {
+            self.features.insert(ip, features);
+        }
+    }
+
+    /// Whether a peer reads compressed messages.
+    pub fn compression_of(&self, ip: u32) -> Compression {
+        let features = self.features.get(&ip).copied().unwrap_or_default();
+        if features & FEATURE_COMPRESSION == 0 {
+            Compression::Unsupported
+        } else {
+            Compression::Supported
+        }
+    }
+
     /// Removes and returns the peers that need a connection task.
     pub fn take_unconnected(&mut self) -> Vec<UnconnectedPeer> {
         std::mem::take(&mut self.unconnected)
--- a/crates/gaugesaddle-control/src/request_server.rs
+++ b/crates/gaugesaddle-control/src/request_server.rs
@@ -3,6 +3,7 @@
 use crate::core::CoreHandle;
 use crate::{change_handler, load_reports, peer_connections};
 use gaugesaddle_consensus::NotLeader;
+use gaugesaddle_protocol::frame::Compression;
 use gaugesaddle_protocol::{ConnectionPreface, Pull, PullReply, Reply, Request};
 use gaugesaddle_transport::{accept, Link, LinkError};
 use spdlog::{debug, warn};
@@ -49,14 +50,22 @@
 async fn serve_connection(core: CoreHandle, mut link: Link) -> Result<(), LinkError> {
     match link.receive_within(IDLE_TIMEOUT).await? {
         ConnectionPreface::Peer => peer_connections::receive(core, link).await,
-        ConnectionPreface::Requests => loop {
-            let request = link.receive_within(IDLE_TIMEOUT).await?;
-            let reply = answer(&core, request).await;
-            let sent_bytes = link.send(&reply, SEND_TIMEOUT).await?;
-            if has_configuration(&reply) {
-                core.with(|c| c.distribution_progress.record_sent(sent_bytes));
-            }
-        },
+        ConnectionPreface::Requests => serve_requests(&core, link).await,
+        ConnectionPreface::CompressedRequests => {
+            link.set_compression(Compression::Supported);
+            serve_requests(&core, link).await
+        }
+    }
+}
+
+async fn serve_requests(core: &CoreHandle, mut link: Link) -> Result<(), LinkError> {
+    loop {
+        let request = link.receive_within(IDLE_TIMEOUT).await?;
+        let reply = answer(core, request).await;
+        let sent_bytes = link.send(&reply, SEND_TIMEOUT).await?;
+        if has_configuration(&reply) {
+            core.with(|c| c.distribution_progress.record_sent(sent_bytes));
+        }
     }
 }
 
--- a/crates/gaugesaddle-protocol/src/core.rs
+++ b/crates/gaugesaddle-protocol/src/core.rs
@@ -168,6 +168,9 @@
     Distribution(Box<DistributionReport>),
 }
 
+/// Feature of a control process: it reads compressed frames.
+pub const FEATURE_COMPRESSION: u32 = 1;
+
 /// A message from one control process to another. Messages are one-way: none has a matching reply.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum PeerMessage {
@@ -177,8 +180,9 @@
         ip: u32,
         /// Whether the sender stores the configuration on a disk.
         has_disk: bool,
-        /// `None`, and ignored: versions before the bootstrap by witnesses nominated a machine here.
-        bootstrap_node: Option<u32>,
+        /// Optional features that the sender supports, a bit set: [`FEATURE_COMPRESSION`]. Earlier builds send `None` and
+        /// ignore it.
+        features: Option<u32>,
         /// The origin under which the sender numbers its changes.
         origin: crate::Origin,
         /// IPv4 addresses of the machines that the sender knows to run a control process.
@@ -274,4 +278,7 @@
     Requests,
     /// [`PeerMessage`]s follow.
     Peer,
+    /// As `Requests`, and the caller reads compressed replies. A control process of an earlier build closes the
+    /// connection.
+    CompressedRequests,
 }
--- a/crates/gaugesaddle-protocol/src/lib.rs
+++ b/crates/gaugesaddle-protocol/src/lib.rs
@@ -16,13 +16,13 @@
 //! # Example
 //!
 //! ```rust
-//! use gaugesaddle_protocol::frame::{body_length, decode, encode, FrameError, HEADER_BYTES};
+//! use gaugesaddle_protocol::frame::{decode, encode, parse_header, FrameError, HEADER_BYTES};
 //! use gaugesaddle_protocol::Request;
 //!
 //! # fn main() -> Result<(), FrameError> {
 //! let frame = encode(&Request::Status)?;
 //! let (header, body) = frame.split_first_chunk::<HEADER_BYTES>().expect("a frame has a header");
-//! assert_eq!(body_length(*header)?, body.len());
+//! assert_eq!(parse_header(*header)?.length, body.len());
 //! assert_eq!(decode::<Request>(body)?, Request::Status);
 //! # Ok(())
 //! # }
@@ -31,7 +31,7 @@
 //! # Guarantees and bounds
 //!
 //! Decoding never panics: any input yields a message or a [`frame::FrameError`]. A message is at most
-//! [`frame::MAX_BYTES`] long; [`frame::body_length`] checks this before memory is allocated for the message.
+//! [`frame::MAX_BYTES`] long; [`frame::parse_header`] checks this before memory is allocated for the message.
 
 pub mod catalog;
 pub mod consensus;
--- a/crates/gaugesaddle-protocol/tests/golden_frames.rs
+++ b/crates/gaugesaddle-protocol/tests/golden_frames.rs
@@ -149,6 +149,7 @@
     peer_messages(&mut frames);
     frames.check("opening requests", ConnectionPreface::Requests);
     frames.check("opening peer", ConnectionPreface::Peer);
+    frames.check("opening compressed requests", ConnectionPreface::CompressedRequests);
     frames.finish();
 }
 
@@ -294,7 +295,7 @@
         PeerMessage::Hello {
             ip: 0x0a01_0001,
             has_disk: true,
-            bootstrap_node: Some(0x0a01_0002),
+            features: Some(0x0a01_0002),
             origin: Origin(12),
             members: vec![1, 2, 3],
         },
--- a/crates/gaugesaddle-transport/src/caller.rs
+++ b/crates/gaugesaddle-transport/src/caller.rs
@@ -1,6 +1,7 @@
 //! Calls to a control process: one request and one reply at a time, over a connection that is reused.
 
 use crate::{connect, Link, LinkError};
+use gaugesaddle_protocol::frame::Compression;
 use gaugesaddle_protocol::{ConnectionPreface, Reply, Request};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -18,8 +19,25 @@
     /// # Errors
     /// Where connecting or the announcement fails or takes longer than `timeout` each.
     pub async fn open(address: SocketAddrV4, timeout: Duration) -> Result<Caller, LinkError> {
+        Caller::open_with(address, ConnectionPreface::Requests, timeout).await
+    }
+
+    /// Opens a connection and announces on it that replies may be compressed. A process of a build without compression
+    /// closes it.
+    ///
+    /// # Errors
+    /// As [`Caller::open`].
+    pub async fn open_compressed(address: SocketAddrV4, timeout: Duration) -> Result<Caller, LinkError> {
+        let mut caller = Caller::open_with(address, ConnectionPreface::CompressedRequests, timeout).await?;
+        caller.link.set_compression(Compression::Supported);
+        Ok(caller)
+    }
+
+    async fn open_with(
+        address: SocketAddrV4, preface: ConnectionPreface, timeout: Duration,
+    ) -> Result<Caller, LinkError> {
         let mut link = Link::new(connect(address, timeout).await?);
-        link.send(&ConnectionPreface::Requests, timeout).await?;
+        link.send(&preface, timeout).await?;
         Ok(Caller { address, link })
     }
 
@@ -42,7 +60,19 @@
     /// Where sending takes longer than `timeout`, the reply does not begin within `timeout`, or the connection fails. A
     /// late reply would answer the next request, so the caller must be dropped after an error.
     pub async fn call(&mut self, request: &Request, timeout: Duration) -> Result<Reply, LinkError> {
+        self.call_and_notify(request, timeout, || ()).await
+    }
+
+    /// As [`Caller::call`]; calls `on_begun` once the reply begins to arrive.
+    ///
+    /// # Errors
+    /// As [`Caller::call`].
+    pub async fn call_and_notify(
+        &mut self, request: &Request, timeout: Duration, on_begun: impl FnOnce(),
+    ) -> Result<Reply, LinkError> {
         self.link.send(request, timeout).await?;
-        self.link.receive_within(timeout).await
+        let header = self.link.receive_header(timeout).await?;
+        on_begun();
+        self.link.receive_body(header).await
     }
 }
--- a/crates/gaugesaddle-transport/src/error.rs
+++ b/crates/gaugesaddle-transport/src/error.rs
@@ -47,6 +47,13 @@
 }
 
 impl LinkError {
+    /// Whether the peer closed the connection, as one does that doesn't know the preface.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let LinkError::Socket { source, .. } = self else { return false };
+        use io::ErrorKind::{BrokenPipe, ConnectionReset, UnexpectedEof};
+        matches!(source.kind(), BrokenPipe | ConnectionReset | UnexpectedEof)
+    }
+
     /// Wraps an error of the socket: `result.map_err(LinkError::socket(Operation::Send))`.
     pub(crate) fn socket(operation: Operation) -> impl FnOnce(io::Error) -> LinkError {
         move |source| LinkError::Socket { operation, source }
--- a/crates/gaugesaddle-transport/src/link.rs
+++ b/crates/gaugesaddle-transport/src/link.rs
@@ -1,7 +1,7 @@
 //! A TCP connection that carries frames.
 
 use crate::{LinkError, Operation};
-use gaugesaddle_protocol::frame::{self, HEADER_BYTES};
+use gaugesaddle_protocol::frame::{self, Compression, HEADER_BYTES};
 use musli::alloc::Global;
 use musli::mode::Binary;
 use musli::{Decode, Encode};
@@ -81,13 +81,20 @@
 #[derive(Debug)]
 pub struct Link {
     stream: TcpStream,
+    /// Of the peer.
+    compression: Compression,
 }
 
 impl Link {
     /// A link over a connection that was opened or accepted.
     pub fn new(stream: TcpStream) -> Link {
         set_options(&stream);
-        Link { stream }
+        Link { stream, compression: Compression::Unsupported }
+    }
+
+    /// Sets whether the peer reads compressed messages.
+    pub fn set_compression(&mut self, compression: Compression) {
+        self.compression = compression;
     }
 
     /// Sends one message; returns the length of its frame in bytes.
@@ -97,7 +104,7 @@
     pub async fn send<T: Encode<Binary>>(
         &mut self, message: &T, timeout: Duration,
     ) -> Result<usize, LinkError> {
-        let frame = frame::encode(message)?;
+        let frame = frame::encode_for(message, self.compression)?;
         with_timeout(timeout, Operation::Send, self.stream.write_all(&frame)).await?;
         Ok(frame.len())
     }
@@ -117,6 +124,16 @@
         self.receive_body(header).await
     }
 
+    /// Waits until the header of a message has arrived.
+    ///
+    /// # Errors
+    /// Where it does not arrive within `timeout`, or the connection ends. The link must not be used afterwards.
+    pub async fn receive_header(&mut self, timeout: Duration) -> Result<[u8; HEADER_BYTES], LinkError> {
+        let mut header = [0; HEADER_BYTES];
+        with_timeout(timeout, Operation::Receive, self.stream.read_exact(&mut header)).await?;
+        Ok(header)
+    }
+
     /// Receives one message whose header arrives within `timeout`. The body may take longer as long as bytes keep
     /// arriving, as those of a large message over a slow connection do.
     ///
@@ -126,16 +143,20 @@
     where
         T: for<'de> Decode<'de, Binary, Global>,
     {
-        let mut header = [0; HEADER_BYTES];
-        with_timeout(timeout, Operation::Receive, self.stream.read_exact(&mut header)).await?;
+        let header = self.receive_header(timeout).await?;
         self.receive_body(header).await
     }
 
-    async fn receive_body<T>(&mut self, header: [u8; HEADER_BYTES]) -> Result<T, LinkError>
+    /// Receives the rest of the message with that header.
+    ///
+    /// # Errors
+    /// As [`Link::receive`].
+    pub async fn receive_body<T>(&mut self, header: [u8; HEADER_BYTES]) -> Result<T, LinkError>
     where
         T: for<'de> Decode<'de, Binary, Global>,
     {
-        let mut body = vec![0; frame::body_length(header)?];
+        let header = frame::parse_header(header)?;
+        let mut body = vec![0; header.length];
         let mut unread = body.as_mut_slice();
         while !unread.is_empty() {
             let reading = self.stream.read(unread);
@@ -146,6 +167,6 @@
             }
             unread = &mut unread[read..];
         }
-        Ok(frame::decode(&body)?)
+        Ok(frame::decode_body(header, &body)?)
     }
 }
