Call other control processes while the one that a proxy follows is silent

Callers were refused on a route whose change had been acknowledged more than configApplyMs before. A proxy followed one control process and called the next only after the last one had failed: 0.8 s for the first silent one, 0.49 s for each further one, as a suspended process still accepts connections. With several silent ones of 12, one or two proxies have five or more of them at the head of their order.

CallSet decides when another process is called: 150 ms after a reply was due, up to four at once, none while a reply is arriving; the first fresh reply is followed. Load reports go to the process that is followed; they went to the first one in order, also while it was silent.

The simulation counted any suspended control process as a disturbance of the voters and so never checked this; a suspension of machines without a disk is a fault of its own there now.

--- a/crates/gaugesaddle-distribution/src/follower.rs
+++ b/crates/gaugesaddle-distribution/src/follower.rs
@@ -43,6 +43,8 @@
     /// Digest of its document; `None` requests the full document.
     document_digest: Option<Digest>,
     leader: Option<u32>,
+    /// The control process that gave the last fresh reply.
+    source: Option<u32>,
     /// When a process in contact with a majority last answered, in milliseconds.
     last_fresh_ms: Option<u64>,
     /// The latest time, in milliseconds of this machine's monotonic clock, at which the configuration is known to have
@@ -64,6 +66,7 @@
             configuration: None,
             document_digest: None,
             leader: None,
+            source: None,
             last_fresh_ms: None,
             proven_ms: None,
             last_digest_ms: now,
@@ -111,9 +114,25 @@
         self.members.choose(now)
     }
 
+    /// As [`Follower::choose`], without the processes that are `called` already.
+    pub fn choose_except(&self, now: u64, called: &[u32]) -> Option<u32> {
+        self.members.choose_except(now, called)
+    }
+
+    /// The control process that gave the last fresh reply; `None` before the first, and once it has failed.
+    pub fn source(&self) -> Option<u32> {
+        self.source
+    }
+
+    /// Records that a process gave a fresh reply and is called again.
+    pub fn record_source(&mut self, ip: u32) {
+        self.source = Some(ip);
+    }
+
     /// Records that a call failed, or that the process was not in contact with a majority.
     pub fn record_failure(&mut self, now: u64, ip: u32) {
         self.members.record_failure(now, ip);
+        self.source = self.source.filter(|source| *source != ip);
     }
 
     /// Whether seeds should be resolved again, since no process in contact with a majority answers. Returning true
--- a/crates/gaugesaddle-distribution/src/lib.rs
+++ b/crates/gaugesaddle-distribution/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`DistributionProgress`]: at a control process. It owns the position of each proxy that pulls from it.
 //! - [`Follower`]: at a proxy (not a Raft follower). It owns the configuration applied last, a
 //!   [`Catalog`](gaugesaddle_catalog::Catalog) and the [`Members`].
+//! - [`CallSet`]: at a proxy. It owns the calls in flight, and decides when another process is called beside them.
 //! - [`Members`]: the control processes known to a proxy, and the order in which it calls them.
 //!
 //! ```
@@ -49,11 +50,13 @@
 //! always. The members are the control processes reported within [`MEMBER_RETENTION_MS`]. All times are milliseconds of
 //! one machine's monotonic clock.
 
+mod calls;
 mod distributor;
 mod follower;
 mod members;
 mod progress;
 
+pub use calls::{CallSet, HEDGE_DELAY_MS, MAX_CALLS};
 pub use distributor::{Distributor, ReplicaStatus, MAX_VERSIONS, MAX_VERSION_BYTES};
 pub use follower::{Applied, Follower, FOLLOWER_LEASE_MS};
 pub use members::{Members, FAILED_MEMBER_BACKOFF_MS, MEMBER_RETENTION_MS};
--- a/crates/gaugesaddle-distribution/src/members.rs
+++ b/crates/gaugesaddle-distribution/src/members.rs
@@ -43,7 +43,13 @@
     /// these the one on this machine, else the first one in an order that differs by machine, which spreads the proxies
     /// over the processes.
     pub fn choose(&self, now: u64) -> Option<u32> {
-        self.reported_ms.keys().copied().min_by_key(|ip| {
+        self.choose_except(now, &[])
+    }
+
+    /// As [`Members::choose`], without the processes that are `called` already.
+    pub fn choose_except(&self, now: u64, called: &[u32]) -> Option<u32> {
+        let candidates = self.reported_ms.keys().copied().filter(|ip| !called.contains(ip));
+        candidates.min_by_key(|ip| {
             let is_remote = *ip != self.own_ip;
             (self.recent_failure_ms(now, *ip), is_remote, self.machine_order(*ip))
         })
--- a/crates/gaugesaddle-edge/src/load_reporter.rs
+++ b/crates/gaugesaddle-edge/src/load_reporter.rs
@@ -65,7 +65,7 @@
 
 /// Sends one report; returns the connection if it can be reused.
 async fn report(state: &EdgeState, caller: Option<Caller>, proxy: u64) -> Option<Caller> {
-    let ip = state.follower.borrow().choose(state.now())?;
+    let ip = state.follower.borrow().source()?;
     let address = state.boot.control_process_address(ip);
     let mut caller = Caller::reuse_or_open(caller, address, CONNECT_TIMEOUT).await.ok()?;
     let reported_at = state.now();
--- a/crates/gaugesaddle-simulation/src/deployment.rs
+++ b/crates/gaugesaddle-simulation/src/deployment.rs
@@ -4,6 +4,8 @@
 
 /// Number of proxies of every known deployment.
 const PROXIES: u32 = 3;
+/// Number of proxies of every large deployment.
+const LARGE_PROXIES: u32 = 300;
 
 /// Machines of a deployment, and the losses that it must tolerate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,8 +55,16 @@
         ]
     }
 
-    /// The known deployment of that name.
+    /// Deployments of hundreds of machines, whose runs take several seconds of CPU time.
+    pub fn large() -> Vec<Deployment> {
+        let tidewater = Deployment::new("tidewater-gs-large", 6, 6, 2, 5);
+        let nilavu = Deployment::new("nilavu-air-large", 7, 7, 2, 1);
+        [tidewater, nilavu].map(|deployment| Deployment { proxies: LARGE_PROXIES, ..deployment }).into()
+    }
+
+    /// The known or large deployment of that name.
     pub fn named(name: &str) -> Option<Deployment> {
-        Deployment::known().into_iter().find(|deployment| deployment.name == name)
+        let mut deployments = Deployment::known().into_iter().chain(Deployment::large());
+        deployments.find(|deployment| deployment.name == name)
     }
 }
--- a/crates/gaugesaddle-simulation/src/fault.rs
+++ b/crates/gaugesaddle-simulation/src/fault.rs
@@ -223,6 +223,14 @@
         /// Which one.
         number: u32,
     },
+    /// Control processes on machines without a disk are suspended. The group of voters is not disturbed, so all deadlines
+    /// of the proxies apply.
+    FreezeDiskless {
+        /// How many of them, the first ones by address.
+        count: u32,
+        /// Time until they continue.
+        time: Millis,
+    },
 }
 
 /// A fault and when it is injected.
--- a/crates/gaugesaddle-simulation/src/proxy.rs
+++ b/crates/gaugesaddle-simulation/src/proxy.rs
@@ -3,7 +3,7 @@
 use crate::network::Node;
 use crate::packet::{Answer, Call, Packet};
 use crate::Millis;
-use gaugesaddle_distribution::Follower;
+use gaugesaddle_distribution::{CallSet, Follower};
 use gaugesaddle_protocol::{Lifecycle, PullReply, Registration, Subject};
 
 /// Time for which a pull waits for changes (long polling), in ms.
@@ -28,11 +28,11 @@
 pub struct Proxy {
     /// The shipped state machine.
     pub follower: Follower,
-    call: Option<CallInFlight>,
-    /// Time of the next call to another process.
+    /// The shipped decision when another process is called beside a silent one.
+    call_set: CallSet,
+    calls: Vec<CallInFlight>,
+    /// Earliest time of the next call while none is in flight.
     next_call_at: Millis,
-    /// Wait of the next pull; 0 for the first pull at a process, which is answered at once.
-    pull_wait_ms: u32,
     next_call_id: u64,
     last_answer_requested_at: Millis,
 }
@@ -49,9 +49,9 @@
         };
         Proxy {
             follower: Follower::new(now, u32::MAX - number, registration, seeds.iter().copied()),
-            call: None,
+            call_set: CallSet::default(),
+            calls: Vec::new(),
             next_call_at: now,
-            pull_wait_ms: 0,
             next_call_id: u64::from(number) << 40 | incarnation << 24 | 1 << 60,
             last_answer_requested_at: now,
         }
@@ -59,51 +59,74 @@
 
     /// When [`Proxy::tick`] must be called.
     pub fn deadline(&self) -> Millis {
-        self.call.map_or(self.next_call_at, |call| call.deadline)
+        let call_deadline = self.calls.iter().map(|call| call.deadline).min();
+        let Some(call_deadline) = call_deadline else { return self.next_call_at };
+        let hedge_at = self.call_set.next_call_ms().filter(|_| self.candidate(call_deadline).is_some());
+        hedge_at.map_or(call_deadline, |at| at.min(call_deadline))
     }
 
     /// Handles expired deadlines; returns the call to make now. `seeds` are those of the boot file.
     pub fn tick(&mut self, now: Millis, seeds: &[u32]) -> Option<(Node, Packet)> {
-        if self.call.is_some_and(|call| now >= call.deadline) {
-            self.switch_process(now);
+        let expired: Vec<u32> = self.calls.iter().filter(|c| now >= c.deadline).map(|c| c.ip).collect();
+        for ip in expired {
+            self.fail_call(now, ip);
         }
-        if self.call.is_some() || now < self.next_call_at {
+        let is_due = if self.calls.is_empty() {
+            now >= self.next_call_at
+        } else {
+            self.call_set.next_call_ms().is_some_and(|at| now >= at)
+        };
+        if !is_due {
             return None;
         }
         if self.follower.needs_discovery(now) {
             self.follower.add_seeds(now, seeds.iter().copied());
         }
-        let ip = self.follower.choose(now)?;
-        Some(self.pull(now, ip))
+        let ip = self.candidate(now)?;
+        Some(self.pull(now, ip, 0))
+    }
+
+    /// The best process that is not being called yet.
+    fn candidate(&self, now: Millis) -> Option<u32> {
+        let called: Vec<u32> = self.call_set.called().collect();
+        self.follower.choose_except(now, &called)
     }
 
-    fn pull(&mut self, now: Millis, ip: u32) -> (Node, Packet) {
+    /// Calls a process, which waits up to `wait_ms` for changes; 0 for the first pull at a process.
+    fn pull(&mut self, now: Millis, ip: u32, wait_ms: u32) -> (Node, Packet) {
         self.next_call_id += 1;
         let id = self.next_call_id;
-        let deadline = now + Millis::from(self.pull_wait_ms) + CALL_TIMEOUT_MS;
-        self.call = Some(CallInFlight { id, ip, sent_at: now, deadline });
-        let pull = self.follower.pull(now, Lifecycle::Ready, self.pull_wait_ms);
+        let deadline = now + Millis::from(wait_ms) + CALL_TIMEOUT_MS;
+        self.calls.push(CallInFlight { id, ip, sent_at: now, deadline });
+        self.call_set.begin(now, ip, Millis::from(wait_ms));
+        let pull = self.follower.pull(now, Lifecycle::Ready, wait_ms);
         (Node::Control(ip), Packet::Call { id, call: Call::Pull(Box::new(pull)) })
     }
 
-    fn switch_process(&mut self, now: Millis) {
-        if let Some(call) = self.call.take() {
-            self.follower.record_failure(now, call.ip);
+    fn fail_call(&mut self, now: Millis, ip: u32) {
+        self.calls.retain(|call| call.ip != ip);
+        self.call_set.end(ip);
+        self.follower.record_failure(now, ip);
+        if self.calls.is_empty() {
+            self.next_call_at = now + RETRY_DELAY_MS;
         }
-        self.pull_wait_ms = 0;
-        self.next_call_at = now + RETRY_DELAY_MS;
     }
 
     /// Handles an answer; returns the next call if it goes to the same process.
     pub fn receive(&mut self, now: Millis, call_id: u64, answer: Answer) -> Option<(Node, Packet)> {
-        let call = self.call.filter(|call| call.id == call_id)?;
+        let call = *self.calls.iter().find(|call| call.id == call_id)?;
         let Answer::Pull(reply) = answer else { return None };
-        if self.apply(now, call, *reply) {
-            self.pull_wait_ms = PULL_WAIT_MS;
-            return Some(self.pull(now, call.ip));
+        if !self.apply(now, call, *reply) {
+            self.fail_call(now, call.ip);
+            return None;
+        }
+        self.call_set.end(call.ip);
+        for silent in self.call_set.abandon_all(now) {
+            self.follower.record_failure(now, silent);
         }
-        self.switch_process(now);
-        None
+        self.calls.clear();
+        self.follower.record_source(call.ip);
+        Some(self.pull(now, call.ip, PULL_WAIT_MS))
     }
 
     /// Applies a reply; returns whether the follower continues with the process that sent it.
--- a/crates/gaugesaddle-simulation/src/world/faults.rs
+++ b/crates/gaugesaddle-simulation/src/world/faults.rs
@@ -120,7 +120,8 @@
             | Fault::LoseAnswers { .. }
             | Fault::ChangeBurst { .. }
             | Fault::Depart { .. }
-            | Fault::Crash { .. } => {
+            | Fault::Crash { .. }
+            | Fault::FreezeDiskless { .. } => {
                 self.inject_external_fault(fault);
                 Injection::Done
             }
@@ -164,6 +165,12 @@
                 self.schedule_timer(Node::Backend(number), 0, now);
             }
             Fault::Crash { number } => self.backends[number as usize].crash(),
+            Fault::FreezeDiskless { count, time } => {
+                let diskless = self.machines.values_mut().filter(|machine| !machine.has_disk);
+                for machine in diskless.take(count as usize) {
+                    machine.frozen_until = now + time;
+                }
+            }
             // `inject` handles the faults of control machines.
             _ => {}
         }
--- a/crates/gaugesaddle-testbed/src/fleet.rs
+++ b/crates/gaugesaddle-testbed/src/fleet.rs
@@ -93,6 +93,15 @@
         Fleet::start_machines(disks, 0, false, "")
     }
 
+    /// Starts a control process for each entry of `disks`, as [`Fleet::start_controls`] does, and that many proxies, with
+    /// additional lines in every boot file.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub fn start_with_disks(disks: &[bool], edges: u8, settings: &str) -> io::Result<Fleet> {
+        Fleet::start_machines(disks, edges, false, settings)
+    }
+
     fn start_machines(disks: &[bool], edges: u8, inherit_stderr: bool, settings: &str) -> io::Result<Fleet> {
         let (pid, number) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
         let folder = std::env::temp_dir().join(format!("gaugesaddle-fleet-{pid}-{number}"));
