Refuse a route or key only with proof that no change of the last configApplyMs is missing

A proxy that had lost its control processes, or was late, answered 404 or 401 by its last configuration for as long as it had no newer one, although a change acknowledged meanwhile may have added the route or key. It now answers 503 with Retry-After and closes the connection where its proof is older than 0.9 of bounds.configApplyMs; what its configuration allows is served as before. A configuration that a proxy has received and cannot parse no longer counts as the one in force for that proof.

--- a/crates/gaugesaddle-control/tests/distribution.rs
+++ b/crates/gaugesaddle-control/tests/distribution.rs
@@ -135,3 +135,27 @@
         "{bytes_per_proxy} bytes for each proxy"
     );
 }
+
+#[test]
+fn proxy_without_recent_proof_answers_503_on_an_unknown_route() {
+    let fleet = large_fleet();
+    let edge = CONTROLS;
+    assert_eq!(answer_on(&fleet, edge, 2), Answer::Refused);
+    for at in 0..CONTROLS {
+        fleet.suspend(at).expect("signal is sent");
+    }
+    let suspended = Instant::now();
+    until("the refusal is no longer certain", || {
+        let age = suspended.elapsed();
+        let answer = answer_on(&fleet, edge, 2);
+        assert!([Answer::Refused, Answer::Unproven].contains(&answer), "{answer:?}");
+        let is_late = age >= Duration::from_millis(CONFIG_APPLY_MS);
+        assert!(answer == Answer::Unproven || !is_late, "refused after {age:?}");
+        answer == Answer::Unproven
+    });
+    assert_eq!(answer_on(&fleet, edge, 1), Answer::InForce, "known routes are served");
+    for at in 0..CONTROLS {
+        fleet.resume(at).expect("signal is sent");
+    }
+    until("the refusal is certain again", || answer_on(&fleet, edge, 2) == Answer::Refused);
+}
--- a/crates/gaugesaddle-edge/src/admission.rs
+++ b/crates/gaugesaddle-edge/src/admission.rs
@@ -2,7 +2,7 @@
 
 use crate::headers::{self, API_KEY, DEADLINE, PREFIX_HASH, TOKEN_USAGE};
 use crate::rejection::Rejection;
-use crate::state::EdgeState;
+use crate::state::{EdgeState, PROOF_FRACTION};
 use gaugesaddle_config::{Route, RoutingTable, Tenant};
 use gaugesaddle_inference::{Prompt, PromptBlocks, TokenUsage};
 use gaugesaddle_quota::Admission;
@@ -54,6 +54,18 @@
     })
 }
 
+/// Refuses a request for lack of a route or key only with proof that no change of the last `configApplyMs` is missing here:
+/// another proxy may already serve what this one does not know.
+pub fn confirm_refusal(state: &EdgeState, rejection: Rejection) -> Rejection {
+    let bound_ms = (state.boot.bounds.config_apply_ms as f64 * PROOF_FRACTION) as u64;
+    match rejection {
+        Rejection::NoRoute | Rejection::InvalidKey if !state.is_proven_within(bound_ms) => {
+            Rejection::ConfigurationUnproven
+        }
+        other => other,
+    }
+}
+
 /// The time limit that the client requests, at most the route's timeout.
 fn time_limit(route: &Route, head: &Parts) -> Duration {
     let requested_ms = headers::text(&head.headers, &DEADLINE).and_then(|text| text.parse::<f64>().ok());
--- a/crates/gaugesaddle-edge/src/api_key.rs
+++ b/crates/gaugesaddle-edge/src/api_key.rs
@@ -9,13 +9,11 @@
 //! and again right before the first byte of the attempt, since requests can wait inside the process and the process can be
 //! suspended.
 
-use crate::state::EdgeState;
+use crate::state::{EdgeState, PROOF_FRACTION};
 use gaugesaddle_config::Tenant;
 use gaugesaddle_http_connection::SendGuard;
 use std::rc::Rc;
 
-/// Fraction of `revokeMs` for which a proof is valid: the clock rates of two machines may differ by a tenth.
-const PROOF_FRACTION: f64 = 0.9;
 /// Fraction of `revokeMs` after which a proxy without a newer proof reports that it is not ready, so that clients are sent
 /// to other proxies before this one has to reject their requests.
 const UNREADY_FRACTION: f64 = 0.5;
--- a/crates/gaugesaddle-edge/src/http_server.rs
+++ b/crates/gaugesaddle-edge/src/http_server.rs
@@ -122,7 +122,8 @@
     let arrived = Instant::now();
     let table = state.routing_table().ok_or(Rejection::NotConfigured)?;
     let (head, body) = request.into_parts();
-    let admitted = admission::identify(&table, &head, arrived)?;
+    let admitted = admission::identify(&table, &head, arrived)
+        .map_err(|rejection| admission::confirm_refusal(&state, rejection))?;
     let max_body_bytes = table.limits.max_body_bytes as usize;
     let body = RequestBody::read(&state.body_memory, body, max_body_bytes, admitted.deadline).await?;
     admission::take_quota(&state, &head, &admitted).await?;
--- a/crates/gaugesaddle-edge/src/rejection.rs
+++ b/crates/gaugesaddle-edge/src/rejection.rs
@@ -11,6 +11,8 @@
     NoRoute,
     /// The API key is missing or unknown.
     InvalidKey,
+    /// The route or the API key may have been added by a change that the proxy has not received, since its proof is too old.
+    ConfigurationUnproven,
     /// The tenant's quota is exhausted.
     OverQuota,
     /// The body is longer than the configuration allows.
@@ -44,6 +46,7 @@
             Rejection::NotConfigured
             | Rejection::Unavailable
             | Rejection::KeyUnproven
+            | Rejection::ConfigurationUnproven
             | Rejection::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::NoRoute => StatusCode::NOT_FOUND,
             Rejection::InvalidKey => StatusCode::UNAUTHORIZED,
@@ -59,9 +62,10 @@
     pub fn retry_after(self) -> Option<&'static str> {
         match self {
             Rejection::NotConfigured => Some(RETRY_AFTER_START),
-            Rejection::Unavailable | Rejection::KeyUnproven | Rejection::ExpiredUnsent => {
-                Some(RETRY_AFTER_UNAVAILABLE)
-            }
+            Rejection::Unavailable
+            | Rejection::KeyUnproven
+            | Rejection::ConfigurationUnproven
+            | Rejection::ExpiredUnsent => Some(RETRY_AFTER_UNAVAILABLE),
             Rejection::OverQuota => Some(RETRY_AFTER_QUOTA),
             _ => None,
         }
@@ -70,6 +74,6 @@
     /// Whether the client's connection is closed: a new connection may reach a proxy that is in contact with the control
     /// plane.
     pub fn closes_connection(self) -> bool {
-        self == Rejection::KeyUnproven
+        matches!(self, Rejection::KeyUnproven | Rejection::ConfigurationUnproven)
     }
 }
--- a/crates/gaugesaddle-edge/src/state.rs
+++ b/crates/gaugesaddle-edge/src/state.rs
@@ -19,6 +19,8 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
+/// Fraction of a bound for which a proof is valid: the clock rates of two machines may differ by a tenth.
+pub const PROOF_FRACTION: f64 = 0.9;
 /// Fraction of the quotas' slack that all proxies together may use without a leader.
 const LEADERLESS_SLACK_FRACTION: f64 = 0.4;
 /// Fraction of a service's connection limit that is divided among the known proxies; the remainder is reserved for proxies
@@ -116,9 +118,13 @@
         self.routing_table.borrow().clone()
     }
 
-    /// Whether the configuration in force was the newest acknowledged one less than `bound_ms` milliseconds ago.
+    /// Whether the configuration in force was the newest acknowledged one less than `bound_ms` milliseconds ago. Never
+    /// while a newer configuration was received that this build cannot parse.
     pub fn is_proven_within(&self, bound_ms: u64) -> bool {
-        self.follower.borrow().is_proven_within(self.now(), bound_ms)
+        let follower = self.follower.borrow();
+        let received = follower.configuration().map(|configuration| configuration.revision);
+        let in_force = self.routing_table.borrow().as_ref().map(|table| table.revision);
+        in_force == received && follower.is_proven_within(self.now(), bound_ms)
     }
 
     /// Number of live proxies, including this one.
