Call each control process before any that failed is called again

A process that had failed counted as good again after 3 s. A call to a silent one took 0.49 s, so a proxy with seven silent processes at the head of its order never reached the eighth: it refused an added route for as long as they were silent. The backoff now lasts until any process has given a fresh reply.

--- a/crates/gaugesaddle-distribution/src/follower.rs
+++ b/crates/gaugesaddle-distribution/src/follower.rs
@@ -204,6 +204,7 @@
         }
         applied.fresh = true;
         self.last_fresh_ms = Some(now);
+        self.members.record_fresh(now);
         if let Some(update) = reply.configuration.filter(|update| Some(update.position) > self.position()) {
             if !self.apply_configuration(update) {
                 return applied;
--- a/crates/gaugesaddle-distribution/src/members.rs
+++ b/crates/gaugesaddle-distribution/src/members.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 
 /// Time after a failure, or after an answer of a process that was not in contact with a majority, during which a
-/// process is called only if every other one has failed too, in milliseconds.
+/// process is called only if every other one has failed too, in milliseconds. It is extended until any process gives a
+/// fresh reply: otherwise, if the calls of several silent processes take longer than this time, those processes would be
+/// called again and again before the others.
 pub const FAILED_MEMBER_BACKOFF_MS: u64 = 3000;
 /// How long a process is retained after it was last reported as a member, in milliseconds.
 pub const MEMBER_RETENTION_MS: u64 = 60_000;
@@ -17,12 +19,19 @@
     reported_ms: BTreeMap<u32, u64>,
     /// When the last call of each failed, in milliseconds. It contains only known members.
     failed_ms: BTreeMap<u32, u64>,
+    /// When a process last gave a fresh reply, in milliseconds; 0 before the first.
+    fresh_ms: u64,
 }
 
 impl Members {
     /// The initial members, known at `now` (milliseconds) to the proxy on the machine `own_ip`.
     pub fn new(own_ip: u32, now: u64, initial: impl Iterator<Item = u32>) -> Members {
-        Members { own_ip, reported_ms: initial.map(|ip| (ip, now)).collect(), failed_ms: BTreeMap::new() }
+        Members {
+            own_ip,
+            reported_ms: initial.map(|ip| (ip, now)).collect(),
+            failed_ms: BTreeMap::new(),
+            fresh_ms: 0,
+        }
     }
 
     /// Adds members reported at `now` (milliseconds), and drops those that were not reported for
@@ -39,6 +48,11 @@
         self.failed_ms.insert(ip, now);
     }
 
+    /// Records that a process gave a fresh reply.
+    pub fn record_fresh(&mut self, now: u64) {
+        self.fresh_ms = now;
+    }
+
     /// The process to call next: one without a recent failure, else the one whose failure is oldest; among several of
     /// these the one on this machine, else the first one in an order that differs by machine, which spreads the proxies
     /// over the processes.
@@ -55,10 +69,10 @@
         })
     }
 
-    /// When the last call of a process failed; 0 where that is longer ago than the backoff.
+    /// When the last call of a process failed; 0 where that is longer ago than the backoff and than the last fresh reply.
     fn recent_failure_ms(&self, now: u64, ip: u32) -> u64 {
         match self.failed_ms.get(&ip) {
-            Some(at) if now < *at + FAILED_MEMBER_BACKOFF_MS => *at,
+            Some(at) if now < *at + FAILED_MEMBER_BACKOFF_MS || *at > self.fresh_ms => *at,
             _ => 0,
         }
     }
