Open connections in one place by compression, and keep one time of fresh replies

Found on reading the change again: the choice between a compressed and a plain connection stood at two callers, the time of the last fresh reply in Follower and in Members, a second search for the base of a delta in the leader's history, and two formats of the status of which one was called by tests alone. Behaviour is as before; the golden files of the status are compared with what the command prints without a distribution.

--- a/crates/gaugesaddle-consensus/src/history.rs
+++ b/crates/gaugesaddle-consensus/src/history.rs
@@ -55,33 +55,32 @@
     /// An update to `state` for a receiver that has the state at `received`; a full one if that state is not retained.
     pub fn update(&mut self, received: Option<LogPosition>, state: &State) -> StateUpdate {
         let base = self.retained_states.iter().find(|retained| Some(retained.position) == received);
-        let (base_position, base_revision) = (base.map(|b| b.position), base.map(|b| b.revision));
         // Revisions increase with each accepted change.
-        let is_new = |accepted: &&AcceptedChange| base_revision.is_none_or(|base| accepted.revision > base);
+        let is_new = |accepted: &&AcceptedChange| base.is_none_or(|base| accepted.revision > base.revision);
         StateUpdate {
-            base: base_position,
+            base: base.map(|base| base.position),
             position: state.position,
             revision: state.revision,
-            document: self.document_update(base_position, state),
+            document: document_update(&mut self.cached_update, base, state),
             accepted: state.accepted.iter().filter(is_new).copied().collect(),
             pruned_revision: state.pruned_revision,
             voters: state.voters.clone(),
             outgoing: state.outgoing.clone(),
         }
     }
+}
 
-    fn document_update(&mut self, base: Option<LogPosition>, state: &State) -> DocumentUpdate {
-        let cached = self.cached_update.as_ref();
-        if let Some(cached) = cached.filter(|c| c.base == base && c.position == state.position) {
-            return cached.document.clone();
-        }
-        let base_state = self.retained_states.iter().find(|retained| Some(retained.position) == base);
-        let base_document = base_state.map(|retained| retained.document.as_slice());
-        let document = DocumentUpdate::between(base_document, &state.document);
-        self.cached_update =
-            Some(CachedUpdate { base, position: state.position, document: document.clone() });
-        document
+/// The document of an update: the cached one if it has the same base and position, else a new one, which is cached.
+fn document_update(
+    cache: &mut Option<CachedUpdate>, base: Option<&RetainedState>, state: &State,
+) -> DocumentUpdate {
+    let base_position = base.map(|base| base.position);
+    if let Some(cached) = cache.as_ref().filter(|c| c.base == base_position && c.position == state.position) {
+        return cached.document.clone();
     }
+    let document = DocumentUpdate::between(base.map(|base| base.document.as_slice()), &state.document);
+    *cache = Some(CachedUpdate { base: base_position, position: state.position, document: document.clone() });
+    document
 }
 
 /// Drops the oldest accepted changes beyond [`MAX_ACCEPTED`], the same ones on every replica. Returns the highest
--- a/crates/gaugesaddle-control/src/change_handler.rs
+++ b/crates/gaugesaddle-control/src/change_handler.rs
@@ -3,7 +3,6 @@
 use crate::core::CoreHandle;
 use gaugesaddle_config::{Findings, OperatorConfig};
 use gaugesaddle_consensus::{ProposalResult, Replica};
-use gaugesaddle_protocol::frame::Compression;
 use gaugesaddle_protocol::{ChangeBody, ChangeReply, Configuration, ConfigurationChange, Reply, Request};
 use gaugesaddle_transport::Caller;
 use spdlog::{info, warn};
@@ -107,9 +106,6 @@
 async fn call_leader(core: &CoreHandle, request: Request, timeout: Duration) -> Option<Reply> {
     let address = core.with(|c| Some(c.boot.control_process_address(c.leader()?)))?;
     let compression = core.with(|c| c.peers.compression_of(u32::from(*address.ip())));
-    let opened = match compression {
-        Compression::Supported => Caller::open_compressed(address, CONNECT_TIMEOUT).await,
-        Compression::Unsupported => Caller::open(address, CONNECT_TIMEOUT).await,
-    };
-    opened.ok()?.call(&request, timeout).await.ok()
+    let mut caller = Caller::open_with(address, compression, CONNECT_TIMEOUT).await.ok()?;
+    caller.call(&request, timeout).await.ok()
 }
--- a/crates/gaugesaddle-control/src/operator_client.rs
+++ b/crates/gaugesaddle-control/src/operator_client.rs
@@ -9,7 +9,7 @@
 use gaugesaddle_config::{ConfigPatch, OperatorConfig};
 use gaugesaddle_protocol::{DistributionReport, Reply, Request, StatusReport};
 use gaugesaddle_transport::Caller;
-use serde_json::{json, Value};
+use serde_json::json;
 use std::net::SocketAddrV4;
 use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
@@ -237,22 +237,26 @@
     })
 }
 
-/// Formats a report as one JSON document, for scripts.
-pub fn report_json(report: &StatusReport) -> String {
-    report_value(report).to_string()
-}
-
-fn report_value(report: &StatusReport) -> Value {
-    json!({
+/// Formats the status of a process as one JSON document, for scripts; the distribution is under the key `distribution`.
+pub fn status_json(report: &StatusReport, distribution: Option<&DistributionReport>) -> String {
+    let mut value = json!({
         "replica": report.replica, "role": report.role, "term": report.term, "leader": report.leader,
         "voters": report.voters, "index": report.index, "revision": report.revision, "fresh": report.fresh,
         "disk": report.disk, "peersAlive": report.peers_alive, "backends": report.backends,
         "backendsLeaving": report.backends_leaving, "proxies": report.proxies,
-    })
+    });
+    if let Some(distribution) = distribution {
+        value["distribution"] = json!({
+            "revision": distribution.revision, "ageMs": distribution.age_ms, "proxies": distribution.proxies,
+            "outdatedProxies": distribution.outdated_proxies, "oldestPullMs": distribution.oldest_pull_ms,
+            "sentBytes": distribution.sent_bytes, "outdated": distribution.outdated,
+        });
+    }
+    value.to_string()
 }
 
 /// Formats a report as text, for a terminal.
-pub fn report_text(report: &StatusReport) -> String {
+fn report_text(report: &StatusReport) -> String {
     let leader = report.leader.as_deref().unwrap_or("none known");
     [
         format!("replica    {} ({}, disk {})", report.replica, report.role, report.disk),
@@ -266,19 +270,6 @@
     .join("\n")
 }
 
-/// Formats the status of a process as one JSON document; the distribution is under the key `distribution`.
-pub fn status_json(report: &StatusReport, distribution: Option<&DistributionReport>) -> String {
-    let mut value = report_value(report);
-    if let Some(distribution) = distribution {
-        value["distribution"] = json!({
-            "revision": distribution.revision, "ageMs": distribution.age_ms, "proxies": distribution.proxies,
-            "outdatedProxies": distribution.outdated_proxies, "oldestPullMs": distribution.oldest_pull_ms,
-            "sentBytes": distribution.sent_bytes, "outdated": distribution.outdated,
-        });
-    }
-    value.to_string()
-}
-
 /// Formats the status of a process as text.
 pub fn status_text(report: &StatusReport, distribution: Option<&DistributionReport>) -> String {
     let mut lines = vec![report_text(report)];
--- a/crates/gaugesaddle-control/tests/golden_commands.rs
+++ b/crates/gaugesaddle-control/tests/golden_commands.rs
@@ -1,6 +1,6 @@
 //! Guards against a renamed field or option that breaks the scripts of operators.
 
-use gaugesaddle_control::operator_client::{report_json, report_text};
+use gaugesaddle_control::operator_client::{status_json, status_text};
 use gaugesaddle_protocol::StatusReport;
 use gaugesaddle_testbed::program;
 use std::process::{Command, Output};
@@ -65,6 +65,6 @@
         backends_leaving: 3,
         proxies: 6,
     };
-    assert_eq!(report_json(&report) + "\n", include_str!("data/status.json"));
-    assert_eq!(report_text(&report) + "\n", include_str!("data/status.txt"));
+    assert_eq!(status_json(&report, None) + "\n", include_str!("data/status.json"));
+    assert_eq!(status_text(&report, None) + "\n", include_str!("data/status.txt"));
 }
--- a/crates/gaugesaddle-distribution/src/follower.rs
+++ b/crates/gaugesaddle-distribution/src/follower.rs
@@ -45,8 +45,6 @@
     leader: Option<u32>,
     /// The control process that gave the last fresh reply.
     source: Option<u32>,
-    /// When a process in contact with a majority last answered, in milliseconds.
-    last_fresh_ms: Option<u64>,
     /// The latest time, in milliseconds of this machine's monotonic clock, at which the configuration is known to have
     /// been the newest one acknowledged.
     proven_ms: Option<u64>,
@@ -67,7 +65,6 @@
             document_digest: None,
             leader: None,
             source: None,
-            last_fresh_ms: None,
             proven_ms: None,
             last_digest_ms: now,
             last_discovery_ms: now,
@@ -138,7 +135,7 @@
     /// Whether seeds should be resolved again, since no process in contact with a majority answers. Returning true
     /// records a discovery, so that it happens at most once per interval.
     pub fn needs_discovery(&mut self, now: u64) -> bool {
-        let is_lost = self.last_fresh_ms.is_none_or(|at| now >= at + DISCOVERY_INTERVAL_MS);
+        let is_lost = self.members.last_fresh_ms().is_none_or(|at| now >= at + DISCOVERY_INTERVAL_MS);
         let is_due = now >= self.last_discovery_ms + DISCOVERY_INTERVAL_MS;
         if !is_lost || !is_due {
             return false;
@@ -203,7 +200,6 @@
             return applied;
         }
         applied.fresh = true;
-        self.last_fresh_ms = Some(now);
         self.members.record_fresh(now);
         if let Some(update) = reply.configuration.filter(|update| Some(update.position) > self.position()) {
             if !self.apply_configuration(update) {
--- a/crates/gaugesaddle-distribution/src/members.rs
+++ b/crates/gaugesaddle-distribution/src/members.rs
@@ -19,8 +19,8 @@
     reported_ms: BTreeMap<u32, u64>,
     /// When the last call of each failed, in milliseconds. It contains only known members.
     failed_ms: BTreeMap<u32, u64>,
-    /// When a process last gave a fresh reply, in milliseconds; 0 before the first.
-    fresh_ms: u64,
+    /// When a process last gave a fresh reply, in milliseconds.
+    last_fresh_ms: Option<u64>,
 }
 
 impl Members {
@@ -30,7 +30,7 @@
             own_ip,
             reported_ms: initial.map(|ip| (ip, now)).collect(),
             failed_ms: BTreeMap::new(),
-            fresh_ms: 0,
+            last_fresh_ms: None,
         }
     }
 
@@ -50,7 +50,12 @@
 
     /// Records that a process gave a fresh reply.
     pub fn record_fresh(&mut self, now: u64) {
-        self.fresh_ms = now;
+        self.last_fresh_ms = Some(now);
+    }
+
+    /// When a process last gave a fresh reply, in milliseconds; `None` before the first.
+    pub fn last_fresh_ms(&self) -> Option<u64> {
+        self.last_fresh_ms
     }
 
     /// The process to call next: one without a recent failure, else the one whose failure is oldest; among several of
@@ -72,7 +77,7 @@
     /// When the last call of a process failed; 0 where that is longer ago than the backoff and than the last fresh reply.
     fn recent_failure_ms(&self, now: u64, ip: u32) -> u64 {
         match self.failed_ms.get(&ip) {
-            Some(at) if now < *at + FAILED_MEMBER_BACKOFF_MS || *at > self.fresh_ms => *at,
+            Some(at) if now < *at + FAILED_MEMBER_BACKOFF_MS || Some(*at) > self.last_fresh_ms => *at,
             _ => 0,
         }
     }
--- a/crates/gaugesaddle-edge/src/control_client/connection.rs
+++ b/crates/gaugesaddle-edge/src/control_client/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to control processes, compressed where the process supports it.
 
 use crate::state::EdgeState;
+use gaugesaddle_protocol::frame::Compression;
 use gaugesaddle_transport::{Caller, LinkError};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -50,12 +51,12 @@
         state: &EdgeState, ip: u32, without_compression: &RefCell<AddressesWithoutCompression>,
     ) -> Result<Connection, LinkError> {
         let address = state.boot.control_process_address(ip);
-        let is_compressed = !without_compression.borrow().contains(state.now(), ip);
-        let caller = if is_compressed {
-            Caller::open_compressed(address, CONNECT_TIMEOUT).await?
+        let compression = if without_compression.borrow().contains(state.now(), ip) {
+            Compression::Unsupported
         } else {
-            Caller::open(address, CONNECT_TIMEOUT).await?
+            Compression::Supported
         };
+        let caller = Caller::open_with(address, compression, CONNECT_TIMEOUT).await?;
         Ok(Connection { ip, caller })
     }
 
--- a/crates/gaugesaddle-transport/src/caller.rs
+++ b/crates/gaugesaddle-transport/src/caller.rs
@@ -19,25 +19,24 @@
     /// # Errors
     /// Where connecting or the announcement fails or takes longer than `timeout` each.
     pub async fn open(address: SocketAddrV4, timeout: Duration) -> Result<Caller, LinkError> {
-        Caller::open_with(address, ConnectionPreface::Requests, timeout).await
+        Caller::open_with(address, Compression::Unsupported, timeout).await
     }
 
-    /// Opens a connection and announces on it that replies may be compressed. A process of a build without compression
-    /// closes it.
+    /// Opens a connection to a process with that support for compression. Where it is supported, the announcement has it
+    /// compress replies, too; a process of a build without compression closes such a connection.
     ///
     /// # Errors
     /// As [`Caller::open`].
-    pub async fn open_compressed(address: SocketAddrV4, timeout: Duration) -> Result<Caller, LinkError> {
-        let mut caller = Caller::open_with(address, ConnectionPreface::CompressedRequests, timeout).await?;
-        caller.link.set_compression(Compression::Supported);
-        Ok(caller)
-    }
-
-    async fn open_with(
-        address: SocketAddrV4, preface: ConnectionPreface, timeout: Duration,
+    pub async fn open_with(
+        address: SocketAddrV4, compression: Compression, timeout: Duration,
     ) -> Result<Caller, LinkError> {
+        let preface = match compression {
+            Compression::Supported => ConnectionPreface::CompressedRequests,
+            Compression::Unsupported => ConnectionPreface::Requests,
+        };
         let mut link = Link::new(connect(address, timeout).await?);
         link.send(&preface, timeout).await?;
+        link.set_compression(compression);
         Ok(Caller { address, link })
     }
 
